--- /dev/null
+++ b/cmd/driftctl/main.go
@@ -0,0 +1,4 @@
+// Command driftctl is part of driftstage.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/driftlab/main.go
@@ -0,0 +1,4 @@
+// Command driftlab is part of driftstage.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/driftstaged/main.go
@@ -0,0 +1,4 @@
+// Command driftstaged is part of driftstage.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/lab/doc.go
@@ -0,0 +1,2 @@
+// Package lab measures driftstage: load, baselines and scale runs.
+package lab
--- /dev/null
+++ b/internal/membership/member.go
@@ -0,0 +1,44 @@
+package membership
+
+// State is what a node believes of a member.
+type State uint8
+
+const (
+	// Alive members take work.
+	Alive State = iota
+	// Suspect members did not answer lately; they still own servers.
+	Suspect
+	// Leaving members have announced a planned stop: they get no new work.
+	Leaving
+	// Dead members have left or failed.
+	Dead
+)
+
+// String returns the state's name for logs and reports.
+func (state State) String() string {
+	switch state {
+	case Alive:
+		return "alive"
+	case Suspect:
+		return "suspect"
+	case Leaving:
+		return "leaving"
+	default:
+		return "dead"
+	}
+}
+
+// Member is one node of the system as others see it.
+type Member struct {
+	// ID names the node; it is unique among the live nodes.
+	ID string
+	// Address is the IP:port of the wire protocol (TCP).
+	Address string
+	// GossipAddress is the IP:port of the membership protocol (UDP).
+	GossipAddress string
+	Zone          string
+	Region        string
+	// Incarnation is raised only by the member itself.
+	Incarnation uint64
+	State       State
+}
--- /dev/null
+++ b/internal/standin/platform/doc.go
@@ -0,0 +1,2 @@
+// Package platform is a stand-in for the platform: Object API and machine list.
+package platform
--- /dev/null
+++ b/test/e2e/doc.go
@@ -0,0 +1,2 @@
+// Package e2e holds the end-to-end tests: separate processes under failure.
+package e2e
