--- a/internal/wire/message/messages_gen.go
+++ b/internal/wire/message/messages_gen.go
@@ -264,6 +264,33 @@
 	return avro.Marshal(o.Schema(), o)
 }
 
+// Answers any request that the receiver could not serve.
+type Failure struct {
+	// A verdict.Verdict.
+	Verdict int `avro:"verdict"`
+	// A verdict.Code.
+	Code             string `avro:"code"`
+	Reason           string `avro:"reason"`
+	RetryAfterMicros int64  `avro:"retryAfterMicros"`
+}
+
+var schemaFailure = avro.MustParse(`{"name":"Failure","type":"record","fields":[{"name":"verdict","type":"int"},{"name":"code","type":"string"},{"name":"reason","type":"string"},{"name":"retryAfterMicros","type":"long"}]}`)
+
+// Schema returns the schema for Failure.
+func (o *Failure) Schema() avro.Schema {
+	return schemaFailure
+}
+
+// Unmarshal decodes b into the receiver.
+func (o *Failure) Unmarshal(b []byte) error {
+	return avro.Unmarshal(o.Schema(), b, o)
+}
+
+// Marshal encodes the receiver.
+func (o *Failure) Marshal() ([]byte, error) {
+	return avro.Marshal(o.Schema(), o)
+}
+
 // An empty answer.
 type Acknowledgement struct {
 }
