Placement by rendezvous hashing, and the set of accepted revisions

Change: placement.Rank gives a server's owner and second-ranked node, nodes of the server's zone first. config.Set merges accepted revisions monotonically, with tombstones, digests and a hash that Apply keeps up to date; config.Store is the same for concurrent use, and hands out services that never change.

Ruled out: a hash of the spec in the digest; a revision names one content by the compare-and-set that accepted it.

--- /dev/null
+++ b/internal/config/store.go
@@ -0,0 +1,93 @@
+package config
+
+import (
+	"slices"
+	"sync"
+)
+
+// Store is a Set for concurrent use. Readers get services that never change,
+// so a query that took one works by it from first to last.
+type Store struct {
+	mutex    sync.RWMutex
+	set      *Set
+	services map[string]*Service
+	sorted   []*Service
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{set: NewSet(), services: make(map[string]*Service)}
+}
+
+// Apply takes in entries and returns those that changed the store.
+func (store *Store) Apply(entries ...Entry) []Entry {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	var changed []Entry
+	for _, entry := range entries {
+		if !store.set.Apply(entry) {
+			continue
+		}
+		changed = append(changed, entry)
+		store.remember(entry.Service)
+	}
+	if len(changed) > 0 {
+		store.sorted = store.set.Services()
+		for index, service := range store.sorted {
+			store.sorted[index] = store.services[service.Name]
+		}
+	}
+	return changed
+}
+
+func (store *Store) remember(name string) {
+	service, found := store.set.Service(name)
+	if !found {
+		delete(store.services, name)
+		return
+	}
+	store.services[name] = service
+}
+
+// Service returns the accepted revision in force of a service.
+func (store *Store) Service(name string) (*Service, bool) {
+	store.mutex.RLock()
+	defer store.mutex.RUnlock()
+	service, found := store.services[name]
+	return service, found
+}
+
+// Services returns every service in force, by name.
+func (store *Store) Services() []*Service {
+	store.mutex.RLock()
+	defer store.mutex.RUnlock()
+	return slices.Clone(store.sorted)
+}
+
+// Revision returns the revision held of a service, tombstones included.
+func (store *Store) Revision(service string) int64 {
+	store.mutex.RLock()
+	defer store.mutex.RUnlock()
+	return store.set.Revision(service)
+}
+
+// Digest lists what is held, tombstones included, by name.
+func (store *Store) Digest() []Version {
+	store.mutex.RLock()
+	defer store.mutex.RUnlock()
+	return store.set.Digest()
+}
+
+// Newer returns the entries that a node with this digest lacks.
+func (store *Store) Newer(digest []Version) []Entry {
+	store.mutex.RLock()
+	defer store.mutex.RUnlock()
+	return store.set.Newer(digest)
+}
+
+// Hash tells sets of different revisions apart.
+func (store *Store) Hash() uint64 {
+	store.mutex.RLock()
+	defer store.mutex.RUnlock()
+	return store.set.Hash()
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -1,5 +1,7 @@
 package placement
 
+import "github.com/cespare/xxhash/v2"
+
 // Node is a live member that may own servers.
 type Node struct {
 	// ID names the member.
@@ -13,3 +15,76 @@
 	Name    string
 	Zone    string
 }
+
+// Rank returns the IDs of the two highest-ranked nodes for a server: the owner,
+// and the one that takes over when the owner can not be reached. Nodes of the
+// server's zone go before all others; within a zone the rank is by rendezvous
+// hashing (Thaler and Ravishankar, 1998), so that a join or leave moves only
+// the servers of the node that came or went. A result is empty when there are
+// too few nodes. The order of nodes does not matter.
+func Rank(server Server, nodes []Node) (first, second string) {
+	key := serverKey(server)
+	var best, next candidate
+	for index := range nodes {
+		node := &nodes[index]
+		offered := candidate{
+			id:     node.ID,
+			inZone: node.Zone == server.Zone,
+			weight: weight(key, nodeKey(node.ID)),
+		}
+		switch {
+		case offered.above(best):
+			best, next = offered, best
+		case offered.above(next):
+			next = offered
+		}
+	}
+	return best.id, next.id
+}
+
+// candidate is a node together with its rank for one server; the zero value
+// ranks below every node.
+type candidate struct {
+	id     string
+	inZone bool
+	weight uint64
+}
+
+func (candidate candidate) above(other candidate) bool {
+	if other.id == "" {
+		return candidate.id != ""
+	}
+	if candidate.inZone != other.inZone {
+		return candidate.inZone
+	}
+	if candidate.weight != other.weight {
+		return candidate.weight > other.weight
+	}
+	return candidate.id < other.id
+}
+
+// keySeparator stands between the parts of a hashed name; it can not occur in
+// the name of a service.
+const keySeparator = "\x00"
+
+func serverKey(server Server) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(server.Service)
+	_, _ = digest.WriteString(keySeparator)
+	_, _ = digest.WriteString(server.Name)
+	return digest.Sum64()
+}
+
+func nodeKey(id string) uint64 {
+	return xxhash.Sum64String(id)
+}
+
+// weight mixes the two hashes by the finalizer of SplitMix64 (Steele, Lea and
+// Flood, 2014).
+func weight(server, node uint64) uint64 {
+	mixed := server ^ (node * 0x9e3779b97f4a7c15)
+	mixed = (mixed ^ (mixed >> 30)) * 0xbf58476d1ce4e5b9
+	mixed = (mixed ^ (mixed >> 27)) * 0x94d049bb133111eb
+	return mixed ^ (mixed >> 31)
+}
