--- /dev/null
+++ b/internal/telemetry/admin.go
@@ -0,0 +1,102 @@
+package telemetry
+
+import (
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+	"github.com/valyala/fasthttp/pprofhandler"
+)
+
+// NewRegistry returns a registry with the collectors of the Go runtime and the
+// process. Metrics of driftstage are named driftstage_component_noun_unit.
+func NewRegistry() *prometheus.Registry {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	return registry
+}
+
+// AdminOptions are the sources of the admin server's answers.
+type AdminOptions struct {
+	Registry *prometheus.Registry
+	// Ready returns why the node takes no requests; empty when it does.
+	Ready func() string
+	// State returns the value that /debug/state shows as JSON.
+	State func() any
+}
+
+// Admin serves /metrics, /healthz, /readyz, /debug/state and /debug/pprof.
+type Admin struct {
+	server *fasthttp.Server
+}
+
+const (
+	adminTimeout = 30 * time.Second
+	// adminBodyBytes bounds request bodies; no endpoint reads one.
+	adminBodyBytes   = 4 << 10
+	adminConnections = 64
+)
+
+// NewAdmin returns an admin server that does not listen yet.
+func NewAdmin(options AdminOptions) *Admin {
+	routes := router.New()
+	routes.GET("/metrics", fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(options.Registry, promhttp.HandlerOpts{})))
+	routes.GET("/healthz", func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok\n") })
+	routes.GET("/readyz", func(ctx *fasthttp.RequestCtx) { writeReady(ctx, options.Ready()) })
+	routes.GET("/debug/state", func(ctx *fasthttp.RequestCtx) { writeState(ctx, options.State()) })
+	routes.GET("/debug/pprof/{profile:*}", pprofhandler.PprofHandler)
+	return &Admin{server: &fasthttp.Server{
+		Name:               "driftstage",
+		Handler:            routes.Handler,
+		ReadTimeout:        adminTimeout,
+		IdleTimeout:        adminTimeout,
+		MaxRequestBodySize: adminBodyBytes,
+		Concurrency:        adminConnections,
+		CloseOnShutdown:    true,
+		Logger:             SilentHTTPLogger{},
+	}}
+}
+
+func writeReady(ctx *fasthttp.RequestCtx, reason string) {
+	if reason != "" {
+		ctx.Error(reason+"\n", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	ctx.SetBodyString("ok\n")
+}
+
+func writeState(ctx *fasthttp.RequestCtx, state any) {
+	encoded, err := json.MarshalIndent(state, "", "  ")
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(append(encoded, '\n'))
+}
+
+// Serve answers on the listener until Close.
+func (admin *Admin) Serve(listener net.Listener) error {
+	return admin.server.Serve(listener)
+}
+
+// Close ends the server.
+func (admin *Admin) Close() error {
+	return admin.server.Shutdown()
+}
+
+// SilentHTTPLogger drops what fasthttp logs of single connections: a broken
+// client could fill the logs. Metrics count what matters.
+type SilentHTTPLogger struct{}
+
+// Printf implements fasthttp.Logger.
+func (SilentHTTPLogger) Printf(string, ...any) {}
--- a/internal/telemetry/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package telemetry sets up logs as JSON lines, metrics and the admin server.
-package telemetry
