Platform stand-in and client: versions, watches, 409, 410, faults

The client sends each request at most once and says of every failure whether it may have taken effect. A watch has its own connection, so that it ends with its context and when nothing arrives for the idle time.

--- a/api/v1/types.go
+++ b/api/v1/types.go
@@ -9,11 +9,17 @@
 	APIVersion = "driftstage.dev/v1"
 	// KindQueryService is the kind of QueryService.
 	KindQueryService = "QueryService"
+	// KindLease is the kind of Lease.
+	KindLease = "Lease"
+	// Finalizer keeps a deleted QueryService until its tombstone has spread.
+	Finalizer = "driftstage.dev/tombstone"
 )
 
 // ObjectMeta is the part of a resource that the Object API maintains.
 type ObjectMeta struct {
 	Name string `json:"name"`
+	// UID tells an object from an earlier one of the same name.
+	UID string `json:"uid,omitempty"`
 	// ResourceVersion changes at every write; an update carries the one it read.
 	ResourceVersion string `json:"resourceVersion,omitempty"`
 	// Generation counts the changes of the spec, from 1.
--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,185 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	v1 "github.com/driftstage/driftstage/api/v1"
+	"github.com/driftstage/driftstage/internal/verdict"
+)
+
+const (
+	// ClientHeader is the request header with the client's name.
+	ClientHeader = "Driftstage-Client"
+	basePath     = "/apis/" + v1.APIVersion + "/"
+	// DefaultTimeout bounds one request other than a watch.
+	DefaultTimeout = 5 * time.Second
+	// DefaultWatchIdle is the silence after which a watch counts as broken.
+	DefaultWatchIdle = 10 * time.Second
+	maxReplyBytes    = 256 << 20
+	maxConnections   = 16
+)
+
+// Options configure a Client.
+type Options struct {
+	// Address is IP:port of the platform.
+	Address string
+	// Name tells the platform who asks.
+	Name string
+	// Timeout bounds one request; zero means DefaultTimeout.
+	Timeout time.Duration
+	// WatchIdle ends a watch on which nothing arrives for so long, bookmarks
+	// included; zero means DefaultWatchIdle.
+	WatchIdle time.Duration
+}
+
+// Client speaks to the Object API and the machine list. It never repeats a
+// request by itself.
+type Client struct {
+	options       Options
+	http          *fasthttp.HostClient
+	QueryServices *Collection[v1.QueryService]
+	Leases        *Collection[v1.Lease]
+}
+
+// NewClient returns a client; it connects at the first request.
+func NewClient(options Options) *Client {
+	if options.Timeout <= 0 {
+		options.Timeout = DefaultTimeout
+	}
+	if options.WatchIdle <= 0 {
+		options.WatchIdle = DefaultWatchIdle
+	}
+	client := &Client{options: options, http: newHTTPClient(options.Address, dial)}
+	client.QueryServices = &Collection[v1.QueryService]{
+		client:   client,
+		resource: "queryservices",
+		metadata: func(service *v1.QueryService) *v1.ObjectMeta { return &service.Metadata },
+	}
+	client.Leases = &Collection[v1.Lease]{
+		client:   client,
+		resource: "leases",
+		metadata: func(lease *v1.Lease) *v1.ObjectMeta { return &lease.Metadata },
+	}
+	return client
+}
+
+// newHTTPClient returns a client that sends every request at most once.
+func newHTTPClient(address string, dial fasthttp.DialFuncWithTimeout) *fasthttp.HostClient {
+	return &fasthttp.HostClient{
+		Addr:                      address,
+		DialTimeout:               dial,
+		MaxConns:                  maxConnections,
+		MaxConnWaitTimeout:        DefaultTimeout,
+		MaxIdemponentCallAttempts: 1,
+		MaxResponseBodySize:       maxReplyBytes,
+		NoDefaultUserAgentHeader:  true,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+	}
+}
+
+// dialError marks a failure before anything was sent.
+type dialError struct{ cause error }
+
+func (failure *dialError) Error() string { return failure.cause.Error() }
+func (failure *dialError) Unwrap() error { return failure.cause }
+
+func dial(address string, timeout time.Duration) (net.Conn, error) {
+	if timeout <= 0 || timeout > DefaultTimeout {
+		timeout = DefaultTimeout
+	}
+	connection, err := net.DialTimeout("tcp", address, timeout)
+	if err != nil {
+		return nil, &dialError{cause: err}
+	}
+	return connection, nil
+}
+
+// Close ends the idle connections.
+func (client *Client) Close() {
+	client.http.CloseIdleConnections()
+}
+
+// exchange sends one request and decodes its reply. It returns as soon as ctx
+// ends; the request may take effect after that.
+func (client *Client) exchange(ctx context.Context, method, path string, body, reply any) error {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	if err := client.prepare(request, method, path, body); err != nil {
+		return err
+	}
+	finished := make(chan error, 1)
+	go func() {
+		defer fasthttp.ReleaseRequest(request)
+		defer fasthttp.ReleaseResponse(response)
+		err := client.http.DoTimeout(request, response, client.options.Timeout)
+		if err != nil {
+			finished <- transportError(err)
+			return
+		}
+		finished <- decodeReply(response, reply)
+	}()
+	select {
+	case err := <-finished:
+		return err
+	case <-ctx.Done():
+		return &Error{Verdict: verdict.MayHaveRun, Reason: "Canceled", Message: ctx.Err().Error()}
+	}
+}
+
+func (client *Client) prepare(request *fasthttp.Request, method, path string, body any) error {
+	request.Header.SetMethod(method)
+	request.SetRequestURI("http://" + client.options.Address + path)
+	request.Header.Set(ClientHeader, client.options.Name)
+	if body == nil {
+		return nil
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		return &Error{Verdict: verdict.NotRun, Reason: "Encoding", Message: err.Error()}
+	}
+	request.Header.SetContentType("application/json")
+	request.SetBody(data)
+	return nil
+}
+
+// transportError tells failures before the first byte from later ones.
+func transportError(err error) *Error {
+	var unreachable *dialError
+	if errors.As(err, &unreachable) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+		return &Error{Verdict: verdict.NotRun, Reason: "Unreachable", Message: err.Error()}
+	}
+	return &Error{Verdict: verdict.MayHaveRun, Reason: "NoReply", Message: err.Error()}
+}
+
+func decodeReply(response *fasthttp.Response, reply any) error {
+	status := response.StatusCode()
+	if status != http.StatusOK && status != http.StatusCreated {
+		return refusal(status, response.Body())
+	}
+	if reply == nil {
+		return nil
+	}
+	if err := json.Unmarshal(response.Body(), reply); err != nil {
+		return &Error{Verdict: verdict.MayHaveRun, Status: status, Reason: "BadReply", Message: err.Error()}
+	}
+	return nil
+}
+
+func refusal(status int, body []byte) *Error {
+	var reply replyStatus
+	if err := json.Unmarshal(body, &reply); err != nil {
+		reply = replyStatus{Reason: http.StatusText(status), Message: string(body)}
+	}
+	return newStatusError(status, reply)
+}
+
+func objectPath(resource, name string) string {
+	return basePath + resource + "/" + url.PathEscape(name)
+}
--- /dev/null
+++ b/internal/platform/watch.go
@@ -0,0 +1,194 @@
+package platform
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/driftstage/driftstage/internal/verdict"
+)
+
+// EventType says what happened to an object.
+type EventType string
+
+// The types of events.
+const (
+	EventAdded    EventType = "ADDED"
+	EventModified EventType = "MODIFIED"
+	EventDeleted  EventType = "DELETED"
+	// EventBookmark carries a version and no object.
+	EventBookmark EventType = "BOOKMARK"
+)
+
+const eventError EventType = "ERROR"
+
+// Event is one change of an object.
+type Event[Object any] struct {
+	Type   EventType
+	Object *Object
+	// ResourceVersion is where a later watch goes on.
+	ResourceVersion string
+}
+
+// Watch is an open stream of events. Next and Close may be called from
+// different goroutines, Next by one at a time.
+type Watch[Object any] struct {
+	connection *watchConnection
+	response   *fasthttp.Response
+	lines      *bufio.Reader
+	stop       func() bool
+}
+
+// Watch opens a stream of the events after a version. It ends with ctx.
+func (collection *Collection[Object]) Watch(ctx context.Context, resourceVersion string) (*Watch[Object], error) {
+	client := collection.client
+	holder := &watchDialer{idle: client.options.WatchIdle}
+	stopHandshake := context.AfterFunc(ctx, holder.close)
+	response := fasthttp.AcquireResponse()
+	response.StreamBody = true
+	err := client.openWatch(holder, collection.resource, resourceVersion, response)
+	if err != nil {
+		stopHandshake()
+		holder.close()
+		return nil, err
+	}
+	return &Watch[Object]{
+		connection: holder.connection,
+		response:   response,
+		lines:      bufio.NewReader(response.BodyStream()),
+		stop:       stopHandshake,
+	}, nil
+}
+
+// openWatch sends the request on a connection of its own, and checks its status.
+func (client *Client) openWatch(dialer *watchDialer, resource, version string, response *fasthttp.Response) error {
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	path := basePath + resource + "?watch=true&resourceVersion=" + url.QueryEscape(version)
+	if err := client.prepare(request, http.MethodGet, path, nil); err != nil {
+		return err
+	}
+	host := newHTTPClient(client.options.Address, dialer.dial)
+	if err := host.Do(request, response); err != nil {
+		return transportError(err)
+	}
+	if status := response.StatusCode(); status != http.StatusOK {
+		body, _ := io.ReadAll(io.LimitReader(response.BodyStream(), maxReplyBytes))
+		return refusal(status, body)
+	}
+	return nil
+}
+
+// Next returns the next event, or the error that ended the stream.
+func (watch *Watch[Object]) Next() (Event[Object], error) {
+	line, err := watch.lines.ReadBytes('\n')
+	if err != nil {
+		return Event[Object]{}, &Error{Verdict: verdict.NotRun, Reason: "WatchEnded", Message: err.Error()}
+	}
+	return decodeEvent[Object](line)
+}
+
+// Close ends the stream; a Next under way returns.
+func (watch *Watch[Object]) Close() {
+	watch.stop()
+	_ = watch.connection.Close()
+}
+
+// rawEvent is one line of the stream.
+type rawEvent struct {
+	Type   EventType       `json:"type"`
+	Object json.RawMessage `json:"object"`
+}
+
+// eventHeader is the part of every event's object that the client needs.
+type eventHeader struct {
+	Metadata ListMetadata `json:"metadata"`
+	Code     int          `json:"code"`
+	replyStatus
+}
+
+func decodeEvent[Object any](line []byte) (Event[Object], error) {
+	var raw rawEvent
+	if err := json.Unmarshal(line, &raw); err != nil {
+		return Event[Object]{}, badEvent(err)
+	}
+	var header eventHeader
+	if err := json.Unmarshal(raw.Object, &header); err != nil {
+		return Event[Object]{}, badEvent(err)
+	}
+	event := Event[Object]{Type: raw.Type, ResourceVersion: header.Metadata.ResourceVersion}
+	switch raw.Type {
+	case eventError:
+		return event, newStatusError(header.Code, header.replyStatus)
+	case EventBookmark:
+		return event, nil
+	}
+	event.Object = new(Object)
+	if err := json.Unmarshal(raw.Object, event.Object); err != nil {
+		return Event[Object]{}, badEvent(err)
+	}
+	return event, nil
+}
+
+func badEvent(err error) *Error {
+	return &Error{Verdict: verdict.NotRun, Reason: "BadEvent", Message: err.Error()}
+}
+
+// watchDialer makes the one connection of a watch and can close it at any time.
+type watchDialer struct {
+	idle       time.Duration
+	mutex      sync.Mutex
+	closed     bool
+	connection *watchConnection
+}
+
+func (dialer *watchDialer) dial(address string, timeout time.Duration) (net.Conn, error) {
+	connection, err := dial(address, timeout)
+	if err != nil {
+		return nil, err
+	}
+	dialer.mutex.Lock()
+	defer dialer.mutex.Unlock()
+	dialer.connection = &watchConnection{Conn: connection, idle: dialer.idle}
+	if dialer.closed {
+		_ = connection.Close()
+	}
+	return dialer.connection, nil
+}
+
+func (dialer *watchDialer) close() {
+	dialer.mutex.Lock()
+	defer dialer.mutex.Unlock()
+	dialer.closed = true
+	if dialer.connection != nil {
+		_ = dialer.connection.Close()
+	}
+}
+
+// watchConnection fails a read on which nothing arrives for the idle time.
+type watchConnection struct {
+	net.Conn
+	idle time.Duration
+}
+
+// Read sets the deadline anew before each read.
+func (connection *watchConnection) Read(buffer []byte) (int, error) {
+	if err := connection.Conn.SetReadDeadline(time.Now().Add(connection.idle)); err != nil {
+		return 0, err
+	}
+	return connection.Conn.Read(buffer)
+}
+
+// SetReadDeadline is left to Read.
+func (connection *watchConnection) SetReadDeadline(time.Time) error { return nil }
+
+// SetDeadline is left to Read.
+func (connection *watchConnection) SetDeadline(time.Time) error { return nil }
--- /dev/null
+++ b/internal/standin/platform/server.go
@@ -0,0 +1,280 @@
+package platform
+
+import (
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	resourceQueryServices = "queryservices"
+	resourceLeases        = "leases"
+	pathResource          = "/apis/driftstage.dev/v1/{resource:queryservices|leases}"
+	pathObject            = pathResource + "/{name}"
+	pathStatus            = pathObject + "/status"
+	maxBodyBytes          = 8 << 20
+	// DefaultBookmarkInterval is the time between bookmarks on a silent watch.
+	DefaultBookmarkInterval = time.Second
+)
+
+// Options configure a Server.
+type Options struct {
+	// Machines is the first machine list, visible at once.
+	Machines []Machine
+	// MachineLag passes until a later machine list is visible.
+	MachineLag time.Duration
+	// BookmarkInterval is the time between bookmarks; zero means the default.
+	BookmarkInterval time.Duration
+}
+
+// Server is the stand-in. It keeps everything in memory.
+type Server struct {
+	store     *store
+	faults    *faultSwitch
+	stats     *statistics
+	machines  *laggingMachines
+	bookmarks time.Duration
+	public    *fasthttp.Server
+	admin     *fasthttp.Server
+	stopped   chan struct{}
+}
+
+// NewServer returns a stand-in that serves nothing yet.
+func NewServer(options Options) *Server {
+	server := &Server{
+		store: newStore(map[string]string{
+			resourceQueryServices: "QueryService",
+			resourceLeases:        "Lease",
+		}),
+		faults:    newFaultSwitch(),
+		stats:     newStatistics(),
+		machines:  &laggingMachines{lag: options.MachineLag, shown: options.Machines},
+		bookmarks: options.BookmarkInterval,
+		stopped:   make(chan struct{}),
+	}
+	if server.bookmarks <= 0 {
+		server.bookmarks = DefaultBookmarkInterval
+	}
+	server.public = newHTTPServer(server.publicRoutes())
+	server.admin = newHTTPServer(server.adminRoutes())
+	return server
+}
+
+func newHTTPServer(routes *router.Router) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:               routes.Handler,
+		MaxRequestBodySize:    maxBodyBytes,
+		NoDefaultServerHeader: true,
+		CloseOnShutdown:       true,
+	}
+}
+
+// Serve answers clients until Stop.
+func (server *Server) Serve(listener net.Listener) error {
+	return server.public.Serve(listener)
+}
+
+// ServeAdmin answers the fault switches until Stop.
+func (server *Server) ServeAdmin(listener net.Listener) error {
+	return server.admin.Serve(listener)
+}
+
+// Stop ends the watches and closes the listeners. It is called once.
+func (server *Server) Stop() error {
+	close(server.stopped)
+	server.SetFaults(Faults{})
+	return errors.Join(server.public.Shutdown(), server.admin.Shutdown())
+}
+
+// SetFaults replaces the faults in force.
+func (server *Server) SetFaults(faults Faults) {
+	if faults.CompactHistory {
+		server.store.compact()
+	}
+	server.faults.set(faults)
+}
+
+// Faults returns the faults in force, counted ones with what is left of them.
+func (server *Server) Faults() Faults {
+	return server.faults.current()
+}
+
+// Stats returns the counts by client name.
+func (server *Server) Stats() map[string]ClientStats {
+	return server.stats.snapshot()
+}
+
+// SetMachines replaces the machine list; it becomes visible after the lag.
+func (server *Server) SetMachines(machines []Machine) {
+	server.machines.set(machines, time.Now())
+}
+
+func (server *Server) publicRoutes() *router.Router {
+	routes := router.New()
+	routes.GET(pathResource, server.handleList)
+	routes.GET(pathObject, server.handleGet)
+	routes.POST(pathResource, server.handleCreate)
+	routes.PUT(pathObject, server.handleUpdate)
+	routes.PUT(pathStatus, server.handleUpdateStatus)
+	routes.DELETE(pathObject, server.handleDelete)
+	routes.GET("/machines", server.handleMachines)
+	return routes
+}
+
+func (server *Server) handleList(request *fasthttp.RequestCtx) {
+	if request.QueryArgs().GetBool("watch") {
+		server.handleWatch(request)
+		return
+	}
+	server.answer(request, false, func(resource string) (any, *statusError) {
+		return server.store.list(resource), nil
+	})
+}
+
+func (server *Server) handleGet(request *fasthttp.RequestCtx) {
+	server.answer(request, false, func(resource string) (any, *statusError) {
+		return server.store.get(resource, pathValue(request, "name"))
+	})
+}
+
+func (server *Server) handleCreate(request *fasthttp.RequestCtx) {
+	server.answer(request, true, func(resource string) (any, *statusError) {
+		wanted, failure := decodeObject(request.PostBody())
+		if failure != nil {
+			return nil, failure
+		}
+		return server.store.create(resource, wanted)
+	})
+}
+
+func (server *Server) handleUpdate(request *fasthttp.RequestCtx) {
+	server.answer(request, true, func(resource string) (any, *statusError) {
+		wanted, failure := decodeObject(request.PostBody())
+		if failure != nil {
+			return nil, failure
+		}
+		return server.store.update(resource, pathValue(request, "name"), wanted)
+	})
+}
+
+func (server *Server) handleUpdateStatus(request *fasthttp.RequestCtx) {
+	server.answer(request, true, func(resource string) (any, *statusError) {
+		wanted, failure := decodeObject(request.PostBody())
+		if failure != nil {
+			return nil, failure
+		}
+		return server.store.updateStatus(resource, pathValue(request, "name"), wanted)
+	})
+}
+
+func (server *Server) handleDelete(request *fasthttp.RequestCtx) {
+	server.answer(request, true, func(resource string) (any, *statusError) {
+		version := string(request.QueryArgs().Peek("resourceVersion"))
+		return server.store.delete(resource, pathValue(request, "name"), version, time.Now())
+	})
+}
+
+func (server *Server) handleMachines(request *fasthttp.RequestCtx) {
+	writeJSON(request, http.StatusOK, server.machines.visible(time.Now()))
+}
+
+// answer applies the faults, runs the operation, counts it and writes its result.
+func (server *Server) answer(request *fasthttp.RequestCtx, write bool, operate func(resource string) (any, *statusError)) {
+	resource := pathValue(request, "resource")
+	client := string(request.Request.Header.Peek(ClientHeader))
+	server.stats.record(client, func(stats *ClientStats) {
+		if write {
+			stats.Writes++
+		} else {
+			stats.Reads++
+		}
+	})
+	plan := server.faults.plan(resource, client, write)
+	if !server.pass(request, plan) {
+		return
+	}
+	result, failure := operate(resource)
+	if plan.dropReply {
+		closeWithoutReply(request)
+		return
+	}
+	if failure != nil {
+		server.writeFailure(request, client, failure)
+		return
+	}
+	writeJSON(request, http.StatusOK, result)
+}
+
+// pass tells whether the operation may run; if not, it has been answered.
+func (server *Server) pass(request *fasthttp.RequestCtx, plan faultPlan) bool {
+	if plan.refuse {
+		writeJSON(request, http.StatusServiceUnavailable,
+			newStatusError(http.StatusServiceUnavailable, "ServiceUnavailable", "the store is down"))
+		return false
+	}
+	if plan.dropRequest {
+		closeWithoutReply(request)
+		return false
+	}
+	if plan.delay > 0 {
+		time.Sleep(plan.delay)
+	}
+	return true
+}
+
+func (server *Server) writeFailure(request *fasthttp.RequestCtx, client string, failure *statusError) {
+	if failure.Code == http.StatusConflict {
+		server.stats.record(client, func(stats *ClientStats) { stats.Conflicts++ })
+	}
+	writeJSON(request, failure.Code, failure)
+}
+
+// decodeObject reads a resource, with its spec in one canonical form so that
+// a mere change of notation is no change of the spec.
+func decodeObject(body []byte) (object, *statusError) {
+	var wanted object
+	if err := json.Unmarshal(body, &wanted); err != nil {
+		return object{}, badRequest("not a resource in JSON: %v", err)
+	}
+	wanted.Spec = canonical(wanted.Spec)
+	wanted.Status = canonical(wanted.Status)
+	return wanted, nil
+}
+
+func canonical(raw json.RawMessage) json.RawMessage {
+	var value any
+	if json.Unmarshal(raw, &value) != nil {
+		return nil
+	}
+	result, err := json.Marshal(value)
+	if err != nil {
+		return nil
+	}
+	return result
+}
+
+func writeJSON(request *fasthttp.RequestCtx, code int, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		request.Error(err.Error(), http.StatusInternalServerError)
+		return
+	}
+	request.SetStatusCode(code)
+	request.SetContentType("application/json")
+	request.SetBody(body)
+}
+
+func closeWithoutReply(request *fasthttp.RequestCtx) {
+	request.HijackSetNoResponse(true)
+	request.Hijack(func(connection net.Conn) { _ = connection.Close() })
+}
+
+func pathValue(request *fasthttp.RequestCtx, name string) string {
+	value, _ := request.UserValue(name).(string)
+	return value
+}
