--- /dev/null
+++ b/internal/standin/backend/version.go
@@ -0,0 +1,74 @@
+package backend
+
+import (
+	"strconv"
+	"strings"
+	"sync"
+)
+
+// Version is one version of the index.
+type Version struct {
+	// Snapshot is its number, from 1.
+	Snapshot int64 `json:"snapshot"`
+	// Partitions is its number of shards.
+	Partitions int `json:"partitions"`
+}
+
+// versionSet is what one server holds, oldest first.
+type versionSet struct {
+	mutex sync.Mutex
+	limit int
+	held  []Version
+}
+
+// add takes a version in and drops the oldest over the limit.
+func (set *versionSet) add(version Version) {
+	set.mutex.Lock()
+	defer set.mutex.Unlock()
+	set.held = append(set.held, version)
+	if over := len(set.held) - set.limit; over > 0 {
+		set.held = append([]Version(nil), set.held[over:]...)
+	}
+}
+
+// find returns the version of that number and partition count. Number 0 means
+// the newest of that partition count.
+func (set *versionSet) find(snapshot int64, partitions int) (Version, bool) {
+	set.mutex.Lock()
+	defer set.mutex.Unlock()
+	for index := len(set.held) - 1; index >= 0; index-- {
+		version := set.held[index]
+		if version.Partitions == partitions && (snapshot == 0 || version.Snapshot == snapshot) {
+			return version, true
+		}
+	}
+	return Version{}, false
+}
+
+// other returns the number of a version that is not the given one.
+func (set *versionSet) other(snapshot int64) int64 {
+	for _, held := range set.snapshots() {
+		if held != snapshot {
+			return held
+		}
+	}
+	return snapshot + 1
+}
+
+func (set *versionSet) snapshots() []int64 {
+	set.mutex.Lock()
+	defer set.mutex.Unlock()
+	snapshots := make([]int64, len(set.held))
+	for index, version := range set.held {
+		snapshots[index] = version.Snapshot
+	}
+	return snapshots
+}
+
+func formatSnapshots(snapshots []int64) string {
+	texts := make([]string, len(snapshots))
+	for index, snapshot := range snapshots {
+		texts[index] = strconv.FormatInt(snapshot, 10)
+	}
+	return strings.Join(texts, ",")
+}
