--- /dev/null
+++ b/internal/membership/probe.go
@@ -0,0 +1,237 @@
+package membership
+
+import (
+	"slices"
+	"time"
+)
+
+// probe is the one member that is being probed.
+type probe struct {
+	target   *record
+	sequence uint64
+	// indirectAt is when others are asked; zero once they were.
+	indirectAt time.Time
+	deadline   time.Time
+}
+
+// relay is a ping sent for another member.
+type relay struct {
+	address  string
+	sequence uint64
+	expires  time.Time
+}
+
+var zeroTime time.Time
+
+func (core *Core) nextSequence() uint64 {
+	core.sequence++
+	return core.sequence
+}
+
+func (core *Core) startProbeWhenDue() {
+	if core.now.Before(core.nextProbe) {
+		return
+	}
+	core.nextProbe = core.now.Add(core.options.ProbePeriod)
+	target := core.probeTarget()
+	if target == nil {
+		return
+	}
+	core.probe = &probe{
+		target:     target,
+		sequence:   core.nextSequence(),
+		indirectAt: core.now.Add(core.options.ProbeTimeout),
+		deadline:   core.nextProbe,
+	}
+	core.ping(target, core.probe.sequence)
+}
+
+func (core *Core) ping(target *record, sequence uint64) {
+	message := core.message(Ping)
+	message.Sequence = sequence
+	message.Target = target.ID
+	message.TargetIncarnation = target.Incarnation
+	core.send(target.GossipAddress, message, buddy(target)...)
+}
+
+// buddy returns what a member must hear of itself: that it is suspect or dead.
+func buddy(target *record) []Update {
+	if target.suspect() || target.dead() {
+		return []Update{target.update()}
+	}
+	return nil
+}
+
+// continueProbe asks others to probe, and in the end suspects the target.
+func (core *Core) continueProbe() {
+	probe := core.probe
+	if probe == nil {
+		return
+	}
+	if !core.now.Before(probe.deadline) {
+		core.probe = nil
+		core.suspect(probe.target)
+		return
+	}
+	if !probe.indirectAt.IsZero() && !core.now.Before(probe.indirectAt) {
+		probe.indirectAt = zeroTime
+		core.probeIndirectly(probe)
+	}
+}
+
+func (core *Core) suspect(target *record) {
+	if target.dead() || target.suspect() {
+		return
+	}
+	update := target.update()
+	update.Status = StatusSuspect
+	core.overwrite(target, update)
+	core.spread(update)
+}
+
+func (core *Core) probeIndirectly(probe *probe) {
+	for _, helper := range core.helpers(probe.target) {
+		message := core.message(PingRequest)
+		message.Sequence = probe.sequence
+		message.Target = probe.target.ID
+		message.TargetIncarnation = probe.target.Incarnation
+		message.TargetAddress = probe.target.GossipAddress
+		core.send(helper.GossipAddress, message)
+	}
+}
+
+// receive takes in a message.
+func (core *Core) receive(address string, message Message) {
+	if message.From == core.self.ID || core.self.dead() {
+		return
+	}
+	core.heard()
+	before := core.self.Incarnation
+	core.takeUpdates(message)
+	sender := core.table.byID[message.From]
+	if core.self.Incarnation != before && message.Kind != Ping {
+		core.send(address, core.message(Gossip))
+	}
+	switch message.Kind {
+	case Ping:
+		core.answerPing(address, message, sender)
+	case PingRequest:
+		core.relayPing(address, message)
+	case Ack:
+		core.receiveAck(message)
+	case Gossip:
+	}
+	core.inform(address, message, sender)
+	core.compareTables(message, sender)
+}
+
+// takeUpdates applies what the sender says of itself, then its news of others,
+// unless the sender is held dead: it may be cut off from those that it judges.
+func (core *Core) takeUpdates(message Message) {
+	for _, update := range message.Updates {
+		if update.ID == message.From || update.ID == core.self.ID {
+			core.apply(update)
+		}
+	}
+	core.apply(Update{ID: message.From, Incarnation: message.FromIncarnation, Status: message.FromStatus})
+	sender := core.table.byID[message.From]
+	if sender != nil && sender.dead() {
+		return
+	}
+	for _, update := range message.Updates {
+		core.apply(update)
+	}
+}
+
+// inform tells a sender that it is held suspect or dead, and asks one that is
+// not known for its details.
+func (core *Core) inform(address string, message Message, sender *record) {
+	switch {
+	case sender == nil && message.FromStatus < StatusDead && message.Kind != Ack:
+		core.pingAddress(address)
+	case sender != nil && sender.dead() && message.FromStatus < StatusDead && message.Kind != Ping:
+		core.send(address, core.message(Gossip), sender.update())
+	}
+}
+
+func (core *Core) answerPing(address string, message Message, sender *record) {
+	if message.Target != "" && message.Target != core.self.ID {
+		core.claimAddress(address, message)
+		return
+	}
+	answer := core.message(Ack)
+	answer.Sequence = message.Sequence
+	var urgent []Update
+	if message.Target == "" {
+		urgent = append(urgent, core.self.detailedUpdate())
+	}
+	if sender != nil {
+		urgent = append(urgent, buddy(sender)...)
+	}
+	core.send(address, answer, urgent...)
+}
+
+// claimAddress answers a ping for a process that was at this address before.
+func (core *Core) claimAddress(address string, message Message) {
+	if message.TargetIncarnation >= core.self.Incarnation {
+		core.raiseIncarnation(message.TargetIncarnation)
+	}
+	gone := Update{ID: message.Target, Incarnation: message.TargetIncarnation, Status: StatusLeft}
+	core.send(address, core.message(Gossip), core.self.detailedUpdate(), gone)
+}
+
+func (core *Core) relayPing(address string, message Message) {
+	sequence := core.nextSequence()
+	core.relays[sequence] = relay{
+		address:  address,
+		sequence: message.Sequence,
+		expires:  core.now.Add(core.options.ProbePeriod),
+	}
+	ping := core.message(Ping)
+	ping.Sequence = sequence
+	ping.Target = message.Target
+	ping.TargetIncarnation = message.TargetIncarnation
+	core.send(message.TargetAddress, ping)
+}
+
+func (core *Core) receiveAck(message Message) {
+	if core.probe != nil && core.probe.sequence == message.Sequence {
+		core.probe = nil
+		return
+	}
+	relay, found := core.relays[message.Sequence]
+	if !found {
+		return
+	}
+	delete(core.relays, message.Sequence)
+	if core.now.After(relay.expires) {
+		return
+	}
+	answer := core.message(Ack)
+	answer.Sequence = relay.sequence
+	core.send(relay.address, answer)
+}
+
+// helpers returns members to probe the target from elsewhere: one of the
+// target's zone, one of a third region, the others at random.
+func (core *Core) helpers(target *record) []*record {
+	var helpers []*record
+	add := func(fits func(*record) bool) {
+		candidate := core.randomWhere(func(record *record) bool {
+			return record != target && !record.suspect() && !slices.Contains(helpers, record) && fits(record)
+		})
+		if candidate != nil {
+			helpers = append(helpers, candidate)
+		}
+	}
+	add(func(record *record) bool { return record.Zone == target.Zone })
+	add(func(record *record) bool { return record.Region != target.Region && record.Region != core.self.Region })
+	for len(helpers) < core.options.IndirectProbes {
+		count := len(helpers)
+		add(func(*record) bool { return true })
+		if len(helpers) == count {
+			break
+		}
+	}
+	return helpers
+}
--- /dev/null
+++ b/internal/membership/simulator_test.go
@@ -0,0 +1,296 @@
+package membership_test
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/driftstage/driftstage/internal/membership"
+)
+
+// simulator runs many cores in virtual time over a network that loses, delays,
+// duplicates and reorders, and whose links can be cut one way.
+type simulator struct {
+	options membership.Options
+	random  *rand.Rand
+	now     time.Time
+	start   time.Time
+	queue   eventQueue
+	serial  int
+	nodes   []*simulatedNode
+	// cut tells whether the link from one address to another is down.
+	cut       func(from, to *simulatedNode) bool
+	loss      float64
+	duplicate float64
+	// largest is the largest estimate of a message's size, in bytes.
+	largest int
+}
+
+// simulatedNode is a machine; its core is replaced when it restarts.
+type simulatedNode struct {
+	index   int
+	address string
+	zone    string
+	region  string
+	id      string
+	core    *membership.Core
+	running bool
+	frozen  bool
+	paused  int
+	// deaths holds when this node found another dead, by ID.
+	deaths map[string]time.Time
+	// backlog waits for the end of a freeze.
+	backlog []func()
+}
+
+const (
+	tickPeriod   = 100 * time.Millisecond
+	sameZone     = time.Millisecond / 2
+	sameRegion   = time.Millisecond
+	betweenZones = 10 * time.Millisecond
+	zonesInAll   = 4
+)
+
+func newSimulator(seed uint64, count int) *simulator {
+	start := time.Unix(1_000_000, 0)
+	simulation := &simulator{
+		options: membership.DefaultOptions(),
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		now:     start,
+		start:   start,
+		cut:     func(from, to *simulatedNode) bool { return false },
+	}
+	for index := range count {
+		zone := index % zonesInAll
+		simulation.nodes = append(simulation.nodes, &simulatedNode{
+			index:   index,
+			address: fmt.Sprintf("10.0.0.%d:7000", index),
+			zone:    fmt.Sprintf("zone-%d", zone),
+			region:  fmt.Sprintf("region-%d", zone/2),
+		})
+	}
+	return simulation
+}
+
+func (simulation *simulator) startAll() {
+	for _, node := range simulation.nodes {
+		simulation.startNode(node, fmt.Sprintf("node-%03d-0", node.index))
+	}
+}
+
+// startNode starts a process on a machine. Its seeds are the first two machines.
+func (simulation *simulator) startNode(node *simulatedNode, id string) {
+	node.id = id
+	self := membership.Member{
+		ID:            id,
+		Address:       node.address,
+		GossipAddress: node.address,
+		Zone:          node.zone,
+		Region:        node.region,
+		Incarnation:   uint64(simulation.now.Sub(simulation.start).Milliseconds()) + 1,
+	}
+	random := rand.New(rand.NewPCG(simulation.random.Uint64(), 2))
+	node.core = membership.New(simulation.options, self, random, simulation.now)
+	node.running, node.frozen, node.backlog = true, false, nil
+	node.deaths = make(map[string]time.Time)
+	seeds := membership.Seeds{Addresses: []string{simulation.nodes[0].address, simulation.nodes[1].address}}
+	simulation.perform(node, node.core.Step(seeds, simulation.now))
+	simulation.tick(node, node.core)
+}
+
+func (simulation *simulator) tick(node *simulatedNode, core *membership.Core) {
+	if node.core != core || !node.running {
+		return
+	}
+	if !node.frozen {
+		simulation.perform(node, core.Tick(simulation.now))
+	}
+	simulation.after(tickPeriod, func() { simulation.tick(node, core) })
+}
+
+func (simulation *simulator) step(node *simulatedNode, event membership.Event) {
+	simulation.perform(node, node.core.Step(event, simulation.now))
+}
+
+func (simulation *simulator) perform(node *simulatedNode, actions []membership.Action) {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case membership.Send:
+			simulation.send(node, action)
+		case membership.Sync:
+			simulation.sync(node, action.Address)
+		case membership.Paused:
+			node.paused++
+		case membership.Changed:
+			if action.Member.State == membership.Dead {
+				node.deaths[action.Member.ID] = simulation.now
+			}
+		}
+	}
+}
+
+func (simulation *simulator) at(address string) *simulatedNode {
+	for _, node := range simulation.nodes {
+		if node.address == address {
+			return node
+		}
+	}
+	return nil
+}
+
+func (simulation *simulator) send(from *simulatedNode, action membership.Send) {
+	to := simulation.at(action.Address)
+	simulation.largest = max(simulation.largest, action.Message.Size())
+	copies := 1
+	if simulation.random.Float64() < simulation.duplicate {
+		copies = 2
+	}
+	for range copies {
+		if to == nil || simulation.cut(from, to) || simulation.random.Float64() < simulation.loss {
+			continue
+		}
+		event := membership.Received{Address: from.address, Message: action.Message}
+		simulation.after(simulation.latency(from, to), func() { simulation.deliver(to, event) })
+	}
+}
+
+// deliver hands over a datagram; those of a frozen node wait in its socket.
+func (simulation *simulator) deliver(to *simulatedNode, event membership.Event) {
+	switch {
+	case !to.running:
+	case to.frozen:
+		to.backlog = append(to.backlog, func() { simulation.step(to, event) })
+	default:
+		simulation.step(to, event)
+	}
+}
+
+// sync compares tables over a reliable connection, if both ways are open.
+func (simulation *simulator) sync(node *simulatedNode, address string) {
+	peer := simulation.at(address)
+	broken := func() bool {
+		return peer == nil || !peer.running || peer.frozen || !node.running || node.frozen ||
+			simulation.cut(node, peer) || simulation.cut(peer, node)
+	}
+	if broken() {
+		return
+	}
+	core := node.core
+	simulation.after(2*simulation.latency(node, peer), func() {
+		if broken() || node.core != core {
+			return
+		}
+		difference := peer.core.Compare(core.Digest())
+		simulation.step(node, membership.Synced{Entries: difference.Entries})
+		simulation.step(peer, membership.Synced{Entries: core.Entries(difference.Buckets)})
+	})
+}
+
+// latency varies by half, so that messages overtake each other.
+func (simulation *simulator) latency(from, to *simulatedNode) time.Duration {
+	base := betweenZones
+	switch {
+	case from.zone == to.zone:
+		base = sameZone
+	case from.region == to.region:
+		base = sameRegion
+	}
+	return base + time.Duration(simulation.random.Float64()*float64(base))
+}
+
+func (simulation *simulator) freeze(node *simulatedNode) { node.frozen = true }
+
+func (simulation *simulator) thaw(node *simulatedNode) {
+	node.frozen = false
+	for _, deliver := range node.backlog {
+		deliver()
+	}
+	node.backlog = nil
+}
+
+func (simulation *simulator) kill(node *simulatedNode) { node.running = false }
+
+// run lets virtual time pass.
+func (simulation *simulator) run(duration time.Duration) {
+	end := simulation.now.Add(duration)
+	for len(simulation.queue) > 0 && !simulation.queue[0].at.After(end) {
+		next := heap.Pop(&simulation.queue).(*scheduled)
+		simulation.now = next.at
+		next.run()
+	}
+	simulation.now = end
+}
+
+// runUntil returns how long it took for a condition to hold, looked at ten
+// times a second, or false when it did not hold within the bound.
+func (simulation *simulator) runUntil(bound time.Duration, holds func() bool) (time.Duration, bool) {
+	begin := simulation.now
+	for simulation.now.Sub(begin) <= bound {
+		if holds() {
+			return simulation.now.Sub(begin), true
+		}
+		simulation.run(tickPeriod)
+	}
+	return bound, false
+}
+
+// disagreement says where a running node's view differs from what runs; it is
+// empty when all agree.
+func (simulation *simulator) disagreement() string {
+	var want []string
+	for _, node := range simulation.nodes {
+		if node.running {
+			want = append(want, node.id)
+		}
+	}
+	slices.Sort(want)
+	for _, node := range simulation.nodes {
+		if !node.running {
+			continue
+		}
+		var got []string
+		for _, member := range node.core.Members() {
+			got = append(got, member.ID)
+			if member.State == membership.Suspect {
+				return fmt.Sprintf("%s suspects %s", node.id, member.ID)
+			}
+		}
+		if !slices.Equal(got, want) {
+			return fmt.Sprintf("%s sees %v, want %v", node.id, got, want)
+		}
+	}
+	return ""
+}
+
+func (simulation *simulator) agreed() bool { return simulation.disagreement() == "" }
+
+// scheduled is something to do at a virtual time.
+type scheduled struct {
+	at     time.Time
+	serial int
+	run    func()
+}
+
+type eventQueue []*scheduled
+
+func (simulation *simulator) after(delay time.Duration, run func()) {
+	simulation.serial++
+	heap.Push(&simulation.queue, &scheduled{at: simulation.now.Add(delay), serial: simulation.serial, run: run})
+}
+
+func (queue eventQueue) Len() int { return len(queue) }
+func (queue eventQueue) Less(i, j int) bool {
+	return cmp.Or(queue[i].at.Compare(queue[j].at), cmp.Compare(queue[i].serial, queue[j].serial)) < 0
+}
+func (queue eventQueue) Swap(i, j int) { queue[i], queue[j] = queue[j], queue[i] }
+func (queue *eventQueue) Push(item any) {
+	*queue = append(*queue, item.(*scheduled))
+}
+func (queue *eventQueue) Pop() any {
+	last := (*queue)[len(*queue)-1]
+	*queue = (*queue)[:len(*queue)-1]
+	return last
+}
--- /dev/null
+++ b/internal/membership/update.go
@@ -0,0 +1,139 @@
+package membership
+
+import "slices"
+
+// apply takes in an update about any member, and spreads it when it is new.
+func (core *Core) apply(update Update) {
+	if update.ID == core.self.ID {
+		core.refute(update)
+		return
+	}
+	known := core.table.byID[update.ID]
+	if known == nil {
+		core.join(update)
+		return
+	}
+	if !known.olderThan(update) || !core.takesAddress(update) {
+		return
+	}
+	core.overwrite(known, update)
+	core.spread(update)
+}
+
+// refute answers a claim about this node that is not its own.
+func (core *Core) refute(update Update) {
+	if core.self.dead() {
+		return
+	}
+	claim := update.Status >= StatusSuspect && update.Incarnation >= core.self.Incarnation
+	if claim || update.Incarnation > core.self.Incarnation {
+		core.raiseIncarnation(update.Incarnation)
+	}
+}
+
+// join inserts a member that was not known.
+func (core *Core) join(update Update) {
+	if update.Details == nil || update.Status >= StatusDead || !core.takesAddress(update) {
+		return
+	}
+	joined := &record{Member: Member{ID: update.ID, State: Dead}}
+	core.table.insert(joined)
+	core.overwrite(joined, update)
+	core.spread(update)
+}
+
+// overwrite makes a record say what the update says.
+func (core *Core) overwrite(known *record, update Update) {
+	before := known.visible().State
+	core.table.change(known, func() {
+		known.Incarnation = update.Incarnation
+		if update.Details != nil {
+			known.Address = update.Details.Address
+			known.GossipAddress = update.Details.GossipAddress
+			known.Zone = update.Details.Zone
+			known.Region = update.Details.Region
+		}
+		core.setStatus(known, update.Status)
+	})
+	after := known.visible()
+	if after.State == before {
+		return
+	}
+	if (after.State == Dead) != (before == Dead) {
+		core.peers.changed = true
+	}
+	core.act(Changed{Member: after, Before: before})
+}
+
+func (core *Core) setStatus(known *record, status Status) {
+	switch status {
+	case StatusAlive:
+		known.State = Alive
+		core.endSuspicion(known)
+	case StatusLeaving:
+		known.State = Leaving
+		core.endSuspicion(known)
+	case StatusSuspect:
+		if known.dead() {
+			known.State = Alive
+		}
+		core.beginSuspicion(known)
+	case StatusDead, StatusLeft:
+		known.State = Dead
+		known.left = status == StatusLeft
+		known.deadSince = core.now
+		core.endSuspicion(known)
+	}
+}
+
+func (core *Core) beginSuspicion(known *record) {
+	if !known.suspect() {
+		core.suspects = append(core.suspects, known)
+	}
+	known.suspectUntil = core.now.Add(core.options.suspicionTime(core.table.live))
+}
+
+func (core *Core) endSuspicion(known *record) {
+	if !known.suspect() {
+		return
+	}
+	known.suspectUntil = zeroTime
+	core.suspects = slices.DeleteFunc(core.suspects, func(other *record) bool { return other == known })
+}
+
+func (core *Core) expireSuspicions() {
+	for _, suspect := range slices.Clone(core.suspects) {
+		if core.now.Before(suspect.suspectUntil) {
+			continue
+		}
+		update := suspect.update()
+		update.Status = StatusDead
+		core.overwrite(suspect, update)
+		core.spread(update)
+	}
+}
+
+// takesAddress decides between two members that claim one address: a process
+// replaced another there, and the higher incarnation is the later one. It is
+// false when the update is about the earlier one.
+func (core *Core) takesAddress(update Update) bool {
+	if update.Details == nil || update.Status >= StatusDead {
+		return true
+	}
+	holder := core.table.byAddress[update.Details.GossipAddress]
+	if holder == nil || holder.ID == update.ID {
+		return true
+	}
+	if holder == core.self {
+		return false
+	}
+	if holder.Incarnation >= update.Incarnation {
+		core.doubt(holder)
+		return false
+	}
+	replaced := holder.update()
+	replaced.Status = StatusLeft
+	core.overwrite(holder, replaced)
+	core.spread(replaced)
+	return true
+}
