--- a/internal/membership/core_test.go
+++ b/internal/membership/core_test.go
@@ -107,7 +107,7 @@
 	}
 }
 
-// A link that is cut one way, between two nodes that others reach, kills nobody.
+// A link that is cut one way, between two nodes that others reach, makes nobody suspect.
 func TestOneWayCutBetweenTwoNodes(t *testing.T) {
 	for seed := range uint64(5) {
 		simulation := started(t, seed, 8)
@@ -115,8 +115,8 @@
 		simulation.cut = func(sender, receiver *simulatedNode) bool { return sender == from && receiver == to }
 		simulation.run(2 * time.Minute)
 		for _, node := range simulation.nodes {
-			if len(node.deaths) > 0 {
-				t.Fatalf("seed %d: %s found dead: %v", seed, node.id, node.deaths)
+			if node.suspicions > 0 {
+				t.Fatalf("seed %d: %s suspected others %d times", seed, node.id, node.suspicions)
 			}
 		}
 	}
@@ -145,9 +145,10 @@
 }
 
 // Regions that lost each other for an hour, and all their nodes meanwhile
-// replaced in one of them, join again.
+// replaced in one of them, join again, with or without seeds.
 func TestRegionsRejoin(t *testing.T) {
-	for seed := range uint64(3) {
+	for seed := range uint64(4) {
+		withSeeds := seed%2 == 0
 		simulation := started(t, seed, 16)
 		simulation.cut = func(from, to *simulatedNode) bool { return from.region != to.region }
 		simulation.run(time.Minute)
@@ -162,6 +163,9 @@
 			}
 		}
 		simulation.run(29 * time.Minute)
+		if !withSeeds {
+			simulation.replaceSeeds(nil)
+		}
 		simulation.cut = newSimulator(0, 0).cut
 		took := mustAgree(t, simulation, rejoinBound)
 		t.Logf("seed %d: joined again after %v", seed, took)
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -143,13 +143,20 @@
 	}
 }
 
-// inform tells a sender that it is held suspect or dead, and asks one that is
-// not known for its details.
+// inform tells a sender that it is held dead, and asks one that is not known for
+// its details. Neither may answer itself without end: a member is informed once
+// in a while, and a message that introduces its sender is not asked back.
 func (core *Core) inform(address string, message Message, sender *record) {
+	if message.FromStatus >= StatusDead {
+		return
+	}
+	introduces := message.Kind == Ack || message.Kind == Ping && message.Target == ""
 	switch {
-	case sender == nil && message.FromStatus < StatusDead && message.Kind != Ack:
+	case sender == nil && !introduces:
 		core.pingAddress(address)
-	case sender != nil && sender.dead() && message.FromStatus < StatusDead && message.Kind != Ping:
+	case sender == nil || !sender.dead() || message.Kind == Ping:
+	case core.now.Sub(sender.informedAt) >= core.options.GossipPeriod:
+		sender.informedAt = core.now
 		core.send(address, core.message(Gossip), sender.update())
 	}
 }
--- a/internal/membership/simulator_test.go
+++ b/internal/membership/simulator_test.go
@@ -42,6 +42,8 @@
 	paused  int
 	// deaths holds when this node found another dead, by ID.
 	deaths map[string]time.Time
+	// suspicions counts how often this node took others for suspect.
+	suspicions int
 	// backlog waits for the end of a freeze.
 	backlog []func()
 }
@@ -125,8 +127,11 @@
 		case membership.Paused:
 			node.paused++
 		case membership.Changed:
-			if action.Member.State == membership.Dead {
+			switch action.Member.State {
+			case membership.Dead:
 				node.deaths[action.Member.ID] = simulation.now
+			case membership.Suspect:
+				node.suspicions++
 			}
 		}
 	}
@@ -201,6 +206,12 @@
 	return base + time.Duration(simulation.random.Float64()*float64(base))
 }
 
+func (simulation *simulator) replaceSeeds(addresses []string) {
+	for _, node := range simulation.nodes {
+		simulation.step(node, membership.Seeds{Addresses: addresses})
+	}
+}
+
 func (simulation *simulator) freeze(node *simulatedNode) { node.frozen = true }
 
 func (simulation *simulator) thaw(node *simulatedNode) {
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -18,6 +18,8 @@
 	left bool
 	// deadSince is when the member was found dead.
 	deadSince time.Time
+	// informedAt is when the member was last told that it is held dead.
+	informedAt time.Time
 	// doubted marks a member that waits for a probe of its own because
 	// another node holds a different state.
 	doubted bool
