Sub-requests carry the number of shards of the pinned map

An owner that works by another revision than the gateway must tell the back end the number of shards of the gateway's map, which it can not know itself. Without the field every query would be refused while a revision spreads.

--- a/internal/wire/message/messages_gen.go
+++ b/internal/wire/message/messages_gen.go
@@ -16,6 +16,8 @@
 	Revision int64  `avro:"revision"`
 	Server   string `avro:"server"`
 	Shards   []int  `avro:"shards"`
+	// Number of shards of the map that the gateway works by.
+	Partitions int `avro:"partitions"`
 	// The pinned index version.
 	Snapshot   int64  `avro:"snapshot"`
 	Class      string `avro:"class"`
@@ -25,7 +27,7 @@
 	Body            []byte `avro:"body"`
 }
 
-var schemaSubRequest = avro.MustParse(`{"name":"SubRequest","type":"record","fields":[{"name":"requestId","type":"string"},{"name":"attemptId","type":"long"},{"name":"service","type":"string"},{"name":"revision","type":"long"},{"name":"server","type":"string"},{"name":"shards","type":{"type":"array","items":"int"}},{"name":"snapshot","type":"long"},{"name":"class","type":"string"},{"name":"repeatable","type":"boolean"},{"name":"remainingMicros","type":"long"},{"name":"body","type":"bytes"}]}`)
+var schemaSubRequest = avro.MustParse(`{"name":"SubRequest","type":"record","fields":[{"name":"requestId","type":"string"},{"name":"attemptId","type":"long"},{"name":"service","type":"string"},{"name":"revision","type":"long"},{"name":"server","type":"string"},{"name":"shards","type":{"type":"array","items":"int"}},{"name":"partitions","type":"int"},{"name":"snapshot","type":"long"},{"name":"class","type":"string"},{"name":"repeatable","type":"boolean"},{"name":"remainingMicros","type":"long"},{"name":"body","type":"bytes"}]}`)
 
 // Schema returns the schema for SubRequest.
 func (o *SubRequest) Schema() avro.Schema {
