--- /dev/null
+++ b/internal/backend/load.go
@@ -0,0 +1,68 @@
+package backend
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	loadPath     = "/load"
+	maxLoadBytes = 64 << 10
+)
+
+// Load is what a server says of itself. It lags and may mislead: a hint only.
+type Load struct {
+	Running   int     `json:"running"`
+	Slots     int     `json:"slots"`
+	Snapshots []int64 `json:"snapshots"`
+	Draining  bool    `json:"draining"`
+}
+
+// Load asks the server for its load. It uses a connection of the same limit.
+func (client *Client) Load(ctx context.Context, deadline time.Time) (Load, error) {
+	dialContext, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	conn, err := client.pool.get(dialContext)
+	if err != nil {
+		return Load{}, fmt.Errorf("connect: %w", err)
+	}
+	load, reusable, err := client.readLoad(conn, deadline)
+	if err != nil || !reusable {
+		client.pool.discard(conn)
+		return load, err
+	}
+	client.pool.put(conn)
+	return load, nil
+}
+
+func (client *Client) readLoad(conn *connection, deadline time.Time) (Load, bool, error) {
+	if err := conn.SetDeadline(deadline); err != nil {
+		return Load{}, false, err
+	}
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	request.SetRequestURI(client.loadURI)
+	if err := request.Write(conn.writer); err != nil {
+		return Load{}, false, err
+	}
+	if err := conn.writer.Flush(); err != nil {
+		return Load{}, false, err
+	}
+	reply := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(reply)
+	if err := reply.ReadLimitBody(conn.reader, maxLoadBytes); err != nil {
+		return Load{}, false, err
+	}
+	if reply.StatusCode() != fasthttp.StatusOK {
+		return Load{}, false, fmt.Errorf("load: status %d", reply.StatusCode())
+	}
+	var load Load
+	if err := json.Unmarshal(reply.Body(), &load); err != nil {
+		return Load{}, false, fmt.Errorf("load: %w", err)
+	}
+	return load, !reply.ConnectionClose(), nil
+}
--- /dev/null
+++ b/internal/backend/pool.go
@@ -0,0 +1,129 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+)
+
+var (
+	errConnectionLimit = errors.New("connection limit reached")
+	errClosed          = errors.New("client is closed")
+)
+
+// pool keeps the connections to one server under a limit. A connection counts
+// from before it is dialled until it is closed, idle ones included.
+type pool struct {
+	dial    func(ctx context.Context) (net.Conn, error)
+	maxIdle time.Duration
+
+	mutex  sync.Mutex
+	limit  int
+	open   int
+	idle   []*connection
+	closed bool
+}
+
+// get returns an idle connection or dials one. The error is errConnectionLimit,
+// errClosed or that of the dial; nothing was sent in any case.
+func (pool *pool) get(ctx context.Context) (*connection, error) {
+	for {
+		conn, err := pool.takeIdle()
+		if err != nil {
+			return nil, err
+		}
+		if conn == nil {
+			break
+		}
+		if time.Since(conn.idleAt) < pool.maxIdle && conn.usable() {
+			return conn, nil
+		}
+		pool.discard(conn)
+	}
+	raw, err := pool.dial(ctx)
+	if err != nil {
+		pool.release()
+		return nil, err
+	}
+	return newConnection(raw), nil
+}
+
+// takeIdle returns the youngest idle connection, or nil after it has counted
+// one to be dialled.
+func (pool *pool) takeIdle() (*connection, error) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	if pool.closed {
+		return nil, errClosed
+	}
+	if last := len(pool.idle) - 1; last >= 0 {
+		conn := pool.idle[last]
+		pool.idle[last] = nil
+		pool.idle = pool.idle[:last]
+		return conn, nil
+	}
+	if pool.open >= pool.limit {
+		return nil, errConnectionLimit
+	}
+	pool.open++
+	return nil, nil
+}
+
+// put gives a healthy connection back for the next request.
+func (pool *pool) put(conn *connection) {
+	_ = conn.SetDeadline(time.Time{})
+	conn.written = false
+	conn.idleAt = time.Now()
+	pool.mutex.Lock()
+	keep := !pool.closed && pool.open <= pool.limit
+	if keep {
+		pool.idle = append(pool.idle, conn)
+	}
+	pool.mutex.Unlock()
+	if !keep {
+		pool.discard(conn)
+	}
+}
+
+func (pool *pool) discard(conn *connection) {
+	_ = conn.Close()
+	pool.release()
+}
+
+func (pool *pool) release() {
+	pool.mutex.Lock()
+	pool.open--
+	pool.mutex.Unlock()
+}
+
+func (pool *pool) setLimit(limit int) {
+	pool.mutex.Lock()
+	pool.limit = limit
+	surplus := pool.takeSurplus()
+	pool.mutex.Unlock()
+	for _, conn := range surplus {
+		pool.discard(conn)
+	}
+}
+
+// takeSurplus removes idle connections over the limit; the caller closes them.
+func (pool *pool) takeSurplus() []*connection {
+	count := min(max(pool.open-pool.limit, 0), len(pool.idle))
+	surplus := append([]*connection(nil), pool.idle[:count]...)
+	pool.idle = append([]*connection(nil), pool.idle[count:]...)
+	return surplus
+}
+
+// close closes the idle connections now and the others when they are given back.
+func (pool *pool) close() {
+	pool.mutex.Lock()
+	pool.closed = true
+	idle := pool.idle
+	pool.idle = nil
+	pool.mutex.Unlock()
+	for _, conn := range idle {
+		pool.discard(conn)
+	}
+}
--- /dev/null
+++ b/internal/owner/server.go
@@ -0,0 +1,257 @@
+package owner
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	v1 "github.com/driftstage/driftstage/api/v1"
+	"github.com/driftstage/driftstage/internal/admission"
+	"github.com/driftstage/driftstage/internal/backend"
+	"github.com/driftstage/driftstage/internal/config"
+	"github.com/driftstage/driftstage/internal/verdict"
+	"github.com/driftstage/driftstage/internal/wire/message"
+)
+
+const (
+	// pollConnections are kept free of attempts, for load polls.
+	pollConnections = 1
+	// pollTimeout bounds one load poll.
+	pollTimeout = 500 * time.Millisecond
+	// drainHold is how long an announcement of draining holds against a load
+	// endpoint that says otherwise, for that one lags.
+	drainHold = 15 * time.Second
+)
+
+// server is one back-end server: its admission core, its connections, and what
+// its replies told.
+type server struct {
+	options  Options
+	name     string
+	revision atomic.Int64
+
+	mutex   sync.Mutex
+	core    *admission.Server
+	client  *backend.Client
+	address string
+	path    string
+	waiters map[admission.ID]*waiter
+	lastID  admission.ID
+	// held are the index versions that the server last said it holds.
+	held []int64
+	// drainOrdered is the state in the resource; drainSeen is when the server
+	// last announced itself that it drains, zero for never.
+	drainOrdered bool
+	drainSeen    time.Time
+	polling      bool
+}
+
+// waiter is an attempt between its offer and its decision.
+type waiter struct {
+	decided bool
+	failure *verdict.Error
+	// ready is made only when the attempt has to wait.
+	ready chan struct{}
+}
+
+func newServer(options Options, service *config.Service, spec *v1.Server) *server {
+	return &server{
+		options: options,
+		name:    spec.Name,
+		core:    admission.NewServer(limitsOf(service, spec)),
+		waiters: make(map[admission.ID]*waiter),
+	}
+}
+
+func limitsOf(service *config.Service, spec *v1.Server) admission.Limits {
+	return admission.Limits{
+		Slots:  spec.Slots,
+		Window: max(spec.Connections-pollConnections, 1),
+		Queue:  service.Spec.Limits.Queue,
+	}
+}
+
+// configure takes over a newer revision of the resource.
+func (server *server) configure(now time.Time, service *config.Service, spec *v1.Server) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	if server.client != nil && service.Revision <= server.revision.Load() {
+		return
+	}
+	if server.address != spec.Address || server.path != service.Spec.Path {
+		server.connect(spec, service.Spec.Path)
+	}
+	server.client.SetConnections(spec.Connections)
+	server.drainOrdered = spec.Draining
+	server.apply(server.core.SetLimits(now, limitsOf(service, spec)))
+	server.updateDrain(now)
+	server.revision.Store(service.Revision)
+}
+
+// connect replaces the client; attempts under way end on the old one.
+func (server *server) connect(spec *v1.Server, path string) {
+	if server.client != nil {
+		server.client.Close()
+	}
+	server.address = spec.Address
+	server.path = path
+	server.held = nil
+	server.drainSeen = time.Time{}
+	server.client = backend.NewClient(backend.Options{
+		Address:     spec.Address,
+		Path:        path,
+		Connections: spec.Connections,
+		Dial:        server.options.Dial,
+	})
+}
+
+// updateDrain tells the core whether any source says that the server leaves.
+func (server *server) updateDrain(now time.Time) {
+	leaving := server.options.Machines != nil && server.options.Machines.Leaving(server.address)
+	draining := server.drainOrdered || !server.drainSeen.IsZero() || leaving
+	server.apply(server.core.Drain(now, draining))
+}
+
+// remove refuses what waits and closes connections as they become idle.
+func (server *server) remove(now time.Time) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.apply(server.core.Drain(now, true))
+	server.client.Close()
+}
+
+// execute takes one attempt from its offer to its answer.
+func (server *server) execute(ctx context.Context, request *message.SubRequest, deadline time.Time, reply *message.SubReply) {
+	id, client, failure := server.admit(ctx, v1.Class(request.Class), deadline)
+	if failure != nil {
+		fail(reply, failure)
+		reply.Load = server.load()
+		return
+	}
+	state := &execution{server: server, id: id}
+	result := client.Do(ctx, backendRequest(request, deadline), state.end)
+	state.judge(result)
+	fill(reply, result)
+	reply.Load = server.load()
+}
+
+// admit waits for the start of an attempt, or returns why it was refused. A
+// refused attempt was not sent and never will be.
+func (server *server) admit(ctx context.Context, class v1.Class, deadline time.Time) (admission.ID, *backend.Client, *verdict.Error) {
+	server.mutex.Lock()
+	now := server.options.Now()
+	if !now.Before(deadline) {
+		server.mutex.Unlock()
+		return 0, nil, verdict.New(verdict.NotRun, verdict.CodeDeadline, "deadline passed before admission")
+	}
+	server.updateDrain(now)
+	server.lastID++
+	id := server.lastID
+	waiter := &waiter{}
+	server.waiters[id] = waiter
+	server.apply(server.core.Offer(now, admission.Request{ID: id, Class: class, Deadline: deadline}))
+	if !waiter.decided {
+		waiter.ready = make(chan struct{})
+	}
+	client := server.client
+	server.mutex.Unlock()
+	if waiter.ready != nil {
+		server.wait(ctx, id, waiter, deadline)
+	}
+	if waiter.failure == nil && ctx.Err() != nil {
+		return 0, nil, server.giveBack(id)
+	}
+	return id, client, waiter.failure
+}
+
+// wait returns when the attempt is decided; cancellation and the deadline make
+// it so.
+func (server *server) wait(ctx context.Context, id admission.ID, waiter *waiter, deadline time.Time) {
+	timer := time.NewTimer(deadline.Sub(server.options.Now()))
+	defer timer.Stop()
+	select {
+	case <-waiter.ready:
+		return
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	server.mutex.Lock()
+	server.apply(server.core.Withdraw(server.options.Now(), id))
+	server.mutex.Unlock()
+	<-waiter.ready
+}
+
+// giveBack returns the slot of an attempt that was started and not sent.
+func (server *server) giveBack(id admission.ID) *verdict.Error {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.apply(server.core.End(server.options.Now(), id))
+	return verdict.New(verdict.NotRun, verdict.CodeCanceled, "given up before it was sent")
+}
+
+// apply hands decisions of the core to those who wait for them. The mutex is held.
+func (server *server) apply(actions []admission.Action) {
+	for _, action := range actions {
+		waiter := server.waiters[action.ID]
+		delete(server.waiters, action.ID)
+		waiter.decided = true
+		waiter.failure = action.Failure
+		if waiter.ready != nil {
+			close(waiter.ready)
+		}
+	}
+}
+
+// load reports the state to gateways.
+func (server *server) load() message.ServerLoad {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	view := server.core.View()
+	return message.ServerLoad{
+		Server:        server.name,
+		Queued:        view.Queued,
+		InFlight:      view.InFlight,
+		Window:        view.Window,
+		Draining:      view.Draining,
+		Ejected:       view.Ejected,
+		SnapshotsHeld: server.held,
+	}
+}
+
+// learn takes over what a reply or a poll told. The mutex is held. The slice is
+// replaced, never changed, for reports share it.
+func (server *server) learn(now time.Time, draining bool, held []int64) {
+	if draining {
+		server.drainSeen = now
+		server.updateDrain(now)
+	}
+	if held != nil && !slices.Equal(held, server.held) {
+		server.held = held
+	}
+}
+
+// poll asks the server for its load: index versions, and a hint of draining.
+func (server *server) poll(ctx context.Context) {
+	server.mutex.Lock()
+	busy := server.polling
+	server.polling = true
+	client := server.client
+	server.mutex.Unlock()
+	if busy {
+		return
+	}
+	load, err := client.Load(ctx, time.Now().Add(pollTimeout))
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.polling = false
+	now := server.options.Now()
+	if err == nil {
+		if !load.Draining && now.Sub(server.drainSeen) > drainHold {
+			server.drainSeen = time.Time{}
+		}
+		server.learn(now, load.Draining, load.Snapshots)
+	}
+	server.updateDrain(now)
+}
