--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -179,8 +179,7 @@
 // fail ends an exchange whose reply was not read whole.
 func (exchange *exchange) fail(err error, complete, canceled bool, reply *fasthttp.Response) Result {
 	written := exchange.conn.written
-	var timeout net.Error
-	timedOut := errors.As(err, &timeout) && timeout.Timeout()
+	timedOut := exchange.conn.timedOut
 	if complete && (canceled || timedOut) {
 		exchange.abandon()
 	} else {
--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -14,12 +15,15 @@
 	reader  *bufio.Reader
 	writer  *bufio.Writer
 	written bool
-	idleAt  time.Time
+	// timedOut tells that a read or write ran into the deadline; fasthttp's errors
+	// do not always say so.
+	timedOut bool
+	idleAt   time.Time
 }
 
 func newConnection(raw net.Conn) *connection {
 	conn := &connection{Conn: raw}
-	conn.reader = bufio.NewReader(raw)
+	conn.reader = bufio.NewReader(conn)
 	conn.writer = bufio.NewWriter(conn)
 	return conn
 }
@@ -30,9 +34,24 @@
 	if count > 0 {
 		conn.written = true
 	}
+	conn.noteTimeout(err)
 	return count, err
 }
 
+// Read receives bytes and remembers whether the deadline passed.
+func (conn *connection) Read(data []byte) (int, error) {
+	count, err := conn.Conn.Read(data)
+	conn.noteTimeout(err)
+	return count, err
+}
+
+func (conn *connection) noteTimeout(err error) {
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		conn.timedOut = true
+	}
+}
+
 // usable tells whether an idle connection is still open and silent. A server
 // that closed it, or sent bytes that nobody asked for, makes it useless: it is
 // better to learn that now than after a request was written.
