--- /dev/null
+++ b/internal/query/budget.go
@@ -0,0 +1,25 @@
+package query
+
+// budget is a token bucket that earns a fraction of a token for each first
+// attempt, so that extra attempts stay a bounded part of the load.
+type budget struct {
+	tokens  float64
+	ratio   float64
+	maximum float64
+}
+
+func newBudget(ratio, initial, maximum float64) budget {
+	return budget{tokens: initial, ratio: ratio, maximum: maximum}
+}
+
+func (budget *budget) earn(attempts int) {
+	budget.tokens = min(budget.tokens+budget.ratio*float64(attempts), budget.maximum)
+}
+
+func (budget *budget) spend() bool {
+	if budget.tokens < 1 {
+		return false
+	}
+	budget.tokens--
+	return true
+}
--- /dev/null
+++ b/internal/query/send.go
@@ -0,0 +1,309 @@
+package query
+
+import (
+	"slices"
+	"time"
+
+	v1 "github.com/driftstage/driftstage/api/v1"
+	"github.com/driftstage/driftstage/internal/verdict"
+)
+
+// purpose is why attempts are sent; it decides which budget pays.
+type purpose uint8
+
+const (
+	first purpose = iota
+	retry
+	hedge
+	// restarted: first attempts at another version; they earn nothing.
+	restarted
+)
+
+const (
+	// maximumPasses is how often all replicas of a shard are tried.
+	maximumPasses = 3
+	// passDelay is the least time before the replicas are tried once more.
+	passDelay = 5 * time.Millisecond
+	// hedgeRecheck divides the hedge delay for another look when tokens are short.
+	hedgeRecheck = 4
+)
+
+// group is an attempt in the making: a server and the shards to ask it for.
+type group struct {
+	server *Server
+	shards []int
+}
+
+// send asks one replica of each of the shards, one attempt a server.
+func (query *Query) send(now time.Time, wanted []int, purpose purpose) {
+	tooLate := now.Add(query.fleet.floor()).After(query.parameters.Deadline) || !now.Before(query.parameters.Deadline)
+	var groups []group
+	grouped := make(map[*Server]int)
+	frame := choice{
+		now:        now,
+		version:    query.pin.Version(),
+		zone:       query.fleet.zone,
+		random:     query.parameters.Random,
+		repeatable: query.parameters.Repeatable,
+		chosen: func(server *Server) bool {
+			_, ok := grouped[server]
+			return ok
+		},
+	}
+	for _, position := range wanted {
+		shard := &query.shards[position]
+		if tooLate {
+			query.giveUp(position, purpose, verdict.CodeDeadline)
+			continue
+		}
+		if purpose != first {
+			frame.avoidOwner = shard.lastOwner
+		}
+		server := frame.replica(&query.shardMap.Shards[position], shard.tried)
+		if server == nil {
+			query.exhausted(now, position, purpose)
+			continue
+		}
+		index, ok := grouped[server]
+		if !ok {
+			index = len(groups)
+			grouped[server] = index
+			groups = append(groups, group{server: server})
+		}
+		groups[index].shards = append(groups[index].shards, position)
+	}
+	for index := range groups {
+		query.sendGroup(now, &groups[index], purpose)
+	}
+}
+
+// exhausted deals with a shard of which no replica is left to ask.
+func (query *Query) exhausted(now time.Time, position int, purpose purpose) {
+	shard := &query.shards[position]
+	if purpose == hedge || shard.pending > 0 {
+		return
+	}
+	if shard.reason == "" {
+		shard.reason = query.unavailable(position)
+	}
+	if shard.passes+1 < maximumPasses && worthAnotherPass(shard.reason) {
+		delay := max(query.retryAfter, passDelay<<shard.passes)
+		if now.Add(delay + query.fleet.floor()).Before(query.parameters.Deadline) {
+			shard.passes++
+			shard.tried = 0
+			shard.retryAt = now.Add(delay)
+			return
+		}
+	}
+	query.giveUp(position, purpose, shard.reason)
+}
+
+// unavailable says why no replica of a shard could be asked at all.
+func (query *Query) unavailable(position int) verdict.Code {
+	draining := true
+	for _, server := range query.shardMap.Shards[position].Replicas {
+		draining = draining && (server.removed || server.load.Draining)
+	}
+	if draining {
+		return verdict.CodeDraining
+	}
+	return verdict.CodeVersionNotHeld
+}
+
+// worthAnotherPass tells whether the cause may pass within milliseconds. Lack of
+// capacity does not, and trying again would add to it.
+func worthAnotherPass(reason verdict.Code) bool {
+	switch reason {
+	case verdict.CodeOverloaded, verdict.CodeShed, verdict.CodeDeadline, verdict.CodeCanceled, verdict.CodeDraining:
+		return false
+	default:
+		return true
+	}
+}
+
+// giveUp fails a shard; a hedge that cannot be sent fails nothing.
+func (query *Query) giveUp(position int, purpose purpose, reason verdict.Code) {
+	shard := &query.shards[position]
+	if purpose == hedge || shard.pending > 0 || shard.status != open {
+		return
+	}
+	shard.status = failed
+	shard.reason = reason
+	query.failed++
+}
+
+func (query *Query) sendGroup(now time.Time, group *group, purpose purpose) {
+	if !query.pay(purpose) {
+		for _, position := range group.shards {
+			query.giveUp(position, purpose, query.reasonOr(position, verdict.CodeOverloaded))
+		}
+		return
+	}
+	id := query.parameters.NextAttempt()
+	ids := make([]v1.ShardID, len(group.shards))
+	for index, position := range group.shards {
+		shard := &query.shards[position]
+		shard.pending++
+		shard.lastOwner = group.server.Owner
+		shard.tried |= query.replicaBit(position, group.server)
+		shard.hedged = shard.hedged || purpose == hedge
+		ids[index] = query.shardMap.Shards[position].ID
+	}
+	group.server.noteSent(now)
+	query.attempts[id] = &attempt{
+		server:    group.server,
+		shards:    group.shards,
+		sentAt:    now,
+		hedgeable: query.parameters.Repeatable && purpose != hedge,
+	}
+	query.scheduleHedge(now)
+	query.actions.Sends = append(query.actions.Sends, Send{
+		Attempt:  id,
+		Server:   group.server,
+		Shards:   ids,
+		Snapshot: query.pin.Version(),
+		Deadline: query.parameters.Deadline,
+	})
+}
+
+// noteSent counts a pending attempt. At an ejected server it is the one probe
+// until the next report.
+func (server *Server) noteSent(now time.Time) {
+	server.pending++
+	if server.load.Ejected {
+		server.loadSeen = now
+	}
+}
+
+func (query *Query) reasonOr(position int, reason verdict.Code) verdict.Code {
+	if known := query.shards[position].reason; known != "" {
+		return known
+	}
+	return reason
+}
+
+func (query *Query) replicaBit(position int, server *Server) uint64 {
+	for index, replica := range query.shardMap.Shards[position].Replicas {
+		if replica == server {
+			return 1 << index
+		}
+	}
+	return 0
+}
+
+func (query *Query) pay(purpose purpose) bool {
+	switch purpose {
+	case retry:
+		return query.fleet.retries.spend()
+	case hedge:
+		return query.fleet.hedges.spend()
+	default:
+		query.fleet.retries.earn(1)
+		query.fleet.hedges.earn(1)
+		return true
+	}
+}
+
+// fail deals with the failure of an attempt: every shard of it that has no other
+// attempt is sent again where that is allowed, or fails.
+func (query *Query) fail(now time.Time, pending *attempt, failure *verdict.Error) {
+	query.verdict = query.verdict.With(failure.Verdict)
+	query.retryAfter = max(query.retryAfter, failure.RetryAfter)
+	var again []int
+	for _, position := range pending.shards {
+		shard := &query.shards[position]
+		if shard.status != open {
+			continue
+		}
+		shard.reason = failure.Code
+		if shard.pending > 0 {
+			continue
+		}
+		if failure.Verdict != verdict.NotRun && !query.parameters.Repeatable {
+			query.giveUp(position, retry, failure.Code)
+			continue
+		}
+		again = append(again, position)
+	}
+	if len(again) > 0 {
+		query.send(now, again, retry)
+	}
+}
+
+// retryDue tries shards again whose pause is over.
+func (query *Query) retryDue(now time.Time) {
+	var due []int
+	for position := range query.shards {
+		shard := &query.shards[position]
+		if shard.status == open && !shard.retryAt.IsZero() && !now.Before(shard.retryAt) {
+			shard.retryAt = time.Time{}
+			due = append(due, position)
+		}
+	}
+	if len(due) > 0 {
+		query.send(now, due, retry)
+	}
+}
+
+// scheduleHedge sets the time of the next hedge for an attempt sent now.
+func (query *Query) scheduleHedge(now time.Time) {
+	delay, known := query.fleet.hedgeAfter()
+	if !known || !query.parameters.Repeatable {
+		return
+	}
+	due := now.Add(delay)
+	if query.hedgeAt.IsZero() || due.Before(query.hedgeAt) {
+		query.hedgeAt = due
+	}
+}
+
+// hedgeDue sends second attempts for the shards that have waited too long.
+func (query *Query) hedgeDue(now time.Time) {
+	if query.hedgeAt.IsZero() || now.Before(query.hedgeAt) {
+		return
+	}
+	query.hedgeAt = time.Time{}
+	delay, known := query.fleet.hedgeAfter()
+	if !known {
+		return
+	}
+	var slow []int
+	for _, pending := range query.attempts {
+		if !pending.hedgeable {
+			continue
+		}
+		due := pending.sentAt.Add(delay)
+		if now.Before(due) {
+			query.noteHedge(due)
+			continue
+		}
+		slow = query.unhedged(slow, pending)
+	}
+	if len(slow) == 0 {
+		return
+	}
+	slices.Sort(slow)
+	query.send(now, slow, hedge)
+	for _, position := range slow {
+		if !query.shards[position].hedged {
+			query.noteHedge(now.Add(max(delay/hedgeRecheck, time.Millisecond)))
+		}
+	}
+}
+
+func (query *Query) noteHedge(due time.Time) {
+	if query.hedgeAt.IsZero() || due.Before(query.hedgeAt) {
+		query.hedgeAt = due
+	}
+}
+
+// unhedged adds the shards of an attempt that may still be hedged.
+func (query *Query) unhedged(into []int, pending *attempt) []int {
+	for _, position := range pending.shards {
+		shard := &query.shards[position]
+		if shard.status == open && !shard.hedged && shard.pending == 1 {
+			into = append(into, position)
+		}
+	}
+	return into
+}
