--- a/internal/query/fleet.go
+++ b/internal/query/fleet.go
@@ -206,3 +206,12 @@
 	}
 	return fleet.latencies.floor
 }
+
+// NeedsRefresh tells whether too little is known of a server to ask it in the
+// ordinary course, so that no reply would bring anything newer.
+func (fleet *Fleet) NeedsRefresh(now time.Time, server *Server) bool {
+	if server.removed {
+		return false
+	}
+	return server.standing(now, fleet.Snapshot().Version) != good
+}
--- /dev/null
+++ b/internal/scatter/execute.go
@@ -0,0 +1,87 @@
+package scatter
+
+import (
+	"context"
+	"time"
+
+	v1 "github.com/driftstage/driftstage/api/v1"
+	"github.com/driftstage/driftstage/internal/query"
+	"github.com/driftstage/driftstage/internal/verdict"
+	"github.com/driftstage/driftstage/internal/wire/message"
+)
+
+// execute carries out one attempt: at the server's owner, or at the second
+// owner when the first has certainly not taken it.
+func (scatterer *Scatterer) execute(ctx context.Context, route route, request *message.SubRequest, deadline time.Time) ownerReply {
+	reply, failure := scatterer.call(ctx, route.first, request, deadline)
+	if route.second.id != "" && ctx.Err() == nil && passedOver(reply, failure) {
+		reply, failure = scatterer.call(ctx, route.second, request, deadline)
+	}
+	ended := ownerReply{server: request.Server, reply: query.Reply{Attempt: query.AttemptID(request.AttemptID)}}
+	if failure != nil {
+		ended.reply.Failure = failure
+		return ended
+	}
+	if reply.AttemptID != request.AttemptID {
+		ended.reply.Failure = verdict.New(verdict.MayHaveRun, verdict.CodeBadReply, "reply is for attempt %d", reply.AttemptID)
+		return ended
+	}
+	if reply.Load.Server == request.Server {
+		ended.load = &reply.Load
+	}
+	fillReply(&ended.reply, reply)
+	return ended
+}
+
+// passedOver tells whether a node refused an attempt for reasons of its own, or
+// could not be reached: the attempt has not run and the server may well take it.
+func passedOver(reply *message.SubReply, failure *verdict.Error) bool {
+	if failure != nil {
+		return failure.Verdict == verdict.NotRun
+	}
+	if verdict.Verdict(reply.Verdict) != verdict.NotRun {
+		return false
+	}
+	switch verdict.Code(reply.Code) {
+	case verdict.CodeDraining:
+		return !reply.Load.Draining
+	case verdict.CodeRevisionMismatch, verdict.CodeNotReady:
+		return true
+	default:
+		return false
+	}
+}
+
+func (scatterer *Scatterer) call(ctx context.Context, owner target, request *message.SubRequest, deadline time.Time) (*message.SubReply, *verdict.Error) {
+	if owner.id == "" {
+		return nil, verdict.New(verdict.NotRun, verdict.CodeUnreachable, "no node owns the server")
+	}
+	// The copy lets both owners be given the time that is left when they are asked.
+	sent := *request
+	sent.RemainingMicros = time.Until(deadline).Microseconds()
+	if owner.id == scatterer.options.NodeID {
+		return scatterer.options.Local.Execute(ctx, &sent), nil
+	}
+	reply, err := scatterer.options.Owners.Execute(ctx, owner.address, &sent)
+	if err != nil {
+		return nil, verdict.From(err)
+	}
+	return reply, nil
+}
+
+func fillReply(target *query.Reply, reply *message.SubReply) {
+	if reply.Code != "" {
+		target.Failure = &verdict.Error{
+			Verdict:    verdict.Verdict(reply.Verdict),
+			Code:       verdict.Code(reply.Code),
+			Message:    reply.Reason,
+			RetryAfter: time.Duration(reply.RetryAfterMicros) * time.Microsecond,
+		}
+		return
+	}
+	target.Snapshot = reply.Snapshot
+	target.Parts = make([]query.Part, len(reply.Parts))
+	for index, part := range reply.Parts {
+		target.Parts[index] = query.Part{Shard: v1.ShardID(part.Shard), Body: part.Body}
+	}
+}
--- /dev/null
+++ b/internal/scatter/service.go
@@ -0,0 +1,200 @@
+package scatter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/driftstage/driftstage/internal/config"
+	"github.com/driftstage/driftstage/internal/placement"
+	"github.com/driftstage/driftstage/internal/query"
+	"github.com/driftstage/driftstage/internal/snapshot"
+	"github.com/driftstage/driftstage/internal/verdict"
+	"github.com/driftstage/driftstage/internal/wire/message"
+)
+
+const (
+	// refreshInterval is how often servers of which too little is known are asked
+	// about, while there are queries.
+	refreshInterval = time.Second
+	// refreshTimeout bounds one question.
+	refreshTimeout = 500 * time.Millisecond
+	// pinRetry is the pause before asking again while no version is known.
+	pinRetry = 20 * time.Millisecond
+)
+
+// service is what this node has learned of one service. Its mutex guards the
+// fleet and every query core that works on it.
+type service struct {
+	scatterer *Scatterer
+	name      string
+
+	mutex  sync.Mutex
+	fleet  *query.Fleet
+	pinned *config.Service
+	shards *query.Map
+	// routed is the generation of the routes in use, by server name.
+	routed *members
+	routes map[string]route
+
+	// refreshing is closed when the refresh under way has ended.
+	refreshing  chan struct{}
+	refreshedAt time.Time
+}
+
+func newService(scatterer *Scatterer, name string) *service {
+	return &service{
+		scatterer: scatterer,
+		name:      name,
+		fleet:     query.NewFleet(scatterer.options.Zone),
+	}
+}
+
+// configure returns the newest revision seen and its shard map.
+func (service *service) configure(offered *config.Service) (*config.Service, *query.Map) {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	if service.pinned == nil || offered.Revision > service.pinned.Revision {
+		service.pinned = offered
+		service.shards = service.fleet.Configure(offered.Revision, offered.Spec)
+		service.routed = nil
+	}
+	return service.pinned, service.shards
+}
+
+// route finds the owners of all servers anew when members have changed.
+func (service *service) route(now time.Time) {
+	current := service.scatterer.routes.current(now)
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	if service.routed == current {
+		return
+	}
+	service.routed = current
+	service.routes = make(map[string]route)
+	service.fleet.Servers(func(server *query.Server) {
+		described := placement.Server{Service: service.name, Name: server.Name, Zone: server.Zone}
+		first, second := service.scatterer.options.Rank(described, current.nodes)
+		server.Owner = first
+		service.routes[server.Name] = route{first: current.target(first), second: current.target(second)}
+	})
+}
+
+// routeOf returns the owners of a server.
+func (service *service) routeOf(server string) route {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	return service.routes[server]
+}
+
+// pin chooses the index version, after asking owners when none is known.
+func (service *service) pin(ctx context.Context, deadline time.Time) (snapshot.Choice, *verdict.Error) {
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	for {
+		service.mutex.Lock()
+		choice := service.fleet.Snapshot()
+		refreshed := service.refresh()
+		service.mutex.Unlock()
+		if choice.Version != snapshot.Unknown {
+			return choice, nil
+		}
+		select {
+		case <-refreshed:
+		case <-time.After(pinRetry):
+		case <-timer.C:
+			return choice, notReady(verdict.CodeVersionNotHeld, "no index version is known")
+		case <-ctx.Done():
+			return choice, notReady(verdict.CodeCanceled, "given up before anything was sent")
+		}
+	}
+}
+
+func notReady(code verdict.Code, message string) *verdict.Error {
+	failure := verdict.New(verdict.NotRun, code, "%s", message)
+	failure.RetryAfter = refreshInterval
+	return failure
+}
+
+// refresh asks owners about the servers of which too little is known, in the
+// background, and returns what is closed when that has ended. The mutex is held.
+func (service *service) refresh() <-chan struct{} {
+	if service.refreshing != nil {
+		return service.refreshing
+	}
+	interval := refreshInterval
+	if service.fleet.Snapshot().Version == snapshot.Unknown {
+		interval = pinRetry
+	}
+	ended := make(chan struct{})
+	now := time.Now()
+	if now.Sub(service.refreshedAt) < interval {
+		return nil
+	}
+	service.refreshedAt = now
+	questions := service.questions(now)
+	if len(questions) == 0 {
+		return nil
+	}
+	service.refreshing = ended
+	go service.ask(questions, ended)
+	return ended
+}
+
+// questions groups the servers to ask about by their owner.
+func (service *service) questions(now time.Time) map[target][]string {
+	questions := make(map[target][]string)
+	service.fleet.Servers(func(server *query.Server) {
+		if !service.fleet.NeedsRefresh(now, server) {
+			return
+		}
+		owner := service.routes[server.Name].first
+		if owner.id != "" {
+			questions[owner] = append(questions[owner], server.Name)
+		}
+	})
+	return questions
+}
+
+func (service *service) ask(questions map[target][]string, ended chan struct{}) {
+	ctx, cancel := context.WithTimeout(context.Background(), refreshTimeout)
+	defer cancel()
+	var group sync.WaitGroup
+	for owner, servers := range questions {
+		group.Go(func() {
+			request := &message.LoadRequest{Service: service.name, Servers: servers}
+			reply, err := service.scatterer.loads(ctx, owner, request)
+			if err != nil {
+				return
+			}
+			service.mutex.Lock()
+			defer service.mutex.Unlock()
+			for index := range reply.Loads {
+				service.fleet.Observe(time.Now(), reply.Loads[index].Server, loadOf(&reply.Loads[index]))
+			}
+		})
+	}
+	group.Wait()
+	service.mutex.Lock()
+	service.refreshing = nil
+	service.mutex.Unlock()
+	close(ended)
+}
+
+func (scatterer *Scatterer) loads(ctx context.Context, owner target, request *message.LoadRequest) (*message.LoadReply, error) {
+	if owner.id == scatterer.options.NodeID {
+		return scatterer.options.Local.Loads(request), nil
+	}
+	return scatterer.options.Owners.Loads(ctx, owner.address, request)
+}
+
+func loadOf(load *message.ServerLoad) query.Load {
+	return query.Load{
+		Queued:        load.Queued,
+		InFlight:      load.InFlight,
+		Window:        load.Window,
+		Draining:      load.Draining,
+		Ejected:       load.Ejected,
+		SnapshotsHeld: load.SnapshotsHeld,
+	}
+}
--- /dev/null
+++ b/internal/scatter/types.go
@@ -0,0 +1,95 @@
+package scatter
+
+import (
+	"context"
+	"time"
+
+	v1 "github.com/driftstage/driftstage/api/v1"
+	"github.com/driftstage/driftstage/internal/config"
+	"github.com/driftstage/driftstage/internal/membership"
+	"github.com/driftstage/driftstage/internal/placement"
+	"github.com/driftstage/driftstage/internal/verdict"
+	"github.com/driftstage/driftstage/internal/wire/message"
+)
+
+// Query is one request of a caller.
+type Query struct {
+	RequestID string
+	// Service is the revision that the gateway knows; the query works by it or,
+	// if another query has already seen a newer one, by that.
+	Service *config.Service
+	Body    []byte
+	// Timeout is how long the caller waits.
+	Timeout    time.Duration
+	Repeatable bool
+	Class      v1.Class
+	// MinimumCoverage replaces the service's minimum; zero keeps that.
+	MinimumCoverage float64
+}
+
+// Answer is what the caller gets.
+type Answer struct {
+	Revision int64
+	Snapshot int64
+	Verdict  verdict.Verdict
+	Coverage Coverage
+	Results  []Result
+	// Failure is nil when the coverage is enough.
+	Failure *verdict.Error
+}
+
+// Coverage tells which shards an answer covers.
+type Coverage struct {
+	Shards  int
+	Covered int
+	Missing []Missing
+}
+
+// Missing is a shard that the answer does not cover.
+type Missing struct {
+	Shard  v1.ShardID
+	Reason verdict.Code
+}
+
+// Result is the answer of one shard.
+type Result struct {
+	Shard v1.ShardID
+	Body  []byte
+}
+
+// Members gives the members of the system, this node included.
+type Members interface {
+	Members() []membership.Member
+}
+
+// Owners calls the owner role of other nodes. Errors are *verdict.Error.
+type Owners interface {
+	Execute(ctx context.Context, address string, request *message.SubRequest) (*message.SubReply, error)
+	Loads(ctx context.Context, address string, request *message.LoadRequest) (*message.LoadReply, error)
+}
+
+// LocalOwner is the owner role of this node.
+type LocalOwner interface {
+	Execute(ctx context.Context, request *message.SubRequest) *message.SubReply
+	Loads(request *message.LoadRequest) *message.LoadReply
+}
+
+// Rank names the owner of a server and the one that takes over.
+type Rank func(server placement.Server, nodes []placement.Node) (first, second string)
+
+// Options configures a Scatterer.
+type Options struct {
+	// NodeID and Zone are those of this node.
+	NodeID string
+	Zone   string
+
+	Members Members
+	Owners  Owners
+	Local   LocalOwner
+	// Rank is the placement; nil means placement.Rank.
+	Rank Rank
+	// Seed is that of choices by chance; zero takes one at random.
+	Seed uint64
+	// Metrics may be nil.
+	Metrics *Metrics
+}
