QueryService: strict decoding and validation that lists every fault

QueryServiceObject keeps spec and status as written, so that one resource of the wrong form neither hides the others nor loses fields when it is written back. Hedging can be disabled.

--- a/api/v1/defaults.go
+++ b/api/v1/defaults.go
@@ -25,7 +25,9 @@
 	setDefault(&spec.Class, DefaultClass)
 	spec.Coverage.setDefaults()
 	spec.Deadlines.setDefaults()
-	setDefault(&spec.Hedging.Budget, DefaultHedgingBudget)
+	if !spec.Hedging.Disabled {
+		setDefault(&spec.Hedging.Budget, DefaultHedgingBudget)
+	}
 	setDefault(&spec.Hedging.Quantile, DefaultHedgingQuantile)
 	setDefault(&spec.Limits.InFlight, DefaultLimitInFlight)
 	setDefault(&spec.Limits.Queue, DefaultLimitQueue)
--- /dev/null
+++ b/api/v1/typecheck.go
@@ -0,0 +1,133 @@
+package v1
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strings"
+)
+
+var unmarshalerType = reflect.TypeFor[json.Unmarshaler]()
+
+// checkValue compares a parsed tree with the type that target points to.
+func checkValue(value, target any, path string, faults *faultList) {
+	checker := typeChecker{faults: faults}
+	checker.check(value, reflect.TypeOf(target).Elem(), path)
+}
+
+// typeChecker lists every difference between a tree and a type.
+type typeChecker struct {
+	faults *faultList
+}
+
+func (checker *typeChecker) check(value any, wanted reflect.Type, path string) {
+	if value == nil { // null is the same as left out
+		return
+	}
+	if reflect.PointerTo(wanted).Implements(unmarshalerType) {
+		checker.checkUnmarshaler(value, wanted, path)
+		return
+	}
+	switch wanted.Kind() {
+	case reflect.Pointer:
+		checker.check(value, wanted.Elem(), path)
+	case reflect.Struct:
+		checker.checkObject(value, wanted, path)
+	case reflect.Slice:
+		checker.checkList(value, wanted, path)
+	default:
+		checker.checkScalar(value, wanted, path)
+	}
+}
+
+func (checker *typeChecker) checkObject(value any, wanted reflect.Type, path string) {
+	object, isObject := value.(treeObject)
+	if !isObject {
+		checker.faults.add(path, "want an object, got %s", describe(value))
+		return
+	}
+	fields := fieldTypes(wanted)
+	for _, name := range object.names {
+		field, known := fields[name]
+		if !known {
+			checker.faults.add(joinPath(path, name), "unknown field")
+			continue
+		}
+		checker.check(object.fields[name], field, joinPath(path, name))
+	}
+}
+
+func (checker *typeChecker) checkList(value any, wanted reflect.Type, path string) {
+	list, isList := value.([]any)
+	if !isList {
+		checker.faults.add(path, "want a list, got %s", describe(value))
+		return
+	}
+	for index, item := range list {
+		if item == nil {
+			checker.faults.add(indexPath(path, index), "must not be null")
+			continue
+		}
+		checker.check(item, wanted.Elem(), indexPath(path, index))
+	}
+}
+
+// checkScalar tries the value by itself, so that the error can name its path.
+func (checker *typeChecker) checkScalar(value any, wanted reflect.Type, path string) {
+	switch value.(type) {
+	case treeObject, []any:
+	default:
+		text, err := json.Marshal(value)
+		if err == nil && json.Unmarshal(text, reflect.New(wanted).Interface()) == nil {
+			return
+		}
+	}
+	checker.faults.add(path, "want %s, got %s", scalarName(wanted.Kind()), describe(value))
+}
+
+func (checker *typeChecker) checkUnmarshaler(value any, wanted reflect.Type, path string) {
+	text, err := json.Marshal(value)
+	if err == nil {
+		err = json.Unmarshal(text, reflect.New(wanted).Interface())
+	}
+	if err != nil {
+		checker.faults.add(path, "%v", err)
+	}
+}
+
+// fieldTypes maps the JSON names of a struct to the types of its fields.
+func fieldTypes(structure reflect.Type) map[string]reflect.Type {
+	fields := make(map[string]reflect.Type, structure.NumField())
+	for index := range structure.NumField() {
+		field := structure.Field(index)
+		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+		fields[name] = field.Type
+	}
+	return fields
+}
+
+func scalarName(kind reflect.Kind) string {
+	switch kind {
+	case reflect.String:
+		return "text"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float64:
+		return "a number"
+	default:
+		return "a whole number"
+	}
+}
+
+func describe(value any) string {
+	switch value := value.(type) {
+	case treeObject:
+		return "an object"
+	case []any:
+		return "a list"
+	case string:
+		return fmt.Sprintf("text %.40q", value)
+	default:
+		return fmt.Sprint(value)
+	}
+}
--- a/api/v1/types.go
+++ b/api/v1/types.go
@@ -109,6 +109,8 @@
 
 // Hedging bounds second attempts for slow shards.
 type Hedging struct {
+	// Disabled turns hedging off; the budget is then zero.
+	Disabled bool `json:"disabled,omitempty"`
 	// Budget is the number of hedges per first attempt, as a fraction.
 	Budget float64 `json:"budget,omitempty"`
 	// Quantile is the quantile of the learned latency at which to hedge.
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -46,7 +46,9 @@
 	options       Options
 	http          *fasthttp.HostClient
 	QueryServices *Collection[v1.QueryService]
-	Leases        *Collection[v1.Lease]
+	// QueryServiceObjects are the same with spec and status as written.
+	QueryServiceObjects *Collection[v1.QueryServiceObject]
+	Leases              *Collection[v1.Lease]
 }
 
 // NewClient returns a client; it connects at the first request.
@@ -63,6 +65,11 @@
 		resource: "queryservices",
 		metadata: func(service *v1.QueryService) *v1.ObjectMeta { return &service.Metadata },
 	}
+	client.QueryServiceObjects = &Collection[v1.QueryServiceObject]{
+		client:   client,
+		resource: "queryservices",
+		metadata: func(object *v1.QueryServiceObject) *v1.ObjectMeta { return &object.Metadata },
+	}
 	client.Leases = &Collection[v1.Lease]{
 		client:   client,
 		resource: "leases",
