--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -172,6 +172,12 @@
 	_, err = client.QueryServices.Get(ctx, "fleet")
 	is.NoErr(err)
 	is.Equal(server.Stats()["test"].Writes, int64(1)) // sent once
+	created, err := client.QueryServices.Get(ctx, "fleet")
+	is.NoErr(err)
+	server.SetFaults(standin.Faults{DropReplies: 1})
+	_, err = client.QueryServices.Update(ctx, created) // a PUT on a kept-alive connection
+	is.True(platform.IsUncertain(err))
+	is.Equal(server.Stats()["test"].Writes, int64(2)) // sent once
 	server.SetFaults(standin.Faults{Refuse: true})
 	_, err = client.QueryServices.Get(ctx, "fleet")
 	is.True(err != nil)
