driftlab load: open-loop load, compared with the back ends' record

Cause: latency, coverage and extra load need one measure for driftstage and for the baseline, and no answer counts unless the record of the back ends bears it out. Change: internal/lab plans Poisson arrivals, times each query from its intended start into an HDR histogram, checks the answer against itself and against the record (mixed versions, foreign body, false coverage, not run but ran, ran twice), and writes JSON or a table; the baseline asks one replica of each shard and waits for all. Exit 1 on a wrong answer, 2 on a wrong flag. Seen red: the comparison of NotRun with the record taken out (TestEachFaultIsBlamed/not_run_but_ran).

--- a/cmd/driftlab/load.go
+++ b/cmd/driftlab/load.go
@@ -2,20 +2,151 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strings"
 
 	"github.com/peterbourgon/ff/v4"
+
+	v1 "github.com/driftstage/driftstage/api/v1"
+	"github.com/driftstage/driftstage/internal/lab"
+	"github.com/driftstage/driftstage/internal/standin/backend"
 )
 
+// errWrongAnswers makes the command fail when an answer contradicted the record.
+var errWrongAnswers = errors.New("there were wrong answers")
+
+type loadSettings struct {
+	options  lab.LoadOptions
+	class    string
+	gateways string
+	admin    string
+	direct   bool
+	asJSON   bool
+}
+
 func loadCommand() *ff.Command {
+	settings := loadSettings{options: lab.DefaultLoadOptions()}
 	flags := ff.NewFlagSet("load")
+	settings.register(flags)
 	return &ff.Command{
 		Name:      "load",
-		Usage:     "driftlab load [FLAGS]",
+		Usage:     "driftlab load [--direct --admin IP:PORT] [--gateways IP:PORT,...] [FLAGS]",
 		ShortHelp: "send an open-loop load and report latency, coverage and extra load",
-		Flags:     flags,
-		Exec: func(context.Context, []string) error {
-			return errors.New("not built yet")
+		LongHelp: "With both --direct and --gateways, the baseline runs first and driftstage second, against the same back ends.\n" +
+			"With --admin, every answer is compared with what the back ends really ran. Exit status 1 when one was wrong.",
+		Flags: flags,
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) > 0 {
+				return fmt.Errorf("%w: unexpected argument %q", errUsage, args[0])
+			}
+			return settings.run(ctx)
 		},
 	}
 }
+
+func (settings *loadSettings) register(flags *ff.FlagSet) {
+	options := &settings.options
+	flags.StringVar(&settings.gateways, 0, "gateways", "", "addresses of gateways, asked in turn")
+	flags.StringVar(&settings.admin, 0, "admin", "", "admin address of `driftlab backends`")
+	flags.BoolVar(&settings.direct, 0, "direct", "ask one replica of each shard directly and wait for all")
+	flags.BoolVar(&settings.asJSON, 0, "json", "print JSON instead of a table")
+	flags.StringVar(&options.Service, 0, "service", options.Service, "name of the query service")
+	flags.Float64Var(&options.Rate, 0, "rate", options.Rate, "queries a second (Poisson arrivals)")
+	flags.DurationVar(&options.Warmup, 0, "warmup", options.Warmup, "time before latency counts")
+	flags.DurationVar(&options.Duration, 0, "duration", options.Duration, "time for which latency counts")
+	flags.DurationVar(&options.Settle, 0, "settle", options.Settle, "time between the last answer and reading the record")
+	flags.DurationVar(&options.Timeout, 0, "timeout", options.Timeout, "timeout of a query")
+	flags.StringVar(&settings.class, 0, "class", "", "interactive or batch; empty for the service's own")
+	flags.Float64Var(&options.RepeatableShare, 0, "repeatable-share", options.RepeatableShare, "share of queries that are repeatable")
+	flags.Float64Var(&options.MinimumCoverage, 0, "minimum-coverage", options.MinimumCoverage, "minimum coverage sent with each query; negative for the service's own")
+	flags.IntVar(&options.BodyBytes, 0, "body-bytes", options.BodyBytes, "size of a query's body")
+	flags.IntVar(&options.Outstanding, 0, "outstanding", options.Outstanding, "queries under way; more are not sent, and counted")
+	flags.Uint64Var(&options.Seed, 0, "seed", options.Seed, "seed of arrivals")
+}
+
+func (settings *loadSettings) validate() error {
+	var failures []error
+	if settings.gateways == "" && !settings.direct {
+		failures = append(failures, errors.New("gateways: want addresses, or --direct"))
+	}
+	if settings.direct && settings.admin == "" {
+		failures = append(failures, errors.New("admin: --direct needs the admin address of the back ends"))
+	}
+	for _, address := range settings.addresses() {
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			failures = append(failures, fmt.Errorf("gateways: want IP:port, got %q", address))
+		}
+	}
+	settings.options.Class = v1.Class(settings.class)
+	if err := errors.Join(append(failures, settings.options.Validate())...); err != nil {
+		return fmt.Errorf("%w: %w", errUsage, err)
+	}
+	return nil
+}
+
+func (settings *loadSettings) addresses() []string {
+	if settings.gateways == "" {
+		return nil
+	}
+	return strings.Split(settings.gateways, ",")
+}
+
+func (settings *loadSettings) run(ctx context.Context) error {
+	if err := settings.validate(); err != nil {
+		return err
+	}
+	targets, recorder, err := settings.targets()
+	if err != nil {
+		return err
+	}
+	var reports []*lab.Report
+	wrong := 0
+	for _, target := range targets {
+		report, err := lab.Load(ctx, settings.options, target, recorder)
+		if err != nil {
+			return err
+		}
+		reports = append(reports, report)
+		wrong += report.WrongAnswers
+	}
+	if err := settings.print(reports); err != nil {
+		return err
+	}
+	if wrong > 0 {
+		return errWrongAnswers
+	}
+	return nil
+}
+
+func (settings *loadSettings) targets() ([]lab.Target, lab.Recorder, error) {
+	var targets []lab.Target
+	var recorder lab.Recorder
+	if settings.admin != "" {
+		client := backend.NewClient(settings.admin)
+		recorder = client
+		if settings.direct {
+			fleet, err := client.Fleet()
+			if err != nil {
+				return nil, nil, err
+			}
+			targets = append(targets, lab.NewDirect(fleet, settings.options.Seed))
+		}
+	}
+	if settings.gateways != "" {
+		targets = append(targets, lab.NewGateways(settings.addresses()))
+	}
+	return targets, recorder, nil
+}
+
+func (settings *loadSettings) print(reports []*lab.Report) error {
+	if settings.asJSON {
+		encoder := json.NewEncoder(os.Stdout)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(reports)
+	}
+	return lab.WriteTable(os.Stdout, reports)
+}
--- /dev/null
+++ b/internal/lab/answer.go
@@ -0,0 +1,143 @@
+package lab
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	v1 "github.com/driftstage/driftstage/api/v1"
+	"github.com/driftstage/driftstage/internal/standin/backend"
+	"github.com/driftstage/driftstage/internal/verdict"
+)
+
+// Answer is the body of a gateway's reply.
+type Answer struct {
+	RequestID string          `json:"requestId"`
+	Service   string          `json:"service"`
+	Revision  int64           `json:"revision"`
+	Snapshot  int64           `json:"snapshot"`
+	Verdict   verdict.Verdict `json:"verdict"`
+	Coverage  AnswerCoverage  `json:"coverage"`
+	Results   []AnswerResult  `json:"results"`
+}
+
+// AnswerCoverage says which shards an answer covers.
+type AnswerCoverage struct {
+	Shards  int            `json:"shards"`
+	Covered int            `json:"covered"`
+	Missing []MissingShard `json:"missing"`
+}
+
+// MissingShard is a shard that an answer does not cover.
+type MissingShard struct {
+	Shard  v1.ShardID   `json:"shard"`
+	Reason verdict.Code `json:"reason"`
+}
+
+// AnswerResult is the result of one shard.
+type AnswerResult struct {
+	Shard v1.ShardID      `json:"shard"`
+	Body  json.RawMessage `json:"body"`
+}
+
+// Fault is one way in which an answer can be wrong.
+type Fault string
+
+// The values of Fault. Each breaks one point of what must always hold.
+const (
+	// FaultMixedVersions is an answer with parts of several index versions.
+	FaultMixedVersions Fault = "mixed-versions"
+	// FaultForeignBody is an answer with a part of another request or shard.
+	FaultForeignBody Fault = "foreign-body"
+	// FaultFalseCoverage is a coverage that does not match the results, or
+	// names a shard that no back end completed.
+	FaultFalseCoverage Fault = "false-coverage"
+	// FaultNotRunButRan is a refusal as not run of what a back end ran.
+	FaultNotRunButRan Fault = "not-run-but-ran"
+	// FaultRanTwice is a query that is not repeatable, and that ran twice on a shard.
+	FaultRanTwice Fault = "ran-twice"
+	// FaultUnreadable is an answer that can not be read.
+	FaultUnreadable Fault = "unreadable"
+)
+
+// Wrong is one wrong answer.
+type Wrong struct {
+	Fault     Fault  `json:"fault"`
+	RequestID string `json:"requestId"`
+	QueryHash string `json:"queryHash"`
+	Detail    string `json:"detail"`
+}
+
+// outcome is what the caller of one query saw.
+type outcome struct {
+	query query
+	// status is the HTTP status; zero when no answer came.
+	status  int
+	verdict verdict.Verdict
+	latency time.Duration
+	// requestID is empty when no answer came.
+	requestID string
+	shards    int
+	covered   []v1.ShardID
+	snapshot  int64
+	failure   string
+	wrong     []Wrong
+}
+
+func (outcome *outcome) blame(fault Fault, format string, args ...any) {
+	outcome.wrong = append(outcome.wrong, Wrong{
+		Fault:     fault,
+		RequestID: outcome.requestID,
+		QueryHash: outcome.query.hash,
+		Detail:    fmt.Sprintf(format, args...),
+	})
+}
+
+// take checks the answer against itself and against the query, and keeps what
+// the comparison with the record needs.
+func (outcome *outcome) take(answer Answer) {
+	outcome.requestID = answer.RequestID
+	outcome.verdict = answer.Verdict
+	outcome.shards = answer.Coverage.Shards
+	outcome.snapshot = answer.Snapshot
+	seen := map[v1.ShardID]bool{}
+	for _, result := range answer.Results {
+		if seen[result.Shard] {
+			outcome.blame(FaultFalseCoverage, "shard %d is there twice", result.Shard)
+		}
+		seen[result.Shard] = true
+		outcome.covered = append(outcome.covered, result.Shard)
+		outcome.takeResult(answer, result)
+	}
+	outcome.checkCoverage(answer.Coverage, seen)
+}
+
+func (outcome *outcome) takeResult(answer Answer, result AnswerResult) {
+	var part backend.PartBody
+	if err := json.Unmarshal(result.Body, &part); err != nil {
+		outcome.blame(FaultUnreadable, "result of shard %d: %v", result.Shard, err)
+		return
+	}
+	if part.QueryHash != outcome.query.hash || part.Shard != result.Shard {
+		outcome.blame(FaultForeignBody, "result of shard %d is of shard %d, request %s", result.Shard, part.Shard, part.RequestID)
+	}
+	if part.Snapshot != answer.Snapshot {
+		outcome.blame(FaultMixedVersions, "result of shard %d is of version %d, answer says %d", result.Shard, part.Snapshot, answer.Snapshot)
+	}
+}
+
+func (outcome *outcome) checkCoverage(coverage AnswerCoverage, seen map[v1.ShardID]bool) {
+	if coverage.Covered != len(seen) {
+		outcome.blame(FaultFalseCoverage, "says %d covered, has %d results", coverage.Covered, len(seen))
+	}
+	missing := map[v1.ShardID]bool{}
+	for _, shard := range coverage.Missing {
+		if seen[shard.Shard] {
+			outcome.blame(FaultFalseCoverage, "shard %d is both missing and there", shard.Shard)
+		}
+		missing[shard.Shard] = true
+	}
+	if coverage.Covered+len(missing) != coverage.Shards {
+		outcome.blame(FaultFalseCoverage, "%d covered and %d missing of %d shards", coverage.Covered, len(missing), coverage.Shards)
+	}
+}
