--- a/cmd/driftstaged/main.go
+++ b/cmd/driftstaged/main.go
@@ -1,4 +1,72 @@
-// Command driftstaged is part of driftstage.
+// Command driftstaged is the daemon of driftstage: gateway, owner of back-end
+// servers, member and candidate for control in one process.
+//
+// Exit status: 0 after a stop that cut nothing, 1 after a failure, 2 when the
+// settings are wrong (nothing was started).
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/driftstage/driftstage/internal/node"
+	"github.com/driftstage/driftstage/internal/settings"
+	"github.com/driftstage/driftstage/internal/telemetry"
+)
+
+const (
+	exitFailure  = 1
+	exitSettings = 2
+)
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	request, err := settings.Load(args)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "driftstaged: wrong settings:\n%v\n", err)
+		return exitSettings
+	}
+	switch request.Mode {
+	case settings.ModeHelp:
+		fmt.Println(request.Help)
+		return 0
+	case settings.ModeVersion:
+		fmt.Println("driftstaged", version())
+		return 0
+	case settings.ModeCheck:
+		fmt.Println("settings are right")
+		return 0
+	}
+	return serve(request.Settings)
+}
+
+func serve(loaded settings.Settings) int {
+	telemetry.SetupLogs(os.Stderr, loaded.Name, loaded.LogVerbosity)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	built, err := node.New(loaded)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "driftstaged: %v\n", err)
+		return exitFailure
+	}
+	if err := built.Run(ctx); err != nil {
+		fmt.Fprintf(os.Stderr, "driftstaged: %v\n", err)
+		return exitFailure
+	}
+	return 0
+}
+
+func version() string {
+	info, found := debug.ReadBuildInfo()
+	if !found || info.Main.Version == "" {
+		return "development"
+	}
+	return info.Main.Version
+}
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -42,3 +42,9 @@
 	Incarnation uint64
 	State       State
 }
+
+// TakesWork tells whether a member in this state may own servers. A suspect
+// still does: suspicion is often wrong, and moving its servers twice costs more.
+func (state State) TakesWork() bool {
+	return state == Alive || state == Suspect
+}
--- /dev/null
+++ b/internal/node/state.go
@@ -0,0 +1,113 @@
+package node
+
+import (
+	"go.uber.org/dig"
+
+	"github.com/driftstage/driftstage/internal/config"
+	"github.com/driftstage/driftstage/internal/gateway"
+	"github.com/driftstage/driftstage/internal/membership"
+	"github.com/driftstage/driftstage/internal/settings"
+)
+
+// readiness tells whether the node may take requests.
+type readiness struct {
+	members memberView
+}
+
+func newReadiness(poller *platformPoller) *readiness {
+	return &readiness{members: poller}
+}
+
+// reason returns why the node takes no requests; empty when it does.
+func (readiness *readiness) reason() string {
+	if len(readiness.members.Members()) == 0 {
+		return "no members are known yet"
+	}
+	return ""
+}
+
+// state is what /debug/state shows to an operator.
+type state struct {
+	Node     string         `json:"node"`
+	Zone     string         `json:"zone"`
+	Region   string         `json:"region"`
+	NotReady string         `json:"notReady,omitempty"`
+	InFlight int            `json:"queriesInFlight"`
+	Members  []memberState  `json:"members"`
+	Services []serviceState `json:"services"`
+}
+
+type memberState struct {
+	ID          string `json:"id"`
+	Address     string `json:"address"`
+	Zone        string `json:"zone"`
+	Region      string `json:"region"`
+	State       string `json:"state"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+type serviceState struct {
+	Name     string   `json:"name"`
+	Revision int64    `json:"revision"`
+	Shards   int      `json:"shards"`
+	Servers  int      `json:"servers"`
+	Owned    []string `json:"ownedServers"`
+}
+
+// stateSource gathers the state of the parts.
+type stateSource struct {
+	dig.In
+
+	Settings settings.Settings
+	Ready    *readiness
+	Store    *config.Store
+	Members  *platformPoller
+	Gateway  *gateway.Gateway
+}
+
+func (source stateSource) read() state {
+	read := state{
+		Node:     source.Settings.Name,
+		Zone:     source.Settings.Zone,
+		Region:   source.Settings.Region,
+		NotReady: source.Ready.reason(),
+		InFlight: source.Gateway.InFlight(),
+		Members:  []memberState{},
+		Services: []serviceState{},
+	}
+	for _, member := range source.Members.Members() {
+		read.Members = append(read.Members, newMemberState(member))
+	}
+	owned := &ownership{self: source.Settings.Name, members: source.Members, store: source.Store}
+	for _, service := range source.Store.Services() {
+		read.Services = append(read.Services, newServiceState(service, owned))
+	}
+	return read
+}
+
+func newMemberState(member membership.Member) memberState {
+	return memberState{
+		ID:          member.ID,
+		Address:     member.Address,
+		Zone:        member.Zone,
+		Region:      member.Region,
+		State:       member.State.String(),
+		Incarnation: member.Incarnation,
+	}
+}
+
+func newServiceState(service *config.Service, owned *ownership) serviceState {
+	described := serviceState{
+		Name:     service.Name,
+		Revision: service.Revision,
+		Shards:   len(service.Spec.Shards),
+		Servers:  len(service.Spec.Servers),
+		Owned:    []string{},
+	}
+	for _, server := range service.Spec.Servers {
+		if owned.Owns(service.Name, server.Name) {
+			described.Owned = append(described.Owned, server.Name)
+		}
+	}
+	return described
+}
--- /dev/null
+++ b/internal/placement/index.go
@@ -0,0 +1,29 @@
+package placement
+
+// Index ranks servers over one fixed set of nodes. It gives what Rank gives, but
+// looks only at the nodes of the server's zone where these fill both ranks: at
+// 3,600 nodes in 16 zones that is a sixteenth of the work.
+type Index struct {
+	all    []Node
+	byZone map[string][]Node
+}
+
+// rankedNodes is how many ranks a zone's nodes must fill.
+const rankedNodes = 2
+
+// NewIndex returns the index of a set of nodes, which must not change later.
+func NewIndex(nodes []Node) *Index {
+	index := &Index{all: nodes, byZone: make(map[string][]Node)}
+	for _, node := range nodes {
+		index.byZone[node.Zone] = append(index.byZone[node.Zone], node)
+	}
+	return index
+}
+
+// Rank returns the owner of a server and the second-ranked node, as Rank does.
+func (index *Index) Rank(server Server) (first, second string) {
+	if near := index.byZone[server.Zone]; len(near) >= rankedNodes {
+		return Rank(server, near)
+	}
+	return Rank(server, index.all)
+}
