--- a/cmd/driftlab/demo.go
+++ b/cmd/driftlab/demo.go
@@ -2,20 +2,183 @@
 
 import (
 	"context"
-	"errors"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v4"
+
+	"github.com/driftstage/driftstage/internal/lab/cluster"
 )
 
+// demoTimeout bounds the whole demo.
+const demoTimeout = 2 * time.Minute
+
+// demoUser is one of the two users, at the sizes of the brief.
+type demoUser struct {
+	service     string
+	zones       []string
+	connections string
+	query       string
+}
+
+var demoUsers = []demoUser{
+	{
+		service:     "gzebi-renter-search",
+		zones:       []string{"tbilisi", "imereti", "adjara"},
+		connections: "75",
+		query:       `{"city":"Batumi","from":"2026-12-05","seats":5}`,
+	},
+	{
+		service:     "konferencelinjen-call-search",
+		zones:       []string{"zealand", "jutland", "funen"},
+		connections: "65",
+		query:       `{"conference":"4711","event":"dropped"}`,
+	},
+}
+
 func demoCommand() *ff.Command {
 	flags := ff.NewFlagSet("demo")
+	logs := flags.StringLong("logs", "", "directory for the logs of all programs (default: a temporary one, removed at the end)")
 	return &ff.Command{
 		Name:      "demo",
 		Usage:     "driftlab demo [FLAGS]",
 		ShortHelp: "start the whole system on loopback, ask one query of each user, stop it",
 		Flags:     flags,
-		Exec: func(context.Context, []string) error {
-			return errors.New("not built yet")
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) > 0 {
+				return errors.Mark(errors.Newf("unexpected argument %q", args[0]), errUsage)
+			}
+			return demo(ctx, *logs)
 		},
 	}
 }
+
+func demo(ctx context.Context, logs string) (failure error) {
+	ctx, cancel := context.WithTimeout(ctx, demoTimeout)
+	defer cancel()
+	executable, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	if logs == "" {
+		logs, err = os.MkdirTemp("", "driftstage-demo-")
+		if err != nil {
+			return err
+		}
+		defer os.RemoveAll(logs)
+	} else if err := os.MkdirAll(logs, 0o755); err != nil {
+		return err
+	}
+	running, err := cluster.Start(ctx, cluster.Options{
+		Binaries:          filepath.Dir(executable),
+		Directory:         logs,
+		PlatformArguments: []string{"--machine-lag", "100ms"},
+	})
+	if err != nil {
+		return err
+	}
+	defer func() {
+		failure = errors.Join(failure, running.Stop())
+		if failure == nil {
+			fmt.Println("stopped every process, each with exit status 0")
+		}
+	}()
+	if err := startDemo(ctx, running); err != nil {
+		return err
+	}
+	for index, user := range demoUsers {
+		gateway := running.Nodes[index%len(running.Nodes)].Gateway
+		if err := askDemo(ctx, gateway, user); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func startDemo(ctx context.Context, running *cluster.Cluster) error {
+	fmt.Printf("platform stand-in: Object API at %s\n", running.Platform.Address)
+	for _, user := range demoUsers {
+		backends, err := running.StartBackends(ctx, user.service,
+			"--servers", "4", "--shards", "8", "--replicas", "2", "--slots", "5",
+			"--connections", user.connections, "--zones", strings.Join(user.zones, ","))
+		if err != nil {
+			return err
+		}
+		fmt.Printf("back-end stand-ins: %s, 4 servers, 8 shards\n", user.service)
+		if err := running.Create(ctx, backends.Resource); err != nil {
+			return err
+		}
+	}
+	for index, zone := range append(demoUsers[0].zones, demoUsers[1].zones...) {
+		node, err := running.StartNode(ctx, cluster.NodeOptions{
+			Name:      fmt.Sprintf("node-%d", index+1),
+			Zone:      zone,
+			Region:    zone,
+			Arguments: []string{"--drain-delay", "200ms"},
+		})
+		if err != nil {
+			return err
+		}
+		fmt.Printf("daemon %s in %s: gateway at %s\n", node.Name, zone, node.Gateway)
+	}
+	if err := running.PublishMachines(ctx); err != nil {
+		return err
+	}
+	for _, user := range demoUsers {
+		if err := running.AwaitService(ctx, user.service); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// askDemo sends one query and prints its answer.
+func askDemo(ctx context.Context, gateway string, user demoUser) error {
+	url := fmt.Sprintf("http://%s/v1/services/%s/query", gateway, user.service)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(user.query))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Driftstage-Timeout", "1s")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	var answer struct {
+		RequestID string
+		Revision  int64
+		Snapshot  int64
+		Verdict   string
+		Coverage  struct {
+			Shards, Covered int
+			Missing         []json.RawMessage
+		}
+		Results []json.RawMessage
+	}
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return errors.Wrapf(err, "answer %q", body)
+	}
+	fmt.Printf("\nPOST %s\n  %s\n", url, user.query)
+	fmt.Printf("  %s, verdict %s, snapshot %d, revision %d, covered %d of %d shards, missing %s\n",
+		response.Status, answer.Verdict, answer.Snapshot, answer.Revision,
+		answer.Coverage.Covered, answer.Coverage.Shards, answer.Coverage.Missing)
+	for _, result := range answer.Results {
+		fmt.Printf("  %s\n", result)
+	}
+	if response.StatusCode != http.StatusOK || answer.Coverage.Covered != answer.Coverage.Shards {
+		return errors.Newf("the answer of %s is not whole", user.service)
+	}
+	return nil
+}
