--- a/cmd/driftlab/demo.go
+++ b/cmd/driftlab/demo.go
@@ -46,6 +46,7 @@
 func demoCommand() *ff.Command {
 	flags := ff.NewFlagSet("demo")
 	logs := flags.StringLong("logs", "", "directory for the logs of all programs (default: a temporary one, removed at the end)")
+	hold := flags.BoolLong("hold", "keep the system running after the queries, until SIGINT or SIGTERM")
 	return &ff.Command{
 		Name:      "demo",
 		Usage:     "driftlab demo [FLAGS]",
@@ -55,13 +56,13 @@
 			if len(args) > 0 {
 				return errors.Mark(errors.Newf("unexpected argument %q", args[0]), errUsage)
 			}
-			return demo(ctx, *logs)
+			return demo(ctx, *logs, *hold)
 		},
 	}
 }
 
-func demo(ctx context.Context, logs string) (failure error) {
-	ctx, cancel := context.WithTimeout(ctx, demoTimeout)
+func demo(interrupted context.Context, logs string, hold bool) (failure error) {
+	ctx, cancel := context.WithTimeout(interrupted, demoTimeout)
 	defer cancel()
 	executable, err := os.Executable()
 	if err != nil {
@@ -99,6 +100,10 @@
 			return err
 		}
 	}
+	if hold {
+		fmt.Println("\nrunning until interrupted")
+		<-interrupted.Done()
+	}
 	return nil
 }
 
@@ -111,7 +116,7 @@
 		if err != nil {
 			return err
 		}
-		fmt.Printf("back-end stand-ins: %s, 4 servers, 8 shards\n", user.service)
+		fmt.Printf("back-end stand-ins: %s, 4 servers, 8 shards, admin port at %s\n", user.service, backends.Admin)
 		if err := running.Create(ctx, backends.Resource); err != nil {
 			return err
 		}
