Owner and scatter under failure: drain, pause, stop, lost owners, bad replies

Owner: the resource, the machine list and the server's own word are looked at before each attempt and each second, before the polls (a poll of a hung server had held the drain back by 500 ms); connections idle for 30 s are closed; a server that another node owns and nobody asks for here is let go after 10 s. Scatter: routes by placement.Index; a suspect owner's replicas are passed over while others are there.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -74,6 +74,9 @@
 // SetConnections changes the limit of open connections.
 func (client *Client) SetConnections(limit int) { client.pool.setLimit(limit) }
 
+// CloseIdle closes the connections that have not been used for a while.
+func (client *Client) CloseIdle() { client.pool.closeIdle(time.Now()) }
+
 // Close closes idle connections at once and busy ones after their attempt.
 func (client *Client) Close() { client.pool.close() }
 
--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -108,6 +108,7 @@
 		"other request id":   {raw(200, strings.Replace(goodHeaders, "r1", "r2", 1), goodBody), verdict.MayHaveRun, verdict.CodeBadReply},
 		"body of another":    {raw(200, goodHeaders, strings.Replace(goodBody, "r1", "r2", 1)), verdict.MayHaveRun, verdict.CodeBadReply},
 		"other snapshot":     {raw(200, strings.Replace(goodHeaders, ": 41", ": 42", 1), strings.Replace(goodBody, "41", "42", 1)), verdict.Ran, verdict.CodeBadReply},
+		"header snapshot":    {raw(200, strings.Replace(goodHeaders, ": 41", ": 42", 1), goodBody), verdict.Ran, verdict.CodeBadReply},
 		"two snapshots":      {raw(200, goodHeaders, strings.Replace(goodBody, "41", "42", 1)), verdict.Ran, verdict.CodeBadReply},
 		"other shards":       {raw(200, strings.Replace(goodHeaders, "0,3", "0,2", 1), goodBody), verdict.Ran, verdict.CodeBadReply},
 		"part missing":       {raw(200, goodHeaders, `{"requestId":"r1","snapshot":41,"parts":[{"shard":0,"body":1}]}`), verdict.Ran, verdict.CodeBadReply},
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -111,11 +112,27 @@
 // takeSurplus removes idle connections over the limit; the caller closes them.
 func (pool *pool) takeSurplus() []*connection {
 	count := min(max(pool.open-pool.limit, 0), len(pool.idle))
-	surplus := append([]*connection(nil), pool.idle[:count]...)
-	pool.idle = append([]*connection(nil), pool.idle[count:]...)
+	surplus := slices.Clone(pool.idle[:count])
+	pool.idle = slices.Delete(pool.idle, 0, count)
 	return surplus
 }
 
+// closeIdle closes the connections that have been idle for too long; the eldest
+// come first in the list.
+func (pool *pool) closeIdle(now time.Time) {
+	pool.mutex.Lock()
+	count := 0
+	for count < len(pool.idle) && now.Sub(pool.idle[count].idleAt) >= pool.maxIdle {
+		count++
+	}
+	old := slices.Clone(pool.idle[:count])
+	pool.idle = slices.Delete(pool.idle, 0, count)
+	pool.mutex.Unlock()
+	for _, conn := range old {
+		pool.discard(conn)
+	}
+}
+
 // close closes the idle connections now and the others when they are given back.
 func (pool *pool) close() {
 	pool.mutex.Lock()
--- a/internal/owner/manager.go
+++ b/internal/owner/manager.go
@@ -32,7 +32,7 @@
 // Options configures a Manager.
 type Options struct {
 	Services Services
-	// Ownership selects the servers that Run polls; nil polls those in use only.
+	// Ownership selects the servers that Run polls; nil polls those in use.
 	Ownership Ownership
 	// Machines may be nil.
 	Machines Machines
@@ -130,6 +130,9 @@
 	key := serverKey{service: service.Name, server: name}
 	manager.mutex.Lock()
 	found, ok := manager.servers[key]
+	if ok {
+		found.usedAt = now
+	}
 	if ok && found.revision.Load() >= service.Revision {
 		manager.mutex.Unlock()
 		return found
@@ -141,6 +144,7 @@
 	}
 	if !ok {
 		found = newServer(manager.options, service, spec)
+		found.usedAt = now
 		manager.servers[key] = found
 	}
 	manager.mutex.Unlock()
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
+	"github.com/driftstage/driftstage/internal/config"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -12,6 +15,9 @@
 	pollInterval = time.Second
 	// pollConcurrency bounds the load polls at a time.
 	pollConcurrency = 16
+	// unusedAfter is how long the state of a server is kept that this node neither
+	// owns nor is asked for.
+	unusedAfter = 10 * time.Second
 )
 
 // Run polls the servers that this node owns or serves, lets go of servers that
@@ -59,32 +65,49 @@
 	_ = polls.Wait()
 }
 
-// takeUp creates the state of owned servers, removes that of servers no longer
-// configured, and returns what remains.
+// takeUp creates the state of owned servers, brings all to the newest revision,
+// lets go of those that left the configuration or are no longer used here, and
+// returns what remains.
 func (manager *Manager) takeUp(now time.Time) []*server {
-	configured := make(map[serverKey]bool)
+	configured := make(map[serverKey]*config.Service)
 	for _, service := range manager.options.Services.Services() {
 		for index := range service.Spec.Servers {
-			name := service.Spec.Servers[index].Name
-			configured[serverKey{service: service.Name, server: name}] = true
-			if manager.options.Ownership != nil && manager.options.Ownership.Owns(service.Name, name) {
-				manager.server(now, service, name)
+			key := serverKey{service: service.Name, server: service.Spec.Servers[index].Name}
+			configured[key] = service
+			if manager.owns(key) {
+				manager.server(now, service, key.server)
 			}
 		}
 	}
+	kept, removed := manager.sift(now, configured)
+	for _, server := range removed {
+		server.remove(now)
+	}
+	for key, server := range kept {
+		server.update(now, configured[key])
+	}
+	return slices.Collect(maps.Values(kept))
+}
+
+func (manager *Manager) owns(key serverKey) bool {
+	return manager.options.Ownership != nil && manager.options.Ownership.Owns(key.service, key.server)
+}
+
+// sift takes out the servers that have left the configuration or that another
+// node owns and nobody asks for here: their connections count at the server.
+func (manager *Manager) sift(now time.Time, configured map[serverKey]*config.Service) (map[serverKey]*server, []*server) {
 	manager.mutex.Lock()
-	var kept, removed []*server
+	defer manager.mutex.Unlock()
+	kept := make(map[serverKey]*server, len(manager.servers))
+	var removed []*server
 	for key, server := range manager.servers {
-		if configured[key] {
-			kept = append(kept, server)
+		unused := now.Sub(server.usedAt) > unusedAfter && server.idle()
+		if configured[key] != nil && !unused {
+			kept[key] = server
 			continue
 		}
 		removed = append(removed, server)
 		delete(manager.servers, key)
 	}
-	manager.mutex.Unlock()
-	for _, server := range removed {
-		server.remove(now)
-	}
-	return kept
+	return kept, removed
 }
--- a/internal/owner/server.go
+++ b/internal/owner/server.go
@@ -31,6 +31,8 @@
 	options  Options
 	name     string
 	revision atomic.Int64
+	// usedAt is when the server was last asked for; the manager's mutex guards it.
+	usedAt time.Time
 
 	mutex   sync.Mutex
 	core    *admission.Server
@@ -90,6 +92,21 @@
 	server.revision.Store(service.Revision)
 }
 
+// update takes over the service's revision if it is newer, looks at the sources
+// that say whether the server leaves, and closes connections that have been idle for long.
+func (server *server) update(now time.Time, service *config.Service) {
+	if service.Revision > server.revision.Load() {
+		if spec := serverSpec(service, server.name); spec != nil {
+			server.configure(now, service, spec)
+		}
+	}
+	server.mutex.Lock()
+	server.updateDrain(now)
+	client := server.client
+	server.mutex.Unlock()
+	client.CloseIdle()
+}
+
 // connect replaces the client; attempts under way end on the old one.
 func (server *server) connect(spec *v1.Server, path string) {
 	if server.client != nil {
@@ -232,6 +249,14 @@
 	}
 }
 
+// idle tells that nothing runs or waits here.
+func (server *server) idle() bool {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	view := server.core.View()
+	return view.InFlight == 0 && view.Queued == 0
+}
+
 // poll asks the server for its load: index versions, and a hint of draining.
 func (server *server) poll(ctx context.Context) {
 	server.mutex.Lock()
--- a/internal/query/choose.go
+++ b/internal/query/choose.go
@@ -44,7 +44,7 @@
 		return versionOther
 	case server.load.Ejected && now.Sub(server.loadSeen) < ejectionValid:
 		return ejected
-	case now.Before(server.suspectUntil):
+	case server.OwnerSuspect || now.Before(server.suspectUntil):
 		return suspected
 	case len(server.load.SnapshotsHeld) == 0:
 		return versionUnknown
--- a/internal/query/fleet.go
+++ b/internal/query/fleet.go
@@ -28,6 +28,8 @@
 	Zone string
 	// Owner is the member to which attempts go; empty when there is none.
 	Owner string
+	// OwnerSuspect tells that the membership suspects the owner.
+	OwnerSuspect bool
 
 	// removed tells that the resource says draining, or names the server no more.
 	removed bool
--- /dev/null
+++ b/internal/scatter/fault_test.go
@@ -0,0 +1,210 @@
+package scatter_test
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	v1 "github.com/driftstage/driftstage/api/v1"
+	"github.com/driftstage/driftstage/internal/config"
+	"github.com/driftstage/driftstage/internal/membership"
+	"github.com/driftstage/driftstage/internal/scatter"
+	"github.com/driftstage/driftstage/internal/standin/backend"
+	"github.com/driftstage/driftstage/internal/verdict"
+	"github.com/matryer/is"
+)
+
+// outcome is what a caller got, to be compared with the record of the back ends.
+type outcome struct {
+	id         string
+	repeatable bool
+	answer     scatter.Answer
+}
+
+// load asks from several callers at a time, some repeatable and some not, and
+// returns what they got. Between two requests of a caller is a short pause.
+func load(t *testing.T, scatterer *scatter.Scatterer, system *nodes, callers, each int) []outcome {
+	t.Helper()
+	var mutex sync.Mutex
+	var outcomes []outcome
+	var group sync.WaitGroup
+	for caller := range callers {
+		group.Go(func() {
+			for round := range each {
+				repeatable := (caller+round)%2 == 0
+				id, answer := ask(t, scatterer, system, repeatable)
+				mutex.Lock()
+				outcomes = append(outcomes, outcome{id, repeatable, answer})
+				mutex.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	return outcomes
+}
+
+// compare holds the verdicts of callers against what the back ends really ran.
+func compare(t *testing.T, fleet *backend.Fleet, outcomes []outcome) (whole int) {
+	t.Helper()
+	for _, outcome := range outcomes {
+		runs := runsOf(fleet, outcome.id)
+		if outcome.answer.Verdict == verdict.NotRun && len(runs) > 0 {
+			t.Errorf("%s was said not to have run, and ran on %v", outcome.id, runs)
+		}
+		for shard, count := range runs {
+			if !outcome.repeatable && count > 1 {
+				t.Errorf("%s is not repeatable, and ran %d times on shard %d", outcome.id, count, shard)
+			}
+		}
+		if outcome.answer.Failure == nil && outcome.answer.Coverage.Covered == outcome.answer.Coverage.Shards {
+			whole++
+		}
+	}
+	return whole
+}
+
+// Whatever a back end does to its replies, no caller gets a part of another
+// request, shard or version, and the verdicts are true.
+func TestMisbehavingBackEnd(t *testing.T) {
+	faults := []backend.FaultKind{
+		backend.FaultTruncate, backend.FaultReset, backend.FaultTwice, backend.FaultForeign,
+		backend.FaultLate, backend.FaultWrongVersion, backend.FaultWrongBodyVersion, backend.FaultError,
+		backend.FaultDie, backend.FaultDrain,
+	}
+	for _, kind := range faults {
+		t.Run(string(kind), func(t *testing.T) {
+			t.Parallel()
+			fleet, system, scatterer := start(t, func(*backend.Options) {})
+			outcomes := load(t, scatterer, system, 4, 5)
+			server := fleet.Servers()[1].Name
+			during := make(chan []outcome)
+			go func() { during <- load(t, scatterer, system, 16, 10) }()
+			time.Sleep(5 * time.Millisecond)
+			if err := fleet.SetFault(backend.Fault{Server: server, Kind: kind, OneIn: 3, DelayMillis: 200}); err != nil {
+				t.Fatal(err)
+			}
+			outcomes = append(outcomes, load(t, scatterer, system, 4, 15)...)
+			outcomes = append(outcomes, <-during...)
+			if err := fleet.SetFault(backend.Fault{Server: server, Kind: backend.FaultNone}); err != nil {
+				t.Fatal(err)
+			}
+			whole := compare(t, fleet, outcomes)
+			if whole < len(outcomes)/2 {
+				t.Errorf("only %d of %d answers are whole", whole, len(outcomes))
+			}
+		})
+	}
+}
+
+// Versions advance and the index is partitioned anew while queries run.
+func TestVersionsAndPartitionsSwitch(t *testing.T) {
+	fleet, system, scatterer := start(t, func(options *backend.Options) { options.Servers = 6; options.Replicas = 3 })
+	var outcomes []outcome
+	finished := make(chan struct{})
+	go func() {
+		defer close(finished)
+		outcomes = load(t, scatterer, system, 6, 60)
+	}()
+	for round := range 6 {
+		time.Sleep(20 * time.Millisecond)
+		fleet.Advance(0, time.Duration(round)*2*time.Millisecond)
+	}
+	<-finished
+	snapshots := make(map[int64]bool)
+	for _, outcome := range outcomes {
+		snapshots[outcome.answer.Snapshot] = true
+	}
+	if whole := compare(t, fleet, outcomes); whole < len(outcomes)*9/10 {
+		t.Errorf("only %d of %d answers are whole", whole, len(outcomes))
+	}
+	if len(snapshots) < 3 {
+		t.Errorf("answers are of snapshots %v only", snapshots)
+	}
+}
+
+// Queries that began by the old map keep it; those by the new one get the new
+// number of shards, and none mixes the two.
+func TestRepartition(t *testing.T) {
+	is := is.New(t)
+	fleet, system, scatterer := start(t, func(*backend.Options) {})
+	outcomes := load(t, scatterer, system, 2, 5)
+	const partitions = 12
+	version := fleet.Advance(partitions, 0)
+	spec := *system.services[0].Spec
+	spec.Shards = fleet.Shards(partitions)
+	system.services = []*config.Service{{Name: system.services[0].Name, Revision: 2, Spec: &spec}}
+	outcomes = append(outcomes, load(t, scatterer, system, 2, 5)...)
+	compare(t, fleet, outcomes)
+	last := outcomes[len(outcomes)-1].answer
+	is.Equal(last.Failure, nil)
+	is.Equal(last.Snapshot, version.Snapshot)
+	is.Equal(last.Coverage.Covered, partitions)
+	for _, outcome := range outcomes {
+		is.True(outcome.answer.Failure != nil || outcome.answer.Revision == 1 == (outcome.answer.Coverage.Shards == 8))
+	}
+}
+
+// A straggling server does not set the latency of a query: its shards are hedged.
+func TestFrozenServerIsHedged(t *testing.T) {
+	is := is.New(t)
+	fleet, system, scatterer := start(t, func(*backend.Options) {})
+	load(t, scatterer, system, 2, 20)
+	is.NoErr(fleet.SetFault(backend.Fault{Server: fleet.Servers()[0].Name, Kind: backend.FaultFreeze}))
+	started := time.Now()
+	_, answer := ask(t, scatterer, system, true)
+	is.Equal(answer.Failure, nil)
+	is.Equal(answer.Coverage.Covered, 8)
+	is.True(time.Since(started) < timeout/2)
+	is.NoErr(fleet.SetFault(backend.Fault{Server: fleet.Servers()[0].Name, Kind: backend.FaultNone}))
+}
+
+// Leaving members get no new work, and the next owner has it at once.
+func TestLeavingMemberIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	_, system, scatterer := start(t, func(*backend.Options) {})
+	ask(t, scatterer, system, true)
+	for _, id := range []string{"node-1", "node-2"} {
+		is.NoErr(system.owners[id].Stop(t.Context()))
+	}
+	_, answer := ask(t, scatterer, system, false) // refused by the stopped ones
+	is.True(answer.Failure == nil || answer.Verdict != verdict.MayHaveRun)
+	members := append([]membership.Member(nil), system.members...)
+	members[1].State = membership.Leaving
+	members[2].State = membership.Dead
+	system.members = members
+	time.Sleep(50 * time.Millisecond)
+	system.calls.Store(0)
+	_, answer = ask(t, scatterer, system, false)
+	is.Equal(answer.Failure, nil)
+	is.Equal(answer.Coverage.Covered, 8)
+	is.Equal(system.calls.Load(), int32(0)) // this node is the only one left
+}
+
+// Far more load than the servers bear: refusals are NotRun, quick, and say when
+// to come back.
+func TestOverloadRefusesAtOnce(t *testing.T) {
+	fleet, system, scatterer := start(t, func(options *backend.Options) {
+		options.Slots = 1
+		options.Queue = 0
+		options.Time = backend.ServiceTime{Median: 20 * time.Millisecond}
+	})
+	spec := *system.services[0].Spec
+	spec.Limits.Queue = 2
+	spec.Coverage = v1.Coverage{Minimum: 1, Target: 1}
+	system.services = []*config.Service{{Name: system.services[0].Name, Revision: 2, Spec: &spec}}
+	outcomes := load(t, scatterer, system, 20, 5)
+	compare(t, fleet, outcomes)
+	refused := 0
+	for _, outcome := range outcomes {
+		if outcome.answer.Failure == nil {
+			continue
+		}
+		refused++
+		if outcome.answer.Failure.RetryAfter <= 0 {
+			t.Errorf("a refusal without advice: %v", outcome.answer.Failure)
+		}
+	}
+	if refused == 0 || refused == len(outcomes) {
+		t.Errorf("%d of %d refused", refused, len(outcomes))
+	}
+}
--- a/internal/scatter/routes.go
+++ b/internal/scatter/routes.go
@@ -27,8 +27,9 @@
 // members is one state of the membership, prepared for placement.
 type members struct {
 	list      []membership.Member
-	nodes     []placement.Node
+	index     *placement.Index
 	addresses map[string]string
+	suspects  map[string]bool
 }
 
 func (members *members) target(id string) target {
@@ -62,14 +63,17 @@
 // newMembers selects the members that may own servers: leaving ones take no new
 // work, suspect ones still own theirs.
 func newMembers(list []membership.Member) *members {
-	made := &members{list: list, addresses: make(map[string]string, len(list))}
+	made := &members{list: list, addresses: make(map[string]string, len(list)), suspects: make(map[string]bool)}
+	var nodes []placement.Node
 	for index := range list {
 		member := &list[index]
 		if member.State != membership.Alive && member.State != membership.Suspect {
 			continue
 		}
-		made.nodes = append(made.nodes, placement.Node{ID: member.ID, Zone: member.Zone})
+		nodes = append(nodes, placement.Node{ID: member.ID, Zone: member.Zone})
 		made.addresses[member.ID] = member.Address
+		made.suspects[member.ID] = member.State == membership.Suspect
 	}
+	made.index = placement.NewIndex(nodes)
 	return made
 }
--- a/internal/scatter/run.go
+++ b/internal/scatter/run.go
@@ -107,7 +107,7 @@
 }
 
 func (run *run) send(ctx context.Context, send *query.Send) {
-	attemptContext, cancel := context.WithDeadline(ctx, send.Deadline)
+	attemptContext, cancel := context.WithCancel(ctx)
 	run.cancels[send.Attempt] = cancel
 	route := run.service.routeOf(send.Server.Name)
 	request := run.subRequest(send)
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/driftstage/driftstage/internal/config"
-	"github.com/driftstage/driftstage/internal/placement"
 	"github.com/driftstage/driftstage/internal/query"
 	"github.com/driftstage/driftstage/internal/snapshot"
 	"github.com/driftstage/driftstage/internal/verdict"
@@ -27,9 +26,6 @@
 
 // New returns a Scatterer that has learned nothing yet.
 func New(options Options) *Scatterer {
-	if options.Rank == nil {
-		options.Rank = placement.Rank
-	}
 	if options.Seed == 0 {
 		options.Seed = rand.Uint64()
 	}
--- a/internal/scatter/scatter_test.go
+++ b/internal/scatter/scatter_test.go
@@ -30,6 +30,8 @@
 	// unreachable nodes refuse connections; lost ones break them after the call.
 	unreachable map[string]bool
 	lost        map[string]bool
+	// calls counts the attempts sent to other nodes.
+	calls atomic.Int32
 }
 
 func (nodes *nodes) Members() []membership.Member { return nodes.members }
@@ -46,6 +48,7 @@
 }
 
 func (nodes *nodes) Execute(ctx context.Context, address string, request *message.SubRequest) (*message.SubReply, error) {
+	nodes.calls.Add(1)
 	if nodes.unreachable[address] {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUnreachable, "connection refused")
 	}
--- a/internal/scatter/service.go
+++ b/internal/scatter/service.go
@@ -74,8 +74,9 @@
 	service.routes = make(map[string]route)
 	service.fleet.Servers(func(server *query.Server) {
 		described := placement.Server{Service: service.name, Name: server.Name, Zone: server.Zone}
-		first, second := service.scatterer.options.Rank(described, current.nodes)
+		first, second := current.index.Rank(described)
 		server.Owner = first
+		server.OwnerSuspect = current.suspects[first]
 		service.routes[server.Name] = route{first: current.target(first), second: current.target(second)}
 	})
 }
--- a/internal/scatter/types.go
+++ b/internal/scatter/types.go
@@ -7,7 +7,6 @@
 	v1 "github.com/driftstage/driftstage/api/v1"
 	"github.com/driftstage/driftstage/internal/config"
 	"github.com/driftstage/driftstage/internal/membership"
-	"github.com/driftstage/driftstage/internal/placement"
 	"github.com/driftstage/driftstage/internal/verdict"
 	"github.com/driftstage/driftstage/internal/wire/message"
 )
@@ -74,9 +73,6 @@
 	Loads(request *message.LoadRequest) *message.LoadReply
 }
 
-// Rank names the owner of a server and the one that takes over.
-type Rank func(server placement.Server, nodes []placement.Node) (first, second string)
-
 // Options configures a Scatterer.
 type Options struct {
 	// NodeID and Zone are those of this node.
@@ -86,8 +82,6 @@
 	Members Members
 	Owners  Owners
 	Local   LocalOwner
-	// Rank is the placement; nil means placement.Rank.
-	Rank Rank
 	// Seed is that of choices by chance; zero takes one at random.
 	Seed uint64
 	// Metrics may be nil.
