--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -258,9 +258,12 @@
 func TestLapsedEpochIsNeverHeldAgain(t *testing.T) {
 	is := is.New(t)
 	lease := take(t)
-	lease.Step(time.Second, Tick{})
-	lease.Step(time.Hour, WriteDone{Outcome: Written, Version: "2"})
-	write := lease.Step(time.Hour, Tick{Candidate: true}).(Write)
+	lapse := DefaultTerm * 2 / 3
+	lease.Step(lapse-1, Tick{})
+	lease.Step(lapse+1, WriteDone{Outcome: Written, Version: "2"})
+	_, held := lease.Held(lapse + 1)
+	is.True(!held)
+	write := lease.Step(2*lapse, Tick{Candidate: true}).(Write)
 	is.Equal(write.Record.Epoch, int64(2))
 }
 
