--- /dev/null
+++ b/internal/lab/experiment/experiment.go
@@ -0,0 +1,176 @@
+// Package experiment measures driftstage against the baseline, which asks one
+// replica of each shard directly and waits for all. Both ask the same back ends
+// in one run, so that the ratios do not depend on how busy the machine is.
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/driftstage/driftstage/internal/lab"
+	"github.com/driftstage/driftstage/internal/lab/cluster"
+	"github.com/driftstage/driftstage/internal/standin/backend"
+)
+
+// User is the size of one user's service, from the brief.
+type User struct {
+	Service     string
+	Zones       []string
+	Connections int
+}
+
+// Users are the renter app of Gzebi and the call search of Konferencelinjen:
+// services of 4 servers with 5 slots each.
+var Users = []User{
+	{Service: "gzebi-renter-search", Zones: []string{"tbilisi", "imereti", "adjara"}, Connections: 75},
+	{Service: "konferencelinjen-call-search", Zones: []string{"zealand", "jutland", "funen"}, Connections: 65},
+}
+
+// The size that both users share.
+const (
+	servers  = 4
+	shards   = 8
+	replicas = 2
+	slots    = 5
+)
+
+// BackendArguments are the flags of `driftlab backends` for the user's size.
+func (user User) BackendArguments() []string {
+	return []string{
+		"--servers", fmt.Sprint(servers),
+		"--shards", fmt.Sprint(shards),
+		"--replicas", fmt.Sprint(replicas),
+		"--slots", fmt.Sprint(slots),
+		"--connections", fmt.Sprint(user.Connections),
+		"--zones", strings.Join(user.Zones, ","),
+	}
+}
+
+// Options are common to all experiments.
+type Options struct {
+	// Binaries is the directory of driftstaged and driftlab.
+	Binaries string
+	// Directory takes the logs.
+	Directory string
+	// Duration is how long each load is measured.
+	Duration time.Duration
+	// Seed makes arrivals and service times repeatable.
+	Seed uint64
+}
+
+// Result is what one experiment found for one user.
+type Result struct {
+	Experiment string        `json:"experiment"`
+	Service    string        `json:"service"`
+	Reports    []*lab.Report `json:"reports"`
+	// Figures are what the reports give together, in the order of print.
+	Figures []Figure `json:"figures"`
+}
+
+// Figure is one number of a result.
+type Figure struct {
+	Name  string  `json:"name"`
+	Value float64 `json:"value"`
+	Unit  string  `json:"unit"`
+}
+
+// Write prints the result as a table.
+func (result *Result) Write(writer io.Writer) error {
+	fmt.Fprintf(writer, "\n%s, %s\n", result.Experiment, result.Service)
+	if err := lab.WriteTable(writer, result.Reports); err != nil {
+		return err
+	}
+	for _, figure := range result.Figures {
+		if _, err := fmt.Fprintf(writer, "%s: %.3f %s\n", figure.Name, figure.Value, figure.Unit); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// scene is a running system with one user's service.
+type scene struct {
+	cluster  *cluster.Cluster
+	user     User
+	backends *backend.Client
+	fleet    backend.Description
+	gateways []string
+}
+
+// setUp starts the system: one daemon in each zone of the user.
+func setUp(ctx context.Context, options Options, user User, backendArguments ...string) (*scene, error) {
+	running, err := cluster.Start(ctx, cluster.Options{
+		Binaries:          options.Binaries,
+		Directory:         options.Directory,
+		PlatformArguments: []string{"--machine-lag", "100ms"},
+	})
+	if err != nil {
+		return nil, err
+	}
+	set := &scene{cluster: running, user: user}
+	if err := set.fill(ctx, append(user.BackendArguments(), backendArguments...)); err != nil {
+		return nil, errors.CombineErrors(err, running.Stop())
+	}
+	return set, nil
+}
+
+func (scene *scene) fill(ctx context.Context, backendArguments []string) error {
+	started, err := scene.cluster.StartBackends(ctx, scene.user.Service, backendArguments...)
+	if err != nil {
+		return err
+	}
+	scene.backends = backend.NewClient(started.Admin)
+	if scene.fleet, err = scene.backends.Fleet(); err != nil {
+		return err
+	}
+	if err := scene.cluster.Create(ctx, started.Resource); err != nil {
+		return err
+	}
+	for index, zone := range scene.user.Zones {
+		node, err := scene.cluster.StartNode(ctx, cluster.NodeOptions{
+			Name:      fmt.Sprintf("node-%d", index+1),
+			Zone:      zone,
+			Region:    zone,
+			Arguments: []string{"--drain-delay", "200ms"},
+		})
+		if err != nil {
+			return err
+		}
+		scene.gateways = append(scene.gateways, node.Gateway)
+	}
+	if err := scene.cluster.PublishMachines(ctx); err != nil {
+		return err
+	}
+	return scene.cluster.AwaitService(ctx, scene.user.Service)
+}
+
+// load returns the options of a load on the scene.
+func (scene *scene) load(options Options, rate float64) lab.LoadOptions {
+	load := lab.DefaultLoadOptions()
+	load.Service = scene.user.Service
+	load.Rate = rate
+	load.Duration = options.Duration
+	load.Seed = options.Seed
+	return load
+}
+
+// baseline and driftstage are the two targets of a scene.
+func (scene *scene) baseline(options Options) lab.Target {
+	return lab.NewDirect(scene.fleet, options.Seed)
+}
+
+func (scene *scene) driftstage() lab.Target {
+	return lab.NewGateways(scene.gateways)
+}
+
+func ratio(numerator, denominator float64) float64 {
+	if denominator == 0 {
+		return 0
+	}
+	return numerator / denominator
+}
--- /dev/null
+++ b/internal/lab/experiment/overload.go
@@ -0,0 +1,45 @@
+package experiment
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/driftstage/driftstage/internal/lab"
+)
+
+// overloadRates are the loads of the sweep, in queries a second. With a median
+// service time of 20 ms and 2 or 3 sub-requests a query, 4 servers of 5 slots
+// bear about 350: the sweep goes to more than twice the peak.
+var overloadRates = []float64{100, 200, 300, 400, 500, 700, 1000}
+
+// Overload raises the load to more than twice what the servers bear, and tells
+// which part of the peak of useful answers remains, and how fast refusals are.
+func Overload(ctx context.Context, options Options, user User) (result *Result, failure error) {
+	set, err := setUp(ctx, options, user, "--median", "20ms")
+	if err != nil {
+		return nil, err
+	}
+	defer func() { failure = errors.Join(failure, set.cluster.Stop()) }()
+	result = &Result{Experiment: "overload", Service: user.Service}
+	peak, peakRate := 0.0, 0.0
+	for _, rate := range overloadRates {
+		report, err := lab.Load(ctx, set.load(options, rate), set.driftstage(), set.backends)
+		if err != nil {
+			return nil, err
+		}
+		result.Reports = append(result.Reports, report)
+		if report.UsefulPerSecond > peak {
+			peak, peakRate = report.UsefulPerSecond, rate
+		}
+	}
+	last := result.Reports[len(result.Reports)-1]
+	result.Figures = []Figure{
+		{"peak of useful answers", peak, "a second"},
+		{"at a load of", peakRate, "queries a second"},
+		{"highest load over the peak", ratio(last.Rate, peak), "times"},
+		{"useful answers there", 100 * ratio(last.UsefulPerSecond, peak), "% of the peak"},
+		{"refusal p50 there", last.Refusals.P50, "ms"},
+	}
+	return result, nil
+}
--- /dev/null
+++ b/internal/lab/experiment/stragglers.go
@@ -0,0 +1,48 @@
+package experiment
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/driftstage/driftstage/internal/lab"
+	"github.com/driftstage/driftstage/internal/standin/backend"
+)
+
+// stragglerRate is the load, in queries a second, at which no queue forms.
+const stragglerRate = 100
+
+// Stragglers measures the tail with 1 in 100 replies 50 times slower and one
+// server dead: every shard still has a live replica.
+func Stragglers(ctx context.Context, options Options, user User) (result *Result, failure error) {
+	set, err := setUp(ctx, options, user, "--straggler-one-in", "100", "--straggler-factor", "50")
+	if err != nil {
+		return nil, err
+	}
+	defer func() { failure = errors.Join(failure, set.cluster.Stop()) }()
+	dead := set.fleet.Servers[0].Name
+	if err := set.backends.SetFault(backend.Fault{Server: dead, Kind: backend.FaultDie}); err != nil {
+		return nil, err
+	}
+	load := set.load(options, stragglerRate)
+	direct, err := lab.Load(ctx, load, set.baseline(options), set.backends)
+	if err != nil {
+		return nil, err
+	}
+	through, err := lab.Load(ctx, load, set.driftstage(), set.backends)
+	if err != nil {
+		return nil, err
+	}
+	return &Result{
+		Experiment: "stragglers, one server dead",
+		Service:    user.Service,
+		Reports:    []*lab.Report{direct, through},
+		Figures: []Figure{
+			{"p99 shorter by a factor of", ratio(direct.Latency.P99, through.Latency.P99), ""},
+			{"p999 shorter by a factor of", ratio(direct.Latency.P999, through.Latency.P999), ""},
+			{"extra load", 100 * (through.BackEnds.Ratio - 1), "%"},
+			{"coverage of all sent, baseline", direct.CoverageOfAll, ""},
+			{"coverage of all sent, driftstage", through.CoverageOfAll, ""},
+		},
+	}, nil
+}
