Controller under a lease: acceptance, refusal, deletion, reports

Pure decision per resource, compare-and-set for every write, publication only of what a reply or a read has shown to stand. After any failed write the resource is read before anything else. A deletion publishes a tombstone and lets the finalizer go once it has spread. A service that is merely missing from the Object API stays in force. Tested against the stand-in with replies dropped, requests dropped, hangs, delays, refusals, watches cut and too old, racing operators and three controllers.

--- /dev/null
+++ b/internal/controller/cluster_test.go
@@ -0,0 +1,270 @@
+package controller_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	v1 "github.com/driftstage/driftstage/api/v1"
+	"github.com/driftstage/driftstage/internal/config"
+	"github.com/driftstage/driftstage/internal/controller"
+	"github.com/driftstage/driftstage/internal/platform"
+	standin "github.com/driftstage/driftstage/internal/standin/platform"
+	"github.com/driftstage/driftstage/internal/wire/message"
+)
+
+const (
+	testTerm = time.Second
+	// patience is a generous bound on what must happen in the end.
+	patience = 30 * time.Second
+)
+
+// cluster is a stand-in platform, some nodes with controllers, and dissemination
+// that reaches every member at once unless one is cut off.
+type cluster struct {
+	t         *testing.T
+	server    *standin.Server
+	address   string
+	operator  *platform.Client
+	mutex     sync.Mutex
+	nodes     map[string]*testNode
+	published []config.Entry
+}
+
+// testNode is one node; it publishes for its controller.
+type testNode struct {
+	cluster    *cluster
+	name       string
+	store      *config.Store
+	controller *controller.Controller
+	cutOff     bool
+	cancel     context.CancelFunc
+	stopped    chan struct{}
+}
+
+func newCluster(t *testing.T) *cluster {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cluster := &cluster{
+		t:       t,
+		server:  standin.NewServer(standin.Options{BookmarkInterval: 100 * time.Millisecond}),
+		address: listener.Addr().String(),
+		nodes:   make(map[string]*testNode),
+	}
+	go func() { _ = cluster.server.Serve(listener) }()
+	cluster.operator = platform.NewClient(platform.Options{Address: cluster.address, Name: "operator"})
+	t.Cleanup(func() {
+		for _, node := range cluster.nodes {
+			node.stop()
+		}
+		cluster.operator.Close()
+		_ = cluster.server.Stop()
+	})
+	return cluster
+}
+
+// start adds a node whose controller may lead.
+func (cluster *cluster) start(name string) *testNode {
+	return cluster.startAs(name, func() bool { return true })
+}
+
+func (cluster *cluster) startAs(name string, candidate func() bool) *testNode {
+	node := &testNode{cluster: cluster, name: name, store: config.NewStore(), stopped: make(chan struct{})}
+	node.controller = controller.New(controller.Options{
+		Name:      name,
+		Client:    platform.NewClient(platform.Options{Address: cluster.address, Name: name, Timeout: time.Second}),
+		Candidate: candidate,
+		Publisher: node,
+		Spread:    cluster,
+		Known:     node.store,
+		Registry:  prometheus.NewRegistry(),
+		Term:      testTerm,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	node.cancel = cancel
+	cluster.mutex.Lock()
+	cluster.nodes[name] = node
+	cluster.mutex.Unlock()
+	go func() {
+		defer close(node.stopped)
+		node.controller.Run(ctx)
+	}()
+	return node
+}
+
+func (node *testNode) stop() {
+	node.cancel()
+	<-node.stopped
+}
+
+// kill ends the node without a release of its lease.
+func (node *testNode) kill() {
+	node.cluster.server.SetFaults(standin.Faults{Client: node.name, Refuse: true})
+	node.stop()
+	node.cluster.mutex.Lock()
+	delete(node.cluster.nodes, node.name)
+	node.cluster.mutex.Unlock()
+	node.cluster.server.SetFaults(standin.Faults{})
+}
+
+// Publish reaches every member that is not cut off.
+func (node *testNode) Publish(entry message.ConfigEntry) {
+	received := config.Entry{Service: entry.Service, Revision: entry.Revision, Deleted: entry.Deleted}
+	if !entry.Deleted {
+		received.Spec = new(v1.QueryServiceSpec)
+		if err := json.Unmarshal(entry.Spec, received.Spec); err != nil {
+			node.cluster.t.Errorf("published spec: %v", err)
+		}
+	}
+	cluster := node.cluster
+	cluster.mutex.Lock()
+	defer cluster.mutex.Unlock()
+	cluster.published = append(cluster.published, received)
+	for _, other := range cluster.nodes {
+		if other == node || !other.cutOff {
+			other.store.Apply(received)
+		}
+	}
+}
+
+// Applied counts what the members hold.
+func (cluster *cluster) Applied(service string, revision int64) (total, applied int, lagging []string) {
+	cluster.mutex.Lock()
+	defer cluster.mutex.Unlock()
+	for name, node := range cluster.nodes {
+		total++
+		if node.store.Revision(service) >= revision {
+			applied++
+		} else {
+			lagging = append(lagging, name)
+		}
+	}
+	slices.Sort(lagging)
+	return total, applied, lagging
+}
+
+func (cluster *cluster) setCutOff(node *testNode, cutOff bool) {
+	cluster.mutex.Lock()
+	defer cluster.mutex.Unlock()
+	node.cutOff = cutOff
+}
+
+// publishedOf lists what was published of a service, in order.
+func (cluster *cluster) publishedOf(service string) []config.Entry {
+	cluster.mutex.Lock()
+	defer cluster.mutex.Unlock()
+	var entries []config.Entry
+	for _, entry := range cluster.published {
+		if entry.Service == service {
+			entries = append(entries, entry)
+		}
+	}
+	return entries
+}
+
+// leader is the node that holds the lease.
+func (cluster *cluster) leader() *testNode {
+	var leading *testNode
+	cluster.eventually("some node leads", func() bool {
+		cluster.mutex.Lock()
+		defer cluster.mutex.Unlock()
+		for _, node := range cluster.nodes {
+			if node.controller.State().Leading {
+				leading = node
+				return true
+			}
+		}
+		return false
+	})
+	return leading
+}
+
+func (cluster *cluster) eventually(what string, holds func() bool) {
+	cluster.t.Helper()
+	deadline := time.Now().Add(patience)
+	for !holds() {
+		if time.Now().After(deadline) {
+			cluster.t.Fatalf("not within %v: %s", patience, what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func validSpec(path string) v1.QueryServiceSpec {
+	return v1.QueryServiceSpec{
+		Path:    path,
+		Servers: []v1.Server{{Name: "a", Address: "127.0.0.1:9001", Zone: "tbilisi-a", Slots: 5, Connections: 75}},
+		Shards:  []v1.Shard{{ID: 0, Replicas: []string{"a"}}},
+	}
+}
+
+// apply writes a spec as an operator does: over the version just read, again
+// after a conflict, and after a lost reply only if the read shows it missing.
+func (cluster *cluster) apply(name string, spec v1.QueryServiceSpec) {
+	cluster.t.Helper()
+	ctx := context.Background()
+	cluster.eventually("apply "+name, func() bool {
+		current, err := cluster.operator.QueryServices.Get(ctx, name)
+		if platform.IsNotFound(err) {
+			current = &v1.QueryService{APIVersion: v1.APIVersion, Kind: v1.KindQueryService, Metadata: v1.ObjectMeta{Name: name}, Spec: spec}
+			_, err = cluster.operator.QueryServices.Create(ctx, current)
+			return err == nil
+		}
+		if err != nil {
+			return false
+		}
+		current.Spec = spec
+		_, err = cluster.operator.QueryServices.Update(ctx, current)
+		return err == nil
+	})
+}
+
+// get reads a resource; nil when there is none or the platform does not answer.
+func (cluster *cluster) get(name string) *v1.QueryService {
+	service, err := cluster.operator.QueryServices.Get(context.Background(), name)
+	if err != nil {
+		return nil
+	}
+	return service
+}
+
+func conditionStatus(service *v1.QueryService, wanted v1.ConditionType) v1.ConditionStatus {
+	for _, condition := range service.Status.Conditions {
+		if condition.Type == wanted {
+			return condition.Status
+		}
+	}
+	return v1.ConditionUnknown
+}
+
+// awaitInForce waits until the newest spec has this path, is accepted and held
+// by every node, and returns the resource.
+func (cluster *cluster) awaitInForce(name, path string) *v1.QueryService {
+	cluster.t.Helper()
+	var service *v1.QueryService
+	cluster.eventually(name+" in force with "+path, func() bool {
+		service = cluster.get(name)
+		return service != nil && service.Status.Accepted != nil &&
+			service.Status.Accepted.Spec.Path == path &&
+			service.Status.Accepted.Generation == service.Metadata.Generation &&
+			conditionStatus(service, v1.ConditionInForce) == v1.ConditionTrue
+	})
+	cluster.mutex.Lock()
+	defer cluster.mutex.Unlock()
+	for _, node := range cluster.nodes {
+		held, found := node.store.Service(name)
+		if !found || held.Revision != service.Status.Accepted.Revision || held.Spec.Path != path {
+			cluster.t.Fatalf("%s holds %+v, accepted is revision %d", node.name, held, service.Status.Accepted.Revision)
+		}
+	}
+	return service
+}
--- /dev/null
+++ b/internal/controller/decide_test.go
@@ -0,0 +1,121 @@
+package controller
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	v1 "github.com/driftstage/driftstage/api/v1"
+)
+
+func drawSituation(t *rapid.T) *situation {
+	total := rapid.IntRange(0, 5).Draw(t, "total")
+	return &situation{
+		knownRevision: rapid.Int64Range(0, 5).Draw(t, "known"),
+		tombstone:     rapid.Int64Range(0, 2).Draw(t, "tombstone"),
+		sinceReport:   time.Duration(rapid.IntRange(0, 120).Draw(t, "since report")) * time.Second,
+		spread: progress{
+			total:      total,
+			applied:    rapid.IntRange(0, total).Draw(t, "applied"),
+			laggingFor: time.Duration(rapid.IntRange(0, 10).Draw(t, "lagging")) * time.Second,
+		},
+	}
+}
+
+func drawObject(t *rapid.T) (*v1.QueryServiceObject, *v1.QueryServiceStatus) {
+	spec := json.RawMessage(`{"servers":[{"name":"a","address":"127.0.0.1:1","zone":"z","slots":1,"connections":1}],"shards":[{"id":0,"replicas":["a"]}]}`)
+	if rapid.Bool().Draw(t, "invalid") {
+		spec = json.RawMessage(`{"shards":[]}`)
+	}
+	object := &v1.QueryServiceObject{
+		APIVersion: v1.APIVersion,
+		Kind:       v1.KindQueryService,
+		Metadata:   v1.ObjectMeta{Name: "fleet", Generation: rapid.Int64Range(1, 3).Draw(t, "generation")},
+		Spec:       spec,
+	}
+	if rapid.Bool().Draw(t, "finalizer") {
+		object.Metadata.Finalizers = []string{v1.Finalizer}
+	}
+	if rapid.Bool().Draw(t, "deleted") {
+		object.Metadata.DeletionTimestamp = &time.Time{}
+	}
+	status := &v1.QueryServiceStatus{ObservedGeneration: rapid.Int64Range(0, object.Metadata.Generation).Draw(t, "observed")}
+	if rapid.Bool().Draw(t, "accepted") {
+		status.Accepted = &v1.Accepted{Generation: status.ObservedGeneration, Revision: rapid.Int64Range(1, 5).Draw(t, "revision")}
+	}
+	return object, status
+}
+
+// TestDecisionsAreSafe states what must never be decided.
+func TestDecisionsAreSafe(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		object, status := drawObject(t)
+		situation := drawSituation(t)
+		next := decide(object, status, situation)
+		deleted := object.Metadata.DeletionTimestamp != nil
+		switch next.kind {
+		case stepAccept:
+			if deleted || !hasFinalizer(object) {
+				t.Fatal("accepted without the finalizer that keeps its tombstone")
+			}
+			if next.generation < status.ObservedGeneration {
+				t.Fatal("accepted a spec older than the one judged")
+			}
+		case stepTombstone, stepRemoveFinalizer:
+			if !deleted {
+				t.Fatal("ended a service that nobody deleted")
+			}
+			if next.kind == stepRemoveFinalizer && (situation.tombstone == 0 || 2*situation.spread.applied <= situation.spread.total) {
+				t.Fatal("let the deletion end before most members have the tombstone")
+			}
+		case stepRefuse:
+			if len(next.faults) == 0 {
+				t.Fatal("refused without a reason")
+			}
+		case stepReport:
+			if status.Accepted == nil {
+				t.Fatal("reported on nothing accepted")
+			}
+		}
+	})
+}
+
+// TestRefusalKeepsWhatWasAccepted for any status and faults.
+func TestRefusalKeepsWhatWasAccepted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		object, status := drawObject(t)
+		after := refusedStatus(*status, object.Metadata.Generation, []v1.FieldError{{Path: "spec", Message: "wrong"}}, time.Now())
+		if after.Accepted != status.Accepted {
+			t.Fatal("a refusal changed what is accepted")
+		}
+	})
+}
+
+// TestInForceDoesNotFlap: a member that is starting does not turn InForce false.
+func TestInForceDoesNotFlap(t *testing.T) {
+	is := is.New(t)
+	status := reportedStatus(v1.QueryServiceStatus{Accepted: &v1.Accepted{}}, progress{total: 3, applied: 3}, time.Now())
+	starting := situation{spread: progress{total: 4, applied: 3, laggingFor: inForceGrace - 1}, sinceReport: time.Hour}
+	is.True(!mustReport(&status, &starting))
+	starting.spread.laggingFor = inForceGrace
+	is.True(mustReport(&status, &starting))
+	status = reportedStatus(status, starting.spread, time.Now())
+	is.Equal(status.Conditions[0].Status, v1.ConditionFalse)
+	starting.spread.applied = 4
+	is.True(mustReport(&status, &starting))
+}
+
+func TestRevisionsOfOneEpoch(t *testing.T) {
+	is := is.New(t)
+	revisions := &revisions{epoch: 3}
+	first, possible := revisions.next(0)
+	is.True(possible)
+	is.Equal(first, int64(3)<<32|1)
+	second, possible := revisions.next(first)
+	is.True(possible && second > first)
+	_, possible = revisions.next(4 << 32)
+	is.True(!possible) // a later epoch's revision stands
+}
--- /dev/null
+++ b/internal/controller/revisions.go
@@ -0,0 +1,27 @@
+package controller
+
+import (
+	"math"
+	"sync/atomic"
+)
+
+// counterBits is the width of the counter in a revision; the epoch stands above.
+const counterBits = 32
+
+// revisions makes the revisions of one epoch, each once. A number given out for
+// a write without a reply is never used again for another.
+type revisions struct {
+	epoch   int64
+	counter atomic.Int64
+}
+
+// next returns a revision above the one given, or false when this epoch has none.
+func (revisions *revisions) next(above int64) (int64, bool) {
+	counter := revisions.counter.Add(1)
+	revision := revisions.epoch<<counterBits | counter
+	return revision, counter <= math.MaxUint32 && revision > above
+}
+
+func epochOf(revision int64) int64 {
+	return revision >> counterBits
+}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -88,12 +88,16 @@
 }
 
 // NextAt is when the next Tick is useful: the next action is due or the lease
-// lapses.
+// lapses. While an action has no reply yet, no other is due.
 func (lease *Lease) NextAt() time.Duration {
-	if lease.holding.held && lease.holding.until < lease.nextAt {
-		return lease.holding.until
+	next := lease.nextAt
+	if lease.waiting {
+		next = lease.sentAt + MaxTerm
 	}
-	return lease.nextAt
+	if lease.holding.held {
+		next = min(next, lease.holding.until)
+	}
+	return next
 }
 
 // Step takes one event and returns the action to carry out, or nil. An epoch
