query: hedge at the same server when the other replicas are lost

Cause: with one of four servers dead, half of the shards have one live replica. Ruled out: a larger hedge budget (the extra load was 1.1 of 5 percent). Change: a hedge goes to an untried replica in good standing, else once more to the slow server, if that has room. Seen red: TestHedgeAsksTheSameServerForWantOfAnother without hedgeReplica.

--- a/internal/query/hedge.go
+++ b/internal/query/hedge.go
@@ -70,3 +70,17 @@
 	}
 	return into
 }
+
+// hedgeReplica picks the server of a hedge: the untried replica if it is in good
+// standing, else once more the server that is slow to reply, if that is in good
+// standing itself and has room. A straggling reply seldom means a straggling
+// server, and where the other replicas are lost there is no one else to ask.
+func (choice *choice) hedgeReplica(untried, slow *Server) *Server {
+	if untried != nil && untried.standing(choice.now, choice.version) <= versionUnknown {
+		return untried
+	}
+	if slow != nil && slow.standing(choice.now, choice.version) == good && !slow.full() {
+		return slow
+	}
+	return untried
+}
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -39,8 +39,8 @@
 	passes int
 	// retryAt is when to try the replicas once more; zero for not at all.
 	retryAt time.Time
-	// lastOwner is the owner that was asked last.
-	lastOwner string
+	// last is the server that was asked last.
+	last *Server
 }
 
 // attempt is one that is pending: sent, and neither answered nor cancelled.
--- a/internal/query/query_test.go
+++ b/internal/query/query_test.go
@@ -176,6 +176,23 @@
 	is.Equal(query.StaleReplies(), 1)
 }
 
+// A hedge goes to an ejected replica only if the slow server itself has no room.
+func TestHedgeAsksTheSameServerForWantOfAnother(t *testing.T) {
+	is := is.New(t)
+	query, fleet := twoReplicas(true)
+	sent := query.Start(start)
+	slow := sent.Sends[0].Server
+	fleet.Servers(func(server *Server) {
+		if server != slow {
+			fleet.Observe(start, server.Name, Load{Window: 4, Ejected: true, SnapshotsHeld: []int64{41}})
+		}
+	})
+	hedged := query.Tick(query.NextTick())
+	is.Equal(len(hedged.Sends), 1)
+	is.Equal(hedged.Sends[0].Server.Name, slow.Name)
+	is.True(hedged.Sends[0].Attempt != sent.Sends[0].Attempt)
+}
+
 // Hedges are paid for by first attempts, and a loser is cancelled while other
 // shards are still open.
 func TestHedgesStayWithinTheirBudget(t *testing.T) {
--- a/internal/query/send.go
+++ b/internal/query/send.go
@@ -53,10 +53,13 @@
 			query.giveUp(position, purpose, verdict.CodeDeadline)
 			continue
 		}
-		if purpose != first {
-			frame.avoidOwner = shard.lastOwner
+		if purpose != first && shard.last != nil {
+			frame.avoidOwner = shard.last.Owner
 		}
 		server := frame.replica(&query.shardMap.Shards[position], shard.tried)
+		if purpose == hedge {
+			server = frame.hedgeReplica(server, shard.last)
+		}
 		if server == nil {
 			query.exhausted(now, position, purpose)
 			continue
@@ -144,7 +147,7 @@
 	for index, position := range group.shards {
 		shard := &query.shards[position]
 		shard.pending++
-		shard.lastOwner = group.server.Owner
+		shard.last = group.server
 		shard.tried |= query.replicaBit(position, group.server)
 		shard.hedged = shard.hedged || purpose == hedge
 		ids[index] = query.shardMap.Shards[position].ID
