Gossip: membership over UDP, accepted configuration, readiness, acknowledgements

Change: gossip.Node runs the membership core over a UDP socket and the wire. Every datagram carries a summary (highest revision, hash) of the sender's configuration; who hears of a higher revision pulls what it lacks and tells others at once, so a body goes to each node about once. Specs travel compressed and are passed on as received. A node that started, was paused or cut off is not ready before it has asked several members, or, with the platform's word or a configuration of its own, after AloneAfter. Applied asks a tree of two levels on demand; ruled out: a steady report by each node, whose cost grows with the square of the size when it is gossiped.

Seen red: ready after a pause without sync, pause not seen before the tick, ready before any answer, alone without the platform's word, sync of an earlier epoch accepted, no pull by summary, everyone counted as applied, machines not called, isolation ignored.

--- a/internal/config/set.go
+++ b/internal/config/set.go
@@ -34,6 +34,7 @@
 type Set struct {
 	entries map[string]Entry
 	hash    uint64
+	highest int64
 }
 
 // NewSet returns an empty set.
@@ -53,6 +54,7 @@
 	}
 	set.entries[entry.Service] = entry
 	set.hash += versionHash(entry)
+	set.highest = max(set.highest, entry.Revision)
 	return true
 }
 
@@ -118,6 +120,20 @@
 	return newer
 }
 
+// Summary describes a whole set in a few bytes. Sets that hold the same have
+// equal summaries. Of two that differ, the one whose Highest is greater holds
+// something that the other lacks; both may.
+type Summary struct {
+	// Highest is the highest revision of any service.
+	Highest int64
+	Hash    uint64
+}
+
+// Summary returns the summary of the set.
+func (set *Set) Summary() Summary {
+	return Summary{Highest: set.highest, Hash: set.hash}
+}
+
 // Hash is equal for sets that hold the same revisions, and differs otherwise
 // but for a chance of 1 in 2^64. The empty set has hash zero. It is kept up to
 // date by Apply: reading it costs nothing.
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -85,9 +85,9 @@
 	return store.set.Newer(digest)
 }
 
-// Hash tells sets of different revisions apart.
-func (store *Store) Hash() uint64 {
+// Summary describes the whole store in a few bytes.
+func (store *Store) Summary() Summary {
 	store.mutex.RLock()
 	defer store.mutex.RUnlock()
-	return store.set.Hash()
+	return store.set.Summary()
 }
--- /dev/null
+++ b/internal/gossip/cluster_test.go
@@ -0,0 +1,169 @@
+package gossip_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	v1 "github.com/driftstage/driftstage/api/v1"
+	"github.com/driftstage/driftstage/internal/config"
+	"github.com/driftstage/driftstage/internal/gossip"
+	"github.com/driftstage/driftstage/internal/membership"
+	"github.com/driftstage/driftstage/internal/wire"
+)
+
+// bound is far above what anything here takes; it ends a test that hangs.
+const bound = 30 * time.Second
+
+// cluster is a set of nodes on the loopback interface with links that can be cut.
+type cluster struct {
+	t     *testing.T
+	nodes []*testNode
+	// aloneAfter is that of nodes started from now on.
+	aloneAfter time.Duration
+
+	mutex sync.Mutex
+	// owners maps the addresses of nodes to their numbers.
+	owners map[string]int
+	cut    func(from, to int) bool
+}
+
+type testNode struct {
+	*gossip.Node
+	number int
+	self   membership.Member
+	store  *config.Store
+}
+
+func newCluster(t *testing.T, count int) *cluster {
+	cluster := &cluster{t: t, owners: make(map[string]int), aloneAfter: 300 * time.Millisecond}
+	for range count {
+		cluster.start()
+	}
+	return cluster
+}
+
+// start starts a node that joins by way of the first two.
+func (cluster *cluster) start() *testNode {
+	var join []string
+	for _, node := range cluster.nodes[:min(2, len(cluster.nodes))] {
+		join = append(join, node.self.GossipAddress)
+	}
+	node := cluster.startWith(join)
+	node.SetMachines(nil)
+	return node
+}
+
+func (cluster *cluster) startWith(join []string) *testNode {
+	t := cluster.t
+	is := is.New(t)
+	connection, err := net.ListenPacket("udp", "127.0.0.1:0")
+	is.NoErr(err)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	node := &testNode{number: len(cluster.nodes), store: config.NewStore()}
+	node.self = membership.Member{
+		ID:            fmt.Sprintf("node-%03d", node.number),
+		Address:       listener.Addr().String(),
+		GossipAddress: connection.LocalAddr().String(),
+		Zone:          fmt.Sprintf("zone-%d", node.number%3),
+		Region:        "region",
+	}
+	cluster.mutex.Lock()
+	cluster.owners[node.self.Address] = node.number
+	cluster.owners[node.self.GossipAddress] = node.number
+	cluster.mutex.Unlock()
+	server := wire.NewServer(wire.ServerOptions{})
+	node.Node = gossip.New(gossip.Options{
+		Self:       node.self,
+		Connection: connection,
+		Server:     server,
+		Store:      node.store,
+		Join:       join,
+		AloneAfter: cluster.aloneAfter,
+		Reachable:  cluster.reachable,
+	})
+	go func() { _ = server.Serve(listener) }()
+	node.Start()
+	t.Cleanup(func() {
+		node.Close()
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = server.Shutdown(ctx)
+	})
+	cluster.nodes = append(cluster.nodes, node)
+	return node
+}
+
+func (cluster *cluster) reachable(from, to string) bool {
+	cluster.mutex.Lock()
+	defer cluster.mutex.Unlock()
+	return cluster.cut == nil || !cluster.cut(cluster.owners[from], cluster.owners[to])
+}
+
+func (cluster *cluster) setCut(cut func(from, to int) bool) {
+	cluster.mutex.Lock()
+	defer cluster.mutex.Unlock()
+	cluster.cut = cut
+}
+
+// isolate cuts all links of some nodes to the others.
+func (cluster *cluster) isolate(numbers ...int) {
+	apart := make(map[int]bool)
+	for _, number := range numbers {
+		apart[number] = true
+	}
+	cluster.setCut(func(from, to int) bool { return apart[from] != apart[to] })
+}
+
+func (cluster *cluster) eventually(what string, holds func() bool) {
+	cluster.t.Helper()
+	for end := time.Now().Add(bound); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	cluster.t.Fatalf("not within %v: %s", bound, what)
+}
+
+// awaitMembers waits until every running node sees a number of live members and
+// is ready.
+func (cluster *cluster) awaitMembers(count int) {
+	cluster.t.Helper()
+	cluster.eventually(fmt.Sprintf("%d members everywhere", count), func() bool {
+		for _, node := range cluster.nodes {
+			if len(node.Members()) != count || !node.Ready() {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (cluster *cluster) awaitRevision(revision int64) {
+	cluster.t.Helper()
+	cluster.eventually(fmt.Sprintf("revision %d everywhere", revision), func() bool {
+		for _, node := range cluster.nodes {
+			if node.store.Revision(service) != revision {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+const service = "fleet"
+
+func entry(revision int64) config.Entry {
+	spec := &v1.QueryServiceSpec{Path: fmt.Sprintf("/revision/%d", revision)}
+	return config.Entry{Service: service, Revision: revision, Spec: spec}
+}
+
+func tombstone(revision int64) config.Entry {
+	return config.Entry{Service: service, Revision: revision, Deleted: true}
+}
--- /dev/null
+++ b/internal/gossip/datagram.go
@@ -0,0 +1,119 @@
+package gossip
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"github.com/driftstage/driftstage/internal/config"
+	"github.com/driftstage/driftstage/internal/membership"
+	"github.com/driftstage/driftstage/internal/wire/message"
+)
+
+// The first byte of a datagram tells what follows.
+const (
+	tagMember byte = iota + 1
+	tagRevisionQuery
+	tagRevisionReply
+)
+
+var errUnknownDatagram = errors.New("datagram of unknown type")
+
+type marshaler interface{ Marshal() ([]byte, error) }
+
+func encodeDatagram(tag byte, content marshaler) ([]byte, error) {
+	encoded, err := content.Marshal()
+	if err != nil {
+		return nil, errors.Wrap(err, "encode datagram")
+	}
+	return append([]byte{tag}, encoded...), nil
+}
+
+func newMemberDatagram(sent membership.Message, summary config.Summary) *message.MemberDatagram {
+	datagram := &message.MemberDatagram{
+		Kind:              int(sent.Kind),
+		Sequence:          int64(sent.Sequence),
+		From:              sent.From,
+		FromIncarnation:   int64(sent.FromIncarnation),
+		FromStatus:        int(sent.FromStatus),
+		Target:            sent.Target,
+		TargetIncarnation: int64(sent.TargetIncarnation),
+		TargetAddress:     sent.TargetAddress,
+		TableHash:         int64(sent.TableHash),
+		Quiet:             sent.Quiet,
+		HighestRevision:   summary.Highest,
+		ConfigHash:        int64(summary.Hash),
+	}
+	for _, update := range sent.Updates {
+		if update.Details != nil {
+			datagram.Entries = append(datagram.Entries, newMemberEntry(update))
+			continue
+		}
+		datagram.Updates = append(datagram.Updates, message.MemberUpdate{
+			ID:          update.ID,
+			Incarnation: int64(update.Incarnation),
+			Status:      int(update.Status),
+		})
+	}
+	return datagram
+}
+
+func memberMessage(datagram *message.MemberDatagram) membership.Message {
+	received := membership.Message{
+		Kind:              membership.Kind(datagram.Kind),
+		Sequence:          uint64(datagram.Sequence),
+		From:              datagram.From,
+		FromIncarnation:   uint64(datagram.FromIncarnation),
+		FromStatus:        membership.Status(datagram.FromStatus),
+		Target:            datagram.Target,
+		TargetIncarnation: uint64(datagram.TargetIncarnation),
+		TargetAddress:     datagram.TargetAddress,
+		TableHash:         uint64(datagram.TableHash),
+		Quiet:             datagram.Quiet,
+		Updates:           memberUpdates(datagram.Entries),
+	}
+	for _, update := range datagram.Updates {
+		received.Updates = append(received.Updates, membership.Update{
+			ID:          update.ID,
+			Incarnation: uint64(update.Incarnation),
+			Status:      membership.Status(update.Status),
+		})
+	}
+	return received
+}
+
+func newMemberEntry(update membership.Update) message.MemberEntry {
+	return message.MemberEntry{
+		ID:            update.ID,
+		Incarnation:   int64(update.Incarnation),
+		Status:        int(update.Status),
+		Address:       update.Details.Address,
+		GossipAddress: update.Details.GossipAddress,
+		Zone:          update.Details.Zone,
+		Region:        update.Details.Region,
+	}
+}
+
+func newMemberEntries(updates []membership.Update) []message.MemberEntry {
+	entries := make([]message.MemberEntry, 0, len(updates))
+	for _, update := range updates {
+		entries = append(entries, newMemberEntry(update))
+	}
+	return entries
+}
+
+func memberUpdates(entries []message.MemberEntry) []membership.Update {
+	updates := make([]membership.Update, 0, len(entries))
+	for _, entry := range entries {
+		updates = append(updates, membership.Update{
+			ID:          entry.ID,
+			Incarnation: uint64(entry.Incarnation),
+			Status:      membership.Status(entry.Status),
+			Details: &membership.Details{
+				Address:       entry.Address,
+				GossipAddress: entry.GossipAddress,
+				Zone:          entry.Zone,
+				Region:        entry.Region,
+			},
+		})
+	}
+	return updates
+}
--- a/internal/wire/message/messages_gen.go
+++ b/internal/wire/message/messages_gen.go
@@ -178,7 +178,7 @@
 	Service  string `avro:"service"`
 	Revision int64  `avro:"revision"`
 	Deleted  bool   `avro:"deleted"`
-	// The spec as JSON; empty for a tombstone.
+	// The spec as JSON, compressed by DEFLATE (RFC 1951); empty for a tombstone.
 	Spec []byte `avro:"spec"`
 }
 
@@ -201,10 +201,12 @@
 
 // Spreads accepted revisions.
 type ConfigPush struct {
-	Entries []ConfigEntry `avro:"entries"`
+	// The sender itself is up to date, as far as it can know.
+	Complete bool          `avro:"complete"`
+	Entries  []ConfigEntry `avro:"entries"`
 }
 
-var schemaConfigPush = avro.MustParse(`{"name":"ConfigPush","type":"record","fields":[{"name":"entries","type":{"type":"array","items":"ConfigEntry"}}]}`)
+var schemaConfigPush = avro.MustParse(`{"name":"ConfigPush","type":"record","fields":[{"name":"complete","type":"boolean"},{"name":"entries","type":{"type":"array","items":"ConfigEntry"}}]}`)
 
 // Schema returns the schema for ConfigPush.
 func (o *ConfigPush) Schema() avro.Schema {
@@ -293,6 +295,259 @@
 	return avro.Marshal(o.Schema(), o)
 }
 
+// All that a table of members holds of one of them.
+type MemberEntry struct {
+	ID          string `avro:"id"`
+	Incarnation int64  `avro:"incarnation"`
+	// A membership.Status.
+	Status        int    `avro:"status"`
+	Address       string `avro:"address"`
+	GossipAddress string `avro:"gossipAddress"`
+	Zone          string `avro:"zone"`
+	Region        string `avro:"region"`
+}
+
+var schemaMemberEntry = avro.MustParse(`{"name":"MemberEntry","type":"record","fields":[{"name":"id","type":"string"},{"name":"incarnation","type":"long"},{"name":"status","type":"int"},{"name":"address","type":"string"},{"name":"gossipAddress","type":"string"},{"name":"zone","type":"string"},{"name":"region","type":"string"}]}`)
+
+// Schema returns the schema for MemberEntry.
+func (o *MemberEntry) Schema() avro.Schema {
+	return schemaMemberEntry
+}
+
+// Unmarshal decodes b into the receiver.
+func (o *MemberEntry) Unmarshal(b []byte) error {
+	return avro.Unmarshal(o.Schema(), b, o)
+}
+
+// Marshal encodes the receiver.
+func (o *MemberEntry) Marshal() ([]byte, error) {
+	return avro.Marshal(o.Schema(), o)
+}
+
+// News of a member that the receiver knows.
+type MemberUpdate struct {
+	ID          string `avro:"id"`
+	Incarnation int64  `avro:"incarnation"`
+	Status      int    `avro:"status"`
+}
+
+var schemaMemberUpdate = avro.MustParse(`{"name":"MemberUpdate","type":"record","fields":[{"name":"id","type":"string"},{"name":"incarnation","type":"long"},{"name":"status","type":"int"}]}`)
+
+// Schema returns the schema for MemberUpdate.
+func (o *MemberUpdate) Schema() avro.Schema {
+	return schemaMemberUpdate
+}
+
+// Unmarshal decodes b into the receiver.
+func (o *MemberUpdate) Unmarshal(b []byte) error {
+	return avro.Unmarshal(o.Schema(), b, o)
+}
+
+// Marshal encodes the receiver.
+func (o *MemberUpdate) Marshal() ([]byte, error) {
+	return avro.Marshal(o.Schema(), o)
+}
+
+// One datagram of the membership protocol: a membership.Message and a summary of the sender's configuration.
+type MemberDatagram struct {
+	// A membership.Kind.
+	Kind              int    `avro:"kind"`
+	Sequence          int64  `avro:"sequence"`
+	From              string `avro:"from"`
+	FromIncarnation   int64  `avro:"fromIncarnation"`
+	FromStatus        int    `avro:"fromStatus"`
+	Target            string `avro:"target"`
+	TargetIncarnation int64  `avro:"targetIncarnation"`
+	TargetAddress     string `avro:"targetAddress"`
+	TableHash         int64  `avro:"tableHash"`
+	Quiet             bool   `avro:"quiet"`
+	// The highest revision among the sender's services.
+	HighestRevision int64 `avro:"highestRevision"`
+	// Equal for nodes that hold the same revisions.
+	ConfigHash int64          `avro:"configHash"`
+	Entries    []MemberEntry  `avro:"entries"`
+	Updates    []MemberUpdate `avro:"updates"`
+}
+
+var schemaMemberDatagram = avro.MustParse(`{"name":"MemberDatagram","type":"record","fields":[{"name":"kind","type":"int"},{"name":"sequence","type":"long"},{"name":"from","type":"string"},{"name":"fromIncarnation","type":"long"},{"name":"fromStatus","type":"int"},{"name":"target","type":"string"},{"name":"targetIncarnation","type":"long"},{"name":"targetAddress","type":"string"},{"name":"tableHash","type":"long"},{"name":"quiet","type":"boolean"},{"name":"highestRevision","type":"long"},{"name":"configHash","type":"long"},{"name":"entries","type":{"type":"array","items":"MemberEntry"}},{"name":"updates","type":{"type":"array","items":"MemberUpdate"}}]}`)
+
+// Schema returns the schema for MemberDatagram.
+func (o *MemberDatagram) Schema() avro.Schema {
+	return schemaMemberDatagram
+}
+
+// Unmarshal decodes b into the receiver.
+func (o *MemberDatagram) Unmarshal(b []byte) error {
+	return avro.Unmarshal(o.Schema(), b, o)
+}
+
+// Marshal encodes the receiver.
+func (o *MemberDatagram) Marshal() ([]byte, error) {
+	return avro.Marshal(o.Schema(), o)
+}
+
+// Datagram: asks which revision of a service the receiver applies.
+type RevisionQuery struct {
+	Sequence int64  `avro:"sequence"`
+	Service  string `avro:"service"`
+}
+
+var schemaRevisionQuery = avro.MustParse(`{"name":"RevisionQuery","type":"record","fields":[{"name":"sequence","type":"long"},{"name":"service","type":"string"}]}`)
+
+// Schema returns the schema for RevisionQuery.
+func (o *RevisionQuery) Schema() avro.Schema {
+	return schemaRevisionQuery
+}
+
+// Unmarshal decodes b into the receiver.
+func (o *RevisionQuery) Unmarshal(b []byte) error {
+	return avro.Unmarshal(o.Schema(), b, o)
+}
+
+// Marshal encodes the receiver.
+func (o *RevisionQuery) Marshal() ([]byte, error) {
+	return avro.Marshal(o.Schema(), o)
+}
+
+// Datagram: answers a RevisionQuery.
+type RevisionReply struct {
+	Sequence int64  `avro:"sequence"`
+	From     string `avro:"from"`
+	Revision int64  `avro:"revision"`
+}
+
+var schemaRevisionReply = avro.MustParse(`{"name":"RevisionReply","type":"record","fields":[{"name":"sequence","type":"long"},{"name":"from","type":"string"},{"name":"revision","type":"long"}]}`)
+
+// Schema returns the schema for RevisionReply.
+func (o *RevisionReply) Schema() avro.Schema {
+	return schemaRevisionReply
+}
+
+// Unmarshal decodes b into the receiver.
+func (o *RevisionReply) Unmarshal(b []byte) error {
+	return avro.Unmarshal(o.Schema(), b, o)
+}
+
+// Marshal encodes the receiver.
+func (o *RevisionReply) Marshal() ([]byte, error) {
+	return avro.Marshal(o.Schema(), o)
+}
+
+// The hash of each part of the sender's table of members; the answer is a MemberDifference.
+type MemberDigest struct {
+	Buckets []int64 `avro:"buckets"`
+}
+
+var schemaMemberDigest = avro.MustParse(`{"name":"MemberDigest","type":"record","fields":[{"name":"buckets","type":{"type":"array","items":"long"}}]}`)
+
+// Schema returns the schema for MemberDigest.
+func (o *MemberDigest) Schema() avro.Schema {
+	return schemaMemberDigest
+}
+
+// Unmarshal decodes b into the receiver.
+func (o *MemberDigest) Unmarshal(b []byte) error {
+	return avro.Unmarshal(o.Schema(), b, o)
+}
+
+// Marshal encodes the receiver.
+func (o *MemberDigest) Marshal() ([]byte, error) {
+	return avro.Marshal(o.Schema(), o)
+}
+
+// The parts in which the tables differ, with the receiver's content.
+type MemberDifference struct {
+	Buckets []int         `avro:"buckets"`
+	Entries []MemberEntry `avro:"entries"`
+}
+
+var schemaMemberDifference = avro.MustParse(`{"name":"MemberDifference","type":"record","fields":[{"name":"buckets","type":{"type":"array","items":"int"}},{"name":"entries","type":{"type":"array","items":"MemberEntry"}}]}`)
+
+// Schema returns the schema for MemberDifference.
+func (o *MemberDifference) Schema() avro.Schema {
+	return schemaMemberDifference
+}
+
+// Unmarshal decodes b into the receiver.
+func (o *MemberDifference) Unmarshal(b []byte) error {
+	return avro.Unmarshal(o.Schema(), b, o)
+}
+
+// Marshal encodes the receiver.
+func (o *MemberDifference) Marshal() ([]byte, error) {
+	return avro.Marshal(o.Schema(), o)
+}
+
+// Ends a comparison of tables with the sender's content; the answer is an Acknowledgement.
+type MemberEntries struct {
+	Entries []MemberEntry `avro:"entries"`
+}
+
+var schemaMemberEntries = avro.MustParse(`{"name":"MemberEntries","type":"record","fields":[{"name":"entries","type":{"type":"array","items":"MemberEntry"}}]}`)
+
+// Schema returns the schema for MemberEntries.
+func (o *MemberEntries) Schema() avro.Schema {
+	return schemaMemberEntries
+}
+
+// Unmarshal decodes b into the receiver.
+func (o *MemberEntries) Unmarshal(b []byte) error {
+	return avro.Unmarshal(o.Schema(), b, o)
+}
+
+// Marshal encodes the receiver.
+func (o *MemberEntries) Marshal() ([]byte, error) {
+	return avro.Marshal(o.Schema(), o)
+}
+
+// Asks a member to find out which of some others apply a revision.
+type AppliedRequest struct {
+	Service  string   `avro:"service"`
+	Revision int64    `avro:"revision"`
+	Members  []string `avro:"members"`
+}
+
+var schemaAppliedRequest = avro.MustParse(`{"name":"AppliedRequest","type":"record","fields":[{"name":"service","type":"string"},{"name":"revision","type":"long"},{"name":"members","type":{"type":"array","items":"string"}}]}`)
+
+// Schema returns the schema for AppliedRequest.
+func (o *AppliedRequest) Schema() avro.Schema {
+	return schemaAppliedRequest
+}
+
+// Unmarshal decodes b into the receiver.
+func (o *AppliedRequest) Unmarshal(b []byte) error {
+	return avro.Unmarshal(o.Schema(), b, o)
+}
+
+// Marshal encodes the receiver.
+func (o *AppliedRequest) Marshal() ([]byte, error) {
+	return avro.Marshal(o.Schema(), o)
+}
+
+// Answers an AppliedRequest.
+type AppliedReply struct {
+	Applied int `avro:"applied"`
+	// Some of those that do not; the number is bounded.
+	Lagging []string `avro:"lagging"`
+}
+
+var schemaAppliedReply = avro.MustParse(`{"name":"AppliedReply","type":"record","fields":[{"name":"applied","type":"int"},{"name":"lagging","type":{"type":"array","items":"string"}}]}`)
+
+// Schema returns the schema for AppliedReply.
+func (o *AppliedReply) Schema() avro.Schema {
+	return schemaAppliedReply
+}
+
+// Unmarshal decodes b into the receiver.
+func (o *AppliedReply) Unmarshal(b []byte) error {
+	return avro.Unmarshal(o.Schema(), b, o)
+}
+
+// Marshal encodes the receiver.
+func (o *AppliedReply) Marshal() ([]byte, error) {
+	return avro.Marshal(o.Schema(), o)
+}
+
 // An empty answer.
 type Acknowledgement struct {
 }
