--- a/internal/standin/backend/fleet_test.go
+++ b/internal/standin/backend/fleet_test.go
@@ -120,6 +120,7 @@
 			is.NoErr(err)
 			is.Equal(response.StatusCode, test.status)
 			is.Equal(response.Header.Get(headerNotRun), headerTrue)
+			is.Equal(response.Header.Get(headerRequestID), name)
 			is.Equal(len(fleet.Record().Executions(RecordFilter{RequestID: name})), 0)
 		})
 	}
--- a/internal/standin/backend/handler.go
+++ b/internal/standin/backend/handler.go
@@ -33,6 +33,7 @@
 		http.Error(writer, err.Error(), http.StatusBadRequest)
 		return
 	}
+	writer.Header().Set(headerRequestID, parsed.id)
 	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, maxBodyBytes))
 	if err != nil {
 		http.Error(writer, "body is incomplete or too large", http.StatusBadRequest)
