--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -86,9 +86,7 @@
 // attempt as far as can be known: it answered, its connection closed, or the
 // deadline has passed.
 func (client *Client) Do(ctx context.Context, request *Request, ended func()) Result {
-	dialContext, cancelDial := context.WithDeadline(ctx, request.Deadline)
-	conn, err := client.pool.get(dialContext)
-	cancelDial()
+	conn, err := client.pool.get(ctx, request.Deadline)
 	if err != nil {
 		ended()
 		return Result{Failure: connectFailure(ctx, err)}
--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -12,6 +12,8 @@
 // the current request was accepted by the kernel: before that, NotRun is certain.
 type connection struct {
 	net.Conn
+	// raw gives access to the socket; nil when there is none.
+	raw     syscall.RawConn
 	reader  *bufio.Reader
 	writer  *bufio.Writer
 	written bool
@@ -23,6 +25,9 @@
 
 func newConnection(raw net.Conn) *connection {
 	conn := &connection{Conn: raw}
+	if system, ok := raw.(syscall.Conn); ok {
+		conn.raw, _ = system.SyscallConn()
+	}
 	conn.reader = bufio.NewReader(conn)
 	conn.writer = bufio.NewWriter(conn)
 	return conn
@@ -46,6 +51,9 @@
 }
 
 func (conn *connection) noteTimeout(err error) {
+	if err == nil {
+		return
+	}
 	var timeout net.Error
 	if errors.As(err, &timeout) && timeout.Timeout() {
 		conn.timedOut = true
@@ -59,16 +67,11 @@
 	if conn.reader.Buffered() > 0 {
 		return false
 	}
-	system, ok := conn.Conn.(syscall.Conn)
-	if !ok {
+	if conn.raw == nil {
 		return true
 	}
-	raw, err := system.SyscallConn()
-	if err != nil {
-		return false
-	}
 	silent := false
-	err = raw.Read(func(descriptor uintptr) bool {
+	err := conn.raw.Read(func(descriptor uintptr) bool {
 		var probe [1]byte
 		_, _, receiveErr := syscall.Recvfrom(int(descriptor), probe[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		silent = receiveErr == syscall.EAGAIN
--- a/internal/backend/load.go
+++ b/internal/backend/load.go
@@ -24,9 +24,7 @@
 
 // Load asks the server for its load. It uses a connection of the same limit.
 func (client *Client) Load(ctx context.Context, deadline time.Time) (Load, error) {
-	dialContext, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
-	conn, err := client.pool.get(dialContext)
+	conn, err := client.pool.get(ctx, deadline)
 	if err != nil {
 		return Load{}, fmt.Errorf("connect: %w", err)
 	}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -27,9 +27,9 @@
 	closed bool
 }
 
-// get returns an idle connection or dials one. The error is errConnectionLimit,
+// get returns an idle connection or dials one until the deadline. The error is errConnectionLimit,
 // errClosed or that of the dial; nothing was sent in any case.
-func (pool *pool) get(ctx context.Context) (*connection, error) {
+func (pool *pool) get(ctx context.Context, deadline time.Time) (*connection, error) {
 	for {
 		conn, err := pool.takeIdle()
 		if err != nil {
@@ -43,7 +43,9 @@
 		}
 		pool.discard(conn)
 	}
-	raw, err := pool.dial(ctx)
+	dialContext, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	raw, err := pool.dial(dialContext)
 	if err != nil {
 		pool.release()
 		return nil, err
--- a/internal/query/finish.go
+++ b/internal/query/finish.go
@@ -147,7 +147,7 @@
 		query.shards[position] = shardState{}
 		wanted[position] = position
 	}
-	query.covered, query.failed = 0, 0
+	query.covered, query.failed, query.retries = 0, 0, 0
 	query.hedgeAt = time.Time{}
 	query.send(now, wanted, restarted)
 }
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -65,6 +65,8 @@
 	attempts map[AttemptID]*attempt
 	covered  int
 	failed   int
+	// retries counts the shards that wait for a retry: those with a retryAt.
+	retries int
 	// verdict joins all that has ended; pending attempts are not in it.
 	verdict    verdict.Verdict
 	retryAfter time.Duration
@@ -85,7 +87,7 @@
 		parameters: parameters,
 		pin:        snapshot.NewPin(parameters.Snapshot),
 		shards:     make([]shardState, len(shardMap.Shards)),
-		attempts:   make(map[AttemptID]*attempt),
+		attempts:   make(map[AttemptID]*attempt, len(shardMap.Shards)),
 		verdict:    verdict.NotRun,
 	}
 }
@@ -122,28 +124,14 @@
 	if query.covered < len(query.shards) && query.covered >= query.target() {
 		earlier(query.parameters.AnswerAfter)
 	}
-	if query.waiting() > 0 {
+	if query.retries > 0 {
 		for position := range query.shards {
-			if query.shards[position].status == open {
-				earlier(query.shards[position].retryAt)
-			}
+			earlier(query.shards[position].retryAt)
 		}
 	}
 	return next
 }
 
-// waiting counts the open shards without pending attempt.
-func (query *Query) waiting() int {
-	count := 0
-	for position := range query.shards {
-		shard := &query.shards[position]
-		if shard.status == open && shard.pending == 0 {
-			count++
-		}
-	}
-	return count
-}
-
 // Handle takes in the end of an attempt. A reply of an attempt that is not
 // pending changes nothing.
 func (query *Query) Handle(now time.Time, reply Reply) Actions {
--- a/internal/query/query_test.go
+++ b/internal/query/query_test.go
@@ -81,7 +81,7 @@
 		world.apply(world.query.Start(world.now))
 		for range rapid.IntRange(0, 60).Draw(t, "steps") {
 			world.step()
-			if world.answer == nil && len(world.query.attempts) == 0 && world.query.waiting() == 0 {
+			if world.answer == nil && len(world.query.attempts) == 0 && world.query.retries == 0 {
 				t.Fatalf("nothing is under way and there is no answer")
 			}
 		}
--- a/internal/query/send.go
+++ b/internal/query/send.go
@@ -1,6 +1,7 @@
 package query
 
 import (
+	"slices"
 	"time"
 
 	v1 "github.com/driftstage/driftstage/api/v1"
@@ -35,7 +36,7 @@
 func (query *Query) send(now time.Time, wanted []int, purpose purpose) {
 	tooLate := now.Add(query.fleet.floor()).After(query.parameters.Deadline) || !now.Before(query.parameters.Deadline)
 	var groups []group
-	grouped := make(map[*Server]int)
+	grouped := make(map[*Server]int, len(wanted))
 	frame := choice{
 		now:        now,
 		version:    query.pin.Version(),
@@ -69,6 +70,7 @@
 		}
 		groups[index].shards = append(groups[index].shards, position)
 	}
+	query.actions.Sends = slices.Grow(query.actions.Sends, len(groups))
 	for index := range groups {
 		query.sendGroup(now, &groups[index], purpose)
 	}
@@ -89,6 +91,7 @@
 			shard.passes++
 			shard.tried = 0
 			shard.retryAt = now.Add(delay)
+			query.retries++
 			return
 		}
 	}
@@ -234,11 +237,15 @@
 
 // retryDue tries shards again whose pause is over.
 func (query *Query) retryDue(now time.Time) {
+	if query.retries == 0 {
+		return
+	}
 	var due []int
 	for position := range query.shards {
 		shard := &query.shards[position]
-		if shard.status == open && !shard.retryAt.IsZero() && !now.Before(shard.retryAt) {
+		if !shard.retryAt.IsZero() && !now.Before(shard.retryAt) {
 			shard.retryAt = time.Time{}
+			query.retries--
 			due = append(due, position)
 		}
 	}
--- a/internal/query/types.go
+++ b/internal/query/types.go
@@ -43,7 +43,7 @@
 	Parts    []Part
 }
 
-// Actions is what a step decided. The shell carries out Cancels, then Sends.
+// Actions is what a step decided.
 type Actions struct {
 	Sends   []Send
 	Cancels []AttemptID
--- a/internal/scatter/execute.go
+++ b/internal/scatter/execute.go
@@ -15,7 +15,9 @@
 func (scatterer *Scatterer) execute(ctx context.Context, route route, request *message.SubRequest, deadline time.Time) ownerReply {
 	reply, failure := scatterer.call(ctx, route.first, request, deadline)
 	if route.second.id != "" && ctx.Err() == nil && passedOver(reply, failure) {
-		reply, failure = scatterer.call(ctx, route.second, request, deadline)
+		// A copy: the first call may still hold the request.
+		again := *request
+		reply, failure = scatterer.call(ctx, route.second, &again, deadline)
 	}
 	ended := ownerReply{server: request.Server, reply: query.Reply{Attempt: query.AttemptID(request.AttemptID)}}
 	if failure != nil {
@@ -56,13 +58,11 @@
 	if owner.id == "" {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUnreachable, "no node owns the server")
 	}
-	// The copy lets both owners be given the time that is left when they are asked.
-	sent := *request
-	sent.RemainingMicros = time.Until(deadline).Microseconds()
+	request.RemainingMicros = time.Until(deadline).Microseconds()
 	if owner.id == scatterer.options.NodeID {
-		return scatterer.options.Local.Execute(ctx, &sent), nil
+		return scatterer.options.Local.Execute(ctx, request), nil
 	}
-	reply, err := scatterer.options.Owners.Execute(ctx, owner.address, &sent)
+	reply, err := scatterer.options.Owners.Execute(ctx, owner.address, request)
 	if err != nil {
 		return nil, verdict.From(err)
 	}
--- a/internal/scatter/run.go
+++ b/internal/scatter/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/driftstage/driftstage/internal/config"
@@ -22,6 +23,10 @@
 	core      *query.Query
 	replies   chan ownerReply
 	cancels   map[query.AttemptID]context.CancelFunc
+	// pending is what the core decided and has yet to be carried out, and routes
+	// are the owners for its Sends.
+	pending query.Actions
+	routes  []route
 }
 
 // ownerReply is the end of an attempt as it reaches the loop.
@@ -37,48 +42,76 @@
 	// Attempts end with the loop; losers must not outlive the answer.
 	ctx, cancel := context.WithCancel(context.WithoutCancel(caller))
 	defer cancel()
-	timer := time.NewTimer(0)
+	due := run.step(run.core.Start)
+	timer := time.NewTimer(time.Until(due))
 	defer timer.Stop()
-	actions := run.step(run.core.Start)
 	for {
-		if answer := run.carryOut(ctx, actions); answer != nil {
+		if answer := run.carryOut(ctx); answer != nil {
 			return run.answer(answer)
 		}
-		timer.Reset(time.Until(run.nextTick()))
+		next := due
 		select {
 		case reply := <-run.replies:
-			actions = run.handle(reply)
+			next = run.handle(reply)
 		case <-timer.C:
-			actions = run.step(run.core.Tick)
+			next = run.step(run.core.Tick)
+			timer.Reset(time.Until(next))
 		case <-caller.Done():
-			actions = run.step(run.core.Abort)
+			next = run.step(run.core.Abort)
+		}
+		if !next.Equal(due) {
+			timer.Reset(time.Until(next))
+			due = next
 		}
 	}
 }
 
-// step advances the core under the lock of the service.
-func (run *run) step(advance func(now time.Time) query.Actions) query.Actions {
+// step advances the core under the lock of the service, and returns when it is
+// due next.
+func (run *run) step(advance func(now time.Time) query.Actions) time.Time {
 	run.service.mutex.Lock()
 	defer run.service.mutex.Unlock()
-	return advance(time.Now())
+	run.collect(advance(time.Now()))
+	return run.core.NextTick()
+}
+
+// collect adds the actions of a step to those to be carried out, each attempt
+// with its owners. The mutex of the service is held.
+func (run *run) collect(actions query.Actions) {
+	for index := range actions.Sends {
+		run.routes = append(run.routes, run.service.routes[actions.Sends[index].Server.Name])
+	}
+	if len(run.pending.Sends) == 0 {
+		run.pending.Sends = actions.Sends
+	} else {
+		run.pending.Sends = append(run.pending.Sends, actions.Sends...)
+	}
+	run.pending.Cancels = append(run.pending.Cancels, actions.Cancels...)
+	if actions.Answer != nil {
+		run.pending.Answer = actions.Answer
+	}
 }
 
-func (run *run) nextTick() time.Time {
+// handle feeds a reply, and those that wait behind it, to the core.
+func (run *run) handle(reply ownerReply) time.Time {
 	run.service.mutex.Lock()
 	defer run.service.mutex.Unlock()
+	now := time.Now()
+	run.handleOne(now, reply)
+	for range len(run.replies) {
+		run.handleOne(now, <-run.replies)
+	}
 	return run.core.NextTick()
 }
 
-func (run *run) handle(reply ownerReply) query.Actions {
-	return run.step(func(now time.Time) query.Actions {
-		if reply.load != nil {
-			run.service.fleet.Observe(now, reply.server, loadOf(reply.load))
-		} else if ownerFailed(reply.reply.Failure) {
-			run.service.fleet.Suspect(now, reply.server)
-		}
-		delete(run.cancels, reply.reply.Attempt)
-		return run.core.Handle(now, reply.reply)
-	})
+func (run *run) handleOne(now time.Time, reply ownerReply) {
+	if reply.load != nil {
+		run.service.fleet.Observe(now, reply.server, loadOf(reply.load))
+	} else if ownerFailed(reply.reply.Failure) {
+		run.service.fleet.Suspect(now, reply.server)
+	}
+	delete(run.cancels, reply.reply.Attempt)
+	run.collect(run.core.Handle(now, reply.reply))
 }
 
 // ownerFailed tells whether an attempt failed for want of an owner, rather than
@@ -93,23 +126,28 @@
 }
 
 // carryOut does what the core decided and returns its answer, if there is one.
-func (run *run) carryOut(ctx context.Context, actions query.Actions) *query.Answer {
+// An attempt that a later step has cancelled already is never sent.
+func (run *run) carryOut(ctx context.Context) *query.Answer {
+	actions := run.pending
+	routes := run.routes
+	run.pending, run.routes = query.Actions{}, nil
+	for index := range actions.Sends {
+		if !slices.Contains(actions.Cancels, actions.Sends[index].Attempt) {
+			run.send(ctx, &actions.Sends[index], routes[index])
+		}
+	}
 	for _, id := range actions.Cancels {
 		if cancel, ok := run.cancels[id]; ok {
 			cancel()
 			delete(run.cancels, id)
 		}
 	}
-	for index := range actions.Sends {
-		run.send(ctx, &actions.Sends[index])
-	}
 	return actions.Answer
 }
 
-func (run *run) send(ctx context.Context, send *query.Send) {
+func (run *run) send(ctx context.Context, send *query.Send, route route) {
 	attemptContext, cancel := context.WithCancel(ctx)
 	run.cancels[send.Attempt] = cancel
-	route := run.service.routeOf(send.Server.Name)
 	request := run.subRequest(send)
 	deadline := send.Deadline
 	go func() {
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -58,7 +58,7 @@
 		pinned:    pinned,
 		request:   &request,
 		replies:   make(chan ownerReply, replyBuffer),
-		cancels:   make(map[query.AttemptID]context.CancelFunc),
+		cancels:   make(map[query.AttemptID]context.CancelFunc, len(shardMap.Shards)),
 	}
 	run.core = query.New(service.fleet, shardMap, scatterer.parameters(&request, pinned, choice, start, deadline))
 	return run.loop(ctx)
--- a/internal/scatter/service.go
+++ b/internal/scatter/service.go
@@ -81,13 +81,6 @@
 	})
 }
 
-// routeOf returns the owners of a server.
-func (service *service) routeOf(server string) route {
-	service.mutex.Lock()
-	defer service.mutex.Unlock()
-	return service.routes[server]
-}
-
 // pin chooses the index version, after asking owners when none is known.
 func (service *service) pin(ctx context.Context, deadline time.Time) (snapshot.Choice, *verdict.Error) {
 	timer := time.NewTimer(time.Until(deadline))
