--- a/internal/scatter/scatter_test.go
+++ b/internal/scatter/scatter_test.go
@@ -125,7 +125,7 @@
 // shard and snapshot, and coverage is what the parts say.
 func verify(t *testing.T, id string, answer scatter.Answer) {
 	t.Helper()
-	if answer.Failure == nil && len(answer.Results) != answer.Coverage.Covered {
+	if len(answer.Results) != answer.Coverage.Covered {
 		t.Fatalf("%d results, covered %d", len(answer.Results), answer.Coverage.Covered)
 	}
 	for _, result := range answer.Results {
