--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -80,11 +80,13 @@
 }
 
 func newOwner(loaded settings.Settings, store *config.Store, poller *platformPoller, registry *prometheus.Registry) *owner.Manager {
-	return owner.NewManager(owner.Options{
+	manager := owner.NewManager(owner.Options{
 		Services:  store,
 		Ownership: &ownership{self: loaded.Name, members: poller, store: store},
 		Metrics:   owner.NewMetrics(registry),
 	})
+	registry.MustRegister(manager)
+	return manager
 }
 
 func newWireServer(manager *owner.Manager) *wire.Server {
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -73,8 +73,7 @@
 	// hedgeAt is when the next attempt comes due for a hedge.
 	hedgeAt time.Time
 	done    bool
-	// staleReplies counts replies of attempts that were not pending.
-	staleReplies int
+	counts Counts
 
 	actions Actions
 }
@@ -137,7 +136,7 @@
 func (query *Query) Handle(now time.Time, reply Reply) Actions {
 	pending, ok := query.attempts[reply.Attempt]
 	if !ok || query.done {
-		query.staleReplies++
+		query.counts.StaleReplies++
 		return Actions{}
 	}
 	query.settle(reply.Attempt, pending)
@@ -153,8 +152,8 @@
 	return query.finish(now)
 }
 
-// StaleReplies is how many replies were dropped.
-func (query *Query) StaleReplies() int { return query.staleReplies }
+// Counts is what the query has done so far.
+func (query *Query) Counts() Counts { return query.counts }
 
 // Snapshot is the index version by which the query works at present.
 func (query *Query) Snapshot() int64 { return query.pin.Version() }
--- a/internal/query/query_test.go
+++ b/internal/query/query_test.go
@@ -173,7 +173,7 @@
 	is.True(won.Answer != nil)
 	late := query.Handle(start.Add(4*time.Millisecond), Reply{Attempt: sent.Sends[0].Attempt, Snapshot: 41, Parts: []Part{{Shard: 0}}})
 	is.Equal(late, Actions{})
-	is.Equal(query.StaleReplies(), 1)
+	is.Equal(query.Counts().StaleReplies, 1)
 }
 
 // A hedge goes to an ejected replica only if the slow server itself has no room.
--- a/internal/query/send.go
+++ b/internal/query/send.go
@@ -199,19 +199,34 @@
 	return 0
 }
 
+// pay takes the price of an attempt from its budget, or says that there is none.
 func (query *Query) pay(purpose purpose) bool {
+	counts := &query.counts
 	switch purpose {
 	case retry:
-		return query.fleet.retries.spend()
+		return spend(&query.fleet.retries, &counts.Retries, &counts.OutOfRetries)
 	case hedge:
-		return query.fleet.hedges.spend()
+		return spend(&query.fleet.hedges, &counts.Hedges, &counts.OutOfHedges)
+	case restarted:
+		counts.Restarted++
+		return true
 	default:
+		counts.First++
 		query.fleet.retries.earn(1)
 		query.fleet.hedges.earn(1)
 		return true
 	}
 }
 
+func spend(budget *budget, paid, refused *int) bool {
+	if !budget.spend() {
+		*refused++
+		return false
+	}
+	*paid++
+	return true
+}
+
 // fail deals with the failure of an attempt: every shard of it that has no other
 // attempt is sent again where that is allowed, or fails.
 func (query *Query) fail(now time.Time, pending *attempt, failure *verdict.Error) {
--- a/internal/query/types.go
+++ b/internal/query/types.go
@@ -77,3 +77,18 @@
 	// Failure is nil when the coverage is enough; Parts is empty otherwise.
 	Failure *verdict.Error
 }
+
+// Counts is what a query has done, for metrics.
+type Counts struct {
+	// First, Retries, Hedges and Restarted count attempts by what they were for;
+	// Restarted are first attempts at a second version.
+	First     int
+	Retries   int
+	Hedges    int
+	Restarted int
+	// OutOfRetries and OutOfHedges count attempts that were not sent for want of budget.
+	OutOfRetries int
+	OutOfHedges  int
+	// StaleReplies counts replies that were dropped, for their attempt was not pending.
+	StaleReplies int
+}
--- a/internal/scatter/run.go
+++ b/internal/scatter/run.go
@@ -111,6 +111,7 @@
 		run.service.fleet.Suspect(now, reply.server)
 	}
 	delete(run.cancels, reply.reply.Attempt)
+	run.scatterer.options.Metrics.replied(reply.reply.Failure)
 	run.collect(run.core.Handle(now, reply.reply))
 }
 
@@ -181,7 +182,7 @@
 }
 
 func (run *run) answer(decided *query.Answer) Answer {
-	run.scatterer.options.Metrics.answered(decided, run.core.StaleReplies())
+	run.scatterer.options.Metrics.answered(decided, run.core.Counts())
 	answer := Answer{
 		Revision: run.pinned.Revision,
 		Snapshot: decided.Snapshot,
