Refuse a query before anything is sent when the owners' queues are too long for it

Cause: at twice the capacity nearly every failed query had already made some server work: its other shards were refused later, so the failure was may-have-run and the work lost. Seen red: no refusal before sending; a report held for ever.

--- a/internal/admission/server.go
+++ b/internal/admission/server.go
@@ -262,6 +262,7 @@
 		Queued:   server.waiting.len(),
 		InFlight: len(server.running),
 		Window:   server.size(),
+		Wait:     server.predictedWait(v1.ClassInteractive),
 		Draining: server.draining,
 		Ejected:  server.health.ejected,
 	}
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -57,6 +57,9 @@
 	Queued   int
 	InFlight int
 	Window   int
+	// Wait is the predicted time in the queue of an interactive attempt that
+	// comes now.
+	Wait     time.Duration
 	Draining bool
 	Ejected  bool
 }
--- a/internal/owner/server.go
+++ b/internal/owner/server.go
@@ -231,6 +231,7 @@
 		Queued:        view.Queued,
 		InFlight:      view.InFlight,
 		Window:        view.Window,
+		WaitMicros:    view.Wait.Microseconds(),
 		Draining:      view.Draining,
 		Ejected:       view.Ejected,
 		SnapshotsHeld: server.held,
--- a/internal/query/fleet.go
+++ b/internal/query/fleet.go
@@ -48,9 +48,11 @@
 
 // Load is what a server's owner reports of it.
 type Load struct {
-	Queued        int
-	InFlight      int
-	Window        int
+	Queued   int
+	InFlight int
+	Window   int
+	// Wait is the predicted time in the queue of an attempt that comes now.
+	Wait          time.Duration
 	Draining      bool
 	Ejected       bool
 	SnapshotsHeld []int64
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -73,7 +73,7 @@
 	// hedgeAt is when the next attempt comes due for a hedge.
 	hedgeAt time.Time
 	done    bool
-	counts Counts
+	counts  Counts
 
 	actions Actions
 }
@@ -91,8 +91,12 @@
 	}
 }
 
-// Start sends the first attempts.
+// Start sends the first attempts, or refuses the query as NotRun when the queues
+// are too long for it.
 func (query *Query) Start(now time.Time) Actions {
+	if query.refuseOverload(now) {
+		return query.finish(now)
+	}
 	wanted := make([]int, len(query.shards))
 	for position := range wanted {
 		wanted[position] = position
--- a/internal/query/query_test.go
+++ b/internal/query/query_test.go
@@ -274,3 +274,31 @@
 	is.Equal(actions.Answer.Failure.Code, verdict.CodeOverloaded)
 	is.True(actions.Answer.Failure.RetryAfter >= 70*time.Millisecond)
 }
+
+// When the queues are longer than the time of a query, it is refused before
+// anything is sent; the report of a queue grows old, and is not held for ever.
+func TestRefusesBeforeItSendsWhenQueuesAreLong(t *testing.T) {
+	is := is.New(t)
+	for _, test := range []struct {
+		waits   []time.Duration
+		at      time.Duration
+		refused bool
+	}{
+		{[]time.Duration{testDeadline, testDeadline}, 0, true},
+		{[]time.Duration{testDeadline, 0}, 0, false},
+		{[]time.Duration{testDeadline, testDeadline}, testDeadline / 2, false},
+	} {
+		query, fleet := twoReplicas(false)
+		for index, wait := range test.waits {
+			fleet.Observe(start.Add(-test.at), fmt.Sprint("s", index), Load{Queued: 9, Window: 1, Wait: wait, SnapshotsHeld: []int64{41}})
+		}
+		actions := query.Start(start)
+		is.Equal(len(actions.Sends) == 0, test.refused)
+		if !test.refused {
+			continue
+		}
+		is.Equal(actions.Answer.Verdict, verdict.NotRun)
+		is.Equal(actions.Answer.Failure.Code, verdict.CodeOverloaded)
+		is.True(actions.Answer.Failure.RetryAfter >= testDeadline)
+	}
+}
--- a/internal/query/world_test.go
+++ b/internal/query/world_test.go
@@ -103,6 +103,7 @@
 		Queued:        rapid.IntRange(0, 20).Draw(world.t, "queued"),
 		InFlight:      rapid.IntRange(0, 5).Draw(world.t, "in flight"),
 		Window:        rapid.IntRange(1, 5).Draw(world.t, "window"),
+		Wait:          time.Duration(rapid.SampledFrom([]int{0, 0, 1, 50, 300}).Draw(world.t, "wait")) * time.Millisecond,
 		Draining:      rapid.IntRange(0, 5).Draw(world.t, "draining") == 0,
 		Ejected:       rapid.IntRange(0, 3).Draw(world.t, "ejected") == 0,
 		SnapshotsHeld: held,
--- a/internal/scatter/service.go
+++ b/internal/scatter/service.go
@@ -187,6 +187,7 @@
 		Queued:        load.Queued,
 		InFlight:      load.InFlight,
 		Window:        load.Window,
+		Wait:          time.Duration(load.WaitMicros) * time.Microsecond,
 		Draining:      load.Draining,
 		Ejected:       load.Ejected,
 		SnapshotsHeld: load.SnapshotsHeld,
--- a/internal/wire/message/messages_gen.go
+++ b/internal/wire/message/messages_gen.go
@@ -73,13 +73,15 @@
 	Queued   int    `avro:"queued"`
 	InFlight int    `avro:"inFlight"`
 	// How many sub-requests the owner lets run at a time.
-	Window        int     `avro:"window"`
+	Window int `avro:"window"`
+	// Predicted time in the queue of an interactive sub-request that comes now.
+	WaitMicros    int64   `avro:"waitMicros"`
 	Draining      bool    `avro:"draining"`
 	Ejected       bool    `avro:"ejected"`
 	SnapshotsHeld []int64 `avro:"snapshotsHeld"`
 }
 
-var schemaServerLoad = avro.MustParse(`{"name":"ServerLoad","type":"record","fields":[{"name":"server","type":"string"},{"name":"queued","type":"int"},{"name":"inFlight","type":"int"},{"name":"window","type":"int"},{"name":"draining","type":"boolean"},{"name":"ejected","type":"boolean"},{"name":"snapshotsHeld","type":{"type":"array","items":"long"}}]}`)
+var schemaServerLoad = avro.MustParse(`{"name":"ServerLoad","type":"record","fields":[{"name":"server","type":"string"},{"name":"queued","type":"int"},{"name":"inFlight","type":"int"},{"name":"window","type":"int"},{"name":"waitMicros","type":"long"},{"name":"draining","type":"boolean"},{"name":"ejected","type":"boolean"},{"name":"snapshotsHeld","type":{"type":"array","items":"long"}}]}`)
 
 // Schema returns the schema for ServerLoad.
 func (o *ServerLoad) Schema() avro.Schema {
