Controller tests: late writes, lost records, killed leaders, held watches

The stand-in can hang writes only and hold events back, and counts requests that wait, so that a write can be caught in flight.

--- a/cmd/driftlab/platform.go
+++ b/cmd/driftlab/platform.go
@@ -31,6 +31,8 @@
     "client":"node-1"       only for the client of this name (default: all)
     "refuse":true           503, nothing applied
     "hang":true             neither apply nor answer until the faults are replaced
+    "hangWrites":true       the same for writes only
+    "holdWatches":true      send no events, only bookmarks, until the faults are replaced
     "delay":"2s"            wait before a request is applied
     "dropReplies":3         close in place of the reply to the next 3 writes, which take effect
     "dropRequests":3        close in place of applying the next 3 writes
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -50,6 +50,7 @@
 
 func newCluster(t *testing.T) *cluster {
 	t.Helper()
+	t.Parallel()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -133,24 +133,74 @@
 	is.True(!inForce)
 }
 
+// TestKillInTheMiddleOfAnAcceptance: the leader dies after its write stood and
+// before it reached any other node. The next leader publishes the same revision.
+func TestKillInTheMiddleOfAnAcceptance(t *testing.T) {
+	is := is.New(t)
+	cluster := newCluster(t)
+	dying := cluster.start("a")
+	cluster.leader()
+	other := cluster.start("b")
+	cluster.setCutOff(other, true)
+	cluster.apply("fleet", validSpec("/one"))
+	cluster.eventually("accepted", func() bool { return cluster.get("fleet").Status.Accepted != nil })
+	revision := cluster.get("fleet").Status.Accepted.Revision
+	dying.kill()
+	is.Equal(other.store.Revision("fleet"), int64(0))
+	cluster.setCutOff(other, false)
+	is.Equal(cluster.awaitInForce("fleet", "/one").Status.Accepted.Revision, revision)
+}
+
+// writeAccepted puts a status in the Object API, as if from an earlier time.
+func (cluster *cluster) writeAccepted(name string, revision int64) {
+	cluster.t.Helper()
+	cluster.apply(name, validSpec("/"+name))
+	service := cluster.get(name)
+	service.Status.ObservedGeneration = service.Metadata.Generation
+	service.Status.Accepted = &v1.Accepted{Generation: service.Metadata.Generation, Revision: revision, Spec: service.Spec}
+	if _, err := cluster.operator.QueryServices.UpdateStatus(context.Background(), service); err != nil {
+		cluster.t.Fatal(err)
+	}
+}
+
+// TestLostLeaseRecord: accepted revisions of a later epoch raise the epoch, so
+// that new ones are above tombstones that this node never saw.
+func TestLostLeaseRecord(t *testing.T) {
+	is := is.New(t)
+	cluster := newCluster(t)
+	cluster.writeAccepted("desk", 7<<32|1)
+	cluster.start("a")
+	cluster.awaitInForce("desk", "/desk")
+	cluster.eventually("epoch raised", func() bool { return cluster.leader().controller.State().Epoch > 7 })
+	cluster.apply("fleet", validSpec("/one"))
+	is.True(cluster.awaitInForce("fleet", "/one").Status.Accepted.Revision > 8<<32)
+}
+
+// TestOlderAcceptedIsRaised: the Object API went back, the members did not.
+func TestOlderAcceptedIsRaised(t *testing.T) {
+	is := is.New(t)
+	cluster := newCluster(t)
+	cluster.writeAccepted("fleet", 1<<32|1)
+	node := cluster.start("a")
+	node.store.Apply(config.Entry{Service: "fleet", Revision: 3<<32 | 5, Spec: &v1.QueryServiceSpec{Path: "/newer"}})
+	is.True(cluster.awaitInForce("fleet", "/fleet").Status.Accepted.Revision > 3<<32|5)
+}
+
 // TestForcedDeletion past the finalizer still gives a tombstone.
 func TestForcedDeletion(t *testing.T) {
+	is := is.New(t)
 	cluster := newCluster(t)
 	node := cluster.start("a")
 	cluster.apply("fleet", validSpec("/one"))
 	cluster.awaitInForce("fleet", "/one")
 	ctx := context.Background()
-	cluster.eventually("removed by force", func() bool {
-		service := cluster.get("fleet")
-		if service == nil {
-			return true
-		}
-		service.Metadata.Finalizers = nil
-		if _, err := cluster.operator.QueryServices.Update(ctx, service); err == nil {
-			_ = cluster.operator.QueryServices.Delete(ctx, "fleet", "")
-		}
-		return false
-	})
+	cluster.server.SetFaults(standin.Faults{Client: "a", Resource: "queryservices", HangWrites: true})
+	service := cluster.get("fleet")
+	service.Metadata.Finalizers = nil
+	_, err := cluster.operator.QueryServices.Update(ctx, service)
+	is.NoErr(err)
+	is.NoErr(cluster.operator.QueryServices.Delete(ctx, "fleet", ""))
+	cluster.server.SetFaults(standin.Faults{})
 	cluster.eventually("tombstone", func() bool {
 		_, inForce := node.store.Service("fleet")
 		return !inForce
@@ -198,6 +248,18 @@
 	}
 }
 
+// TestLostReplyIsReadFirst: with no events arriving, only a read can tell what
+// became of a write without a reply.
+func TestLostReplyIsReadFirst(t *testing.T) {
+	is := is.New(t)
+	cluster := newCluster(t)
+	cluster.apply("fleet", validSpec("/one"))
+	cluster.server.SetFaults(standin.Faults{Resource: "queryservices", Client: "a", HoldWatches: true, DropReplies: 3})
+	cluster.start("a")
+	cluster.awaitInForce("fleet", "/one")
+	is.Equal(cluster.server.Stats()["a"].Conflicts, int64(0)) // nothing was sent blindly
+}
+
 func TestWatchEndsAndGrowsTooOld(t *testing.T) {
 	cluster := newCluster(t)
 	cluster.start("a")
@@ -255,8 +317,10 @@
 	cluster.leader()
 	cluster.apply("fleet", validSpec("/one"))
 	cluster.awaitInForce("fleet", "/one")
-	cluster.server.SetFaults(standin.Faults{Client: "a", Hang: true})
+	cluster.server.SetFaults(standin.Faults{Client: "a", Resource: "queryservices", HangWrites: true})
 	cluster.apply("fleet", validSpec("/two"))
+	cluster.eventually("a has sent its write", func() bool { return cluster.server.Stats()["a"].Waiting > 0 })
+	cluster.server.SetFaults(standin.Faults{Client: "a", HangWrites: true})
 	cluster.start("b")
 	cluster.eventually("b leads", func() bool { return cluster.leader() != late })
 	cluster.apply("fleet", validSpec("/three"))
@@ -265,6 +329,7 @@
 	cluster.apply("desk", validSpec("/desk"))
 	cluster.awaitInForce("desk", "/desk")
 	is.Equal(cluster.get("fleet").Status.Accepted, accepted.Status.Accepted)
+	is.True(cluster.server.Stats()["a"].Conflicts > 0) // it did arrive
 }
 
 // TestFewReaders counts who reads the Object API at 40 nodes.
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -17,6 +17,10 @@
 	Refuse bool `json:"refuse,omitempty"`
 	// Hang accepts requests and neither applies nor answers them until cleared.
 	Hang bool `json:"hang,omitempty"`
+	// HangWrites is Hang for writes only.
+	HangWrites bool `json:"hangWrites,omitempty"`
+	// HoldWatches keeps events back, though not bookmarks, until cleared.
+	HoldWatches bool `json:"holdWatches,omitempty"`
 	// Delay passes before a request is applied; a client may have given up by then.
 	Delay v1.Duration `json:"delay,omitempty"`
 	// DropReplies closes the connection in place of the reply to the next so
@@ -97,7 +101,7 @@
 	if !faults.concern(resource, client) {
 		return faultPlan{}, nil
 	}
-	if faults.Hang {
+	if faults.Hang || (faults.HangWrites && write) {
 		return faultPlan{}, control.replaced
 	}
 	plan := faultPlan{refuse: faults.Refuse, delay: time.Duration(faults.Delay)}
@@ -115,6 +119,15 @@
 	return plan, nil
 }
 
+// holdsWatch tells whether events are kept back, and returns a channel closed
+// when other faults come into force.
+func (control *faultSwitch) holdsWatch(resource, client string) (bool, <-chan struct{}) {
+	control.mutex.Lock()
+	defer control.mutex.Unlock()
+	faults := &control.faults
+	return faults.HoldWatches && faults.concern(resource, client), control.replaced
+}
+
 func (faults *Faults) concern(resource, client string) bool {
 	if faults.Resource != "" && faults.Resource != resource {
 		return false
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -193,8 +193,10 @@
 		} else {
 			stats.Reads++
 		}
+		stats.Waiting++
 	})
 	plan := server.faults.plan(resource, client, write)
+	server.stats.record(client, func(stats *ClientStats) { stats.Waiting-- })
 	if !server.pass(request, plan) {
 		return
 	}
--- a/internal/standin/platform/stats.go
+++ b/internal/standin/platform/stats.go
@@ -14,6 +14,8 @@
 	// OpenWatches is the number of watches open now. A watch that the client
 	// left is noticed at the next event or bookmark.
 	OpenWatches int `json:"openWatches"`
+	// Waiting is the number of requests held by a hang now.
+	Waiting int `json:"waiting"`
 	// Conflicts counts refusals with 409.
 	Conflicts int64 `json:"conflicts"`
 }
--- a/internal/standin/platform/watch.go
+++ b/internal/standin/platform/watch.go
@@ -78,6 +78,9 @@
 // sendNew sends what is new, and returns false when the stream is over.
 func (stream *watchStream) sendNew() (<-chan struct{}, bool) {
 	stream.awaitFaults()
+	if held, replaced := stream.server.faults.holdsWatch(stream.resource, stream.client); held {
+		return replaced, true
+	}
 	events, version, changed, failure := stream.server.store.since(stream.resource, stream.version)
 	if failure != nil {
 		stream.send(event{Type: eventError, Object: failure})
