--- a/internal/lab/experiment/overload.go
+++ b/internal/lab/experiment/overload.go
@@ -23,8 +23,11 @@
 	defer func() { failure = errors.Join(failure, set.cluster.Stop()) }()
 	result = &Result{Experiment: "overload", Service: user.Service}
 	peak, peakRate := 0.0, 0.0
-	for _, rate := range overloadRates {
-		report, err := lab.Load(ctx, set.load(options, rate), set.driftstage(), set.backends)
+	for index, rate := range overloadRates {
+		load := set.load(options, rate)
+		// Queries are told apart by their bodies, which follow from the seed.
+		load.Seed += uint64(index)
+		report, err := lab.Load(ctx, load, set.driftstage(), set.backends)
 		if err != nil {
 			return nil, err
 		}
