--- /dev/null
+++ b/cmd/driftctl/delete.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/peterbourgon/ff/v4"
+
+	v1 "github.com/driftstage/driftstage/api/v1"
+	"github.com/driftstage/driftstage/internal/platform"
+)
+
+// deletePollInterval is the time between reads while a deletion is awaited.
+const deletePollInterval = 200 * time.Millisecond
+
+// deleteFlags are the flags of driftctl delete.
+type deleteFlags struct {
+	resourceVersion string
+	wait            bool
+	timeout         time.Duration
+}
+
+func (application *application) deleteCommand() *ff.Command {
+	var options deleteFlags
+	flags := application.newFlags("delete")
+	flags.StringVar(&options.resourceVersion, 0, "resource-version", "", "delete only this version")
+	flags.BoolVar(&options.wait, 0, flagWait, "wait until the resource is gone")
+	flags.DurationVar(&options.timeout, 0, "timeout", defaultWaitTimeout, "bound on --wait")
+	return &ff.Command{
+		Name:      "delete",
+		Usage:     "driftctl delete NAME [FLAGS]",
+		ShortHelp: "take a service out of force",
+		LongHelp: "The resource is gone when the deletion has reached the nodes. A change between the\n" +
+			"read and the deletion is a conflict: nothing is deleted.",
+		Flags: flags,
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) != 1 {
+				return fail(exitUsage, "delete takes one name, got %q", args)
+			}
+			return application.delete(ctx, args[0], options)
+		},
+	}
+}
+
+func (application *application) delete(ctx context.Context, name string, options deleteFlags) error {
+	client := application.client()
+	defer client.Close()
+	services := client.QueryServiceObjects
+	before, err := services.Get(ctx, name)
+	if err != nil {
+		return err
+	}
+	deletion := &deletion{services: services, before: before, version: before.Metadata.ResourceVersion}
+	if options.resourceVersion != "" {
+		deletion.version, deletion.pinned = options.resourceVersion, true
+	}
+	if err := deletion.run(ctx); err != nil {
+		return err
+	}
+	fmt.Fprintln(application.output, name, "deletion begun")
+	if !options.wait {
+		return nil
+	}
+	return application.awaitDeletion(ctx, services.Get, name, before.Metadata.UID, options.timeout)
+}
+
+// deletion asks for the deletion of the resource as it was read.
+type deletion struct {
+	services *platform.Collection[v1.QueryServiceObject]
+	before   *v1.QueryServiceObject
+	// version is the one to delete; pinned when the operator demanded it.
+	version string
+	pinned  bool
+}
+
+// run tries again only while nobody else changed the spec.
+func (deletion *deletion) run(ctx context.Context) error {
+	name := deletion.before.Metadata.Name
+	for range applyAttempts {
+		err := deletion.services.Delete(ctx, name, deletion.version)
+		if err == nil || platform.IsNotFound(err) {
+			return nil
+		}
+		if !platform.IsConflict(err) && !platform.IsUncertain(err) {
+			return err
+		}
+		begun, err := deletion.readBack(ctx, err)
+		if begun || err != nil {
+			return err
+		}
+	}
+	return fail(exitConflict, "%s: still changing after %d attempts", name, applyAttempts)
+}
+
+// readBack tells whether the deletion has begun after all, and refuses to
+// delete what the operator has not seen.
+func (deletion *deletion) readBack(ctx context.Context, cause error) (bool, error) {
+	name := deletion.before.Metadata.Name
+	current, err := deletion.services.Get(ctx, name)
+	switch {
+	case platform.IsNotFound(err):
+		return true, nil
+	case err != nil && platform.IsUncertain(cause):
+		return false, fail(exitUncertain, "%s: the deletion may have taken effect, and it can not be read: %v", name, err)
+	case err != nil:
+		return false, err
+	case current.Metadata.DeletionTimestamp != nil:
+		return true, nil
+	case deletion.pinned && current.Metadata.ResourceVersion != deletion.version, !sameObject(deletion.before, current):
+		return false, fail(exitConflict, "%s: changed since version %s was read: it is at version %s, generation %d; nothing was deleted",
+			name, deletion.version, current.Metadata.ResourceVersion, current.Metadata.Generation)
+	}
+	deletion.version = current.Metadata.ResourceVersion // only the status changed
+	return false, nil
+}
