--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -26,9 +27,9 @@
 	closed bool
 }
 
-// get returns an idle connection or dials one. The error is errConnectionLimit,
+// get returns an idle connection or dials one until the deadline. The error is errConnectionLimit,
 // errClosed or that of the dial; nothing was sent in any case.
-func (pool *pool) get(ctx context.Context) (*connection, error) {
+func (pool *pool) get(ctx context.Context, deadline time.Time) (*connection, error) {
 	for {
 		conn, err := pool.takeIdle()
 		if err != nil {
@@ -42,7 +43,9 @@
 		}
 		pool.discard(conn)
 	}
-	raw, err := pool.dial(ctx)
+	dialContext, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	raw, err := pool.dial(dialContext)
 	if err != nil {
 		pool.release()
 		return nil, err
@@ -111,11 +114,27 @@
 // takeSurplus removes idle connections over the limit; the caller closes them.
 func (pool *pool) takeSurplus() []*connection {
 	count := min(max(pool.open-pool.limit, 0), len(pool.idle))
-	surplus := append([]*connection(nil), pool.idle[:count]...)
-	pool.idle = append([]*connection(nil), pool.idle[count:]...)
+	surplus := slices.Clone(pool.idle[:count])
+	pool.idle = slices.Delete(pool.idle, 0, count)
 	return surplus
 }
 
+// closeIdle closes the connections that have been idle for too long; the eldest
+// come first in the list.
+func (pool *pool) closeIdle(now time.Time) {
+	pool.mutex.Lock()
+	count := 0
+	for count < len(pool.idle) && now.Sub(pool.idle[count].idleAt) >= pool.maxIdle {
+		count++
+	}
+	old := slices.Clone(pool.idle[:count])
+	pool.idle = slices.Delete(pool.idle, 0, count)
+	pool.mutex.Unlock()
+	for _, conn := range old {
+		pool.discard(conn)
+	}
+}
+
 // close closes the idle connections now and the others when they are given back.
 func (pool *pool) close() {
 	pool.mutex.Lock()
--- a/internal/query/finish.go
+++ b/internal/query/finish.go
@@ -55,7 +55,6 @@
 		answer.Missing = append(answer.Missing, Missing{Shard: id, Reason: query.missingReason(shard)})
 	}
 	if query.covered < query.minimum() {
-		answer.Parts = nil
 		answer.Failure = query.failure(answer)
 	}
 	query.actions.Answer = answer
@@ -147,7 +146,7 @@
 		query.shards[position] = shardState{}
 		wanted[position] = position
 	}
-	query.covered, query.failed = 0, 0
+	query.covered, query.failed, query.retries = 0, 0, 0
 	query.hedgeAt = time.Time{}
 	query.send(now, wanted, restarted)
 }
--- a/internal/query/fleet.go
+++ b/internal/query/fleet.go
@@ -28,6 +28,8 @@
 	Zone string
 	// Owner is the member to which attempts go; empty when there is none.
 	Owner string
+	// OwnerSuspect tells that the membership suspects the owner.
+	OwnerSuspect bool
 
 	// removed tells that the resource says draining, or names the server no more.
 	removed bool
@@ -46,9 +48,11 @@
 
 // Load is what a server's owner reports of it.
 type Load struct {
-	Queued        int
-	InFlight      int
-	Window        int
+	Queued   int
+	InFlight int
+	Window   int
+	// Wait is the predicted time in the queue of an attempt that comes now.
+	Wait          time.Duration
 	Draining      bool
 	Ejected       bool
 	SnapshotsHeld []int64
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -39,8 +39,8 @@
 	passes int
 	// retryAt is when to try the replicas once more; zero for not at all.
 	retryAt time.Time
-	// lastOwner is the owner that was asked last.
-	lastOwner string
+	// last is the server that was asked last.
+	last *Server
 }
 
 // attempt is one that is pending: sent, and neither answered nor cancelled.
@@ -65,14 +65,15 @@
 	attempts map[AttemptID]*attempt
 	covered  int
 	failed   int
+	// retries counts the shards that wait for a retry: those with a retryAt.
+	retries int
 	// verdict joins all that has ended; pending attempts are not in it.
 	verdict    verdict.Verdict
 	retryAfter time.Duration
 	// hedgeAt is when the next attempt comes due for a hedge.
 	hedgeAt time.Time
 	done    bool
-	// staleReplies counts replies of attempts that were not pending.
-	staleReplies int
+	counts  Counts
 
 	actions Actions
 }
@@ -85,13 +86,17 @@
 		parameters: parameters,
 		pin:        snapshot.NewPin(parameters.Snapshot),
 		shards:     make([]shardState, len(shardMap.Shards)),
-		attempts:   make(map[AttemptID]*attempt),
+		attempts:   make(map[AttemptID]*attempt, len(shardMap.Shards)),
 		verdict:    verdict.NotRun,
 	}
 }
 
-// Start sends the first attempts.
+// Start sends the first attempts, or refuses the query as NotRun when the queues
+// are too long for it.
 func (query *Query) Start(now time.Time) Actions {
+	if query.refuseOverload(now) {
+		return query.finish(now)
+	}
 	wanted := make([]int, len(query.shards))
 	for position := range wanted {
 		wanted[position] = position
@@ -122,34 +127,20 @@
 	if query.covered < len(query.shards) && query.covered >= query.target() {
 		earlier(query.parameters.AnswerAfter)
 	}
-	if query.waiting() > 0 {
+	if query.retries > 0 {
 		for position := range query.shards {
-			if query.shards[position].status == open {
-				earlier(query.shards[position].retryAt)
-			}
+			earlier(query.shards[position].retryAt)
 		}
 	}
 	return next
 }
 
-// waiting counts the open shards without pending attempt.
-func (query *Query) waiting() int {
-	count := 0
-	for position := range query.shards {
-		shard := &query.shards[position]
-		if shard.status == open && shard.pending == 0 {
-			count++
-		}
-	}
-	return count
-}
-
 // Handle takes in the end of an attempt. A reply of an attempt that is not
 // pending changes nothing.
 func (query *Query) Handle(now time.Time, reply Reply) Actions {
 	pending, ok := query.attempts[reply.Attempt]
 	if !ok || query.done {
-		query.staleReplies++
+		query.counts.StaleReplies++
 		return Actions{}
 	}
 	query.settle(reply.Attempt, pending)
@@ -165,8 +156,8 @@
 	return query.finish(now)
 }
 
-// StaleReplies is how many replies were dropped.
-func (query *Query) StaleReplies() int { return query.staleReplies }
+// Counts is what the query has done so far.
+func (query *Query) Counts() Counts { return query.counts }
 
 // Snapshot is the index version by which the query works at present.
 func (query *Query) Snapshot() int64 { return query.pin.Version() }
--- a/internal/query/query_test.go
+++ b/internal/query/query_test.go
@@ -48,7 +48,7 @@
 		}
 		seen[missing.Shard] = true
 	}
-	if answer.Failure == nil && len(seen) != answer.Shards {
+	if len(seen) != answer.Shards {
 		world.t.Fatalf("the answer speaks of %d of %d shards", len(seen), answer.Shards)
 	}
 	if covered := answer.Shards - len(answer.Missing); (answer.Failure == nil) != (covered >= world.query.minimum()) {
@@ -81,7 +81,7 @@
 		world.apply(world.query.Start(world.now))
 		for range rapid.IntRange(0, 60).Draw(t, "steps") {
 			world.step()
-			if world.answer == nil && len(world.query.attempts) == 0 && world.query.waiting() == 0 {
+			if world.answer == nil && len(world.query.attempts) == 0 && world.query.retries == 0 {
 				t.Fatalf("nothing is under way and there is no answer")
 			}
 		}
@@ -173,7 +173,24 @@
 	is.True(won.Answer != nil)
 	late := query.Handle(start.Add(4*time.Millisecond), Reply{Attempt: sent.Sends[0].Attempt, Snapshot: 41, Parts: []Part{{Shard: 0}}})
 	is.Equal(late, Actions{})
-	is.Equal(query.StaleReplies(), 1)
+	is.Equal(query.Counts().StaleReplies, 1)
+}
+
+// A hedge goes to an ejected replica only if the slow server itself has no room.
+func TestHedgeAsksTheSameServerForWantOfAnother(t *testing.T) {
+	is := is.New(t)
+	query, fleet := twoReplicas(true)
+	sent := query.Start(start)
+	slow := sent.Sends[0].Server
+	fleet.Servers(func(server *Server) {
+		if server != slow {
+			fleet.Observe(start, server.Name, Load{Window: 4, Ejected: true, SnapshotsHeld: []int64{41}})
+		}
+	})
+	hedged := query.Tick(query.NextTick())
+	is.Equal(len(hedged.Sends), 1)
+	is.Equal(hedged.Sends[0].Server.Name, slow.Name)
+	is.True(hedged.Sends[0].Attempt != sent.Sends[0].Attempt)
 }
 
 // Hedges are paid for by first attempts, and a loser is cancelled while other
@@ -257,3 +274,31 @@
 	is.Equal(actions.Answer.Failure.Code, verdict.CodeOverloaded)
 	is.True(actions.Answer.Failure.RetryAfter >= 70*time.Millisecond)
 }
+
+// When the queues are longer than the time of a query, it is refused before
+// anything is sent; the report of a queue grows old, and is not held for ever.
+func TestRefusesBeforeItSendsWhenQueuesAreLong(t *testing.T) {
+	is := is.New(t)
+	for _, test := range []struct {
+		waits   []time.Duration
+		at      time.Duration
+		refused bool
+	}{
+		{[]time.Duration{testDeadline, testDeadline}, 0, true},
+		{[]time.Duration{testDeadline, 0}, 0, false},
+		{[]time.Duration{testDeadline, testDeadline}, testDeadline / 2, false},
+	} {
+		query, fleet := twoReplicas(false)
+		for index, wait := range test.waits {
+			fleet.Observe(start.Add(-test.at), fmt.Sprint("s", index), Load{Queued: 9, Window: 1, Wait: wait, SnapshotsHeld: []int64{41}})
+		}
+		actions := query.Start(start)
+		is.Equal(len(actions.Sends) == 0, test.refused)
+		if !test.refused {
+			continue
+		}
+		is.Equal(actions.Answer.Verdict, verdict.NotRun)
+		is.Equal(actions.Answer.Failure.Code, verdict.CodeOverloaded)
+		is.True(actions.Answer.Failure.RetryAfter >= testDeadline)
+	}
+}
--- a/internal/query/send.go
+++ b/internal/query/send.go
@@ -1,6 +1,7 @@
 package query
 
 import (
+	"slices"
 	"time"
 
 	v1 "github.com/driftstage/driftstage/api/v1"
@@ -35,7 +36,7 @@
 func (query *Query) send(now time.Time, wanted []int, purpose purpose) {
 	tooLate := now.Add(query.fleet.floor()).After(query.parameters.Deadline) || !now.Before(query.parameters.Deadline)
 	var groups []group
-	grouped := make(map[*Server]int)
+	grouped := make(map[*Server]int, len(wanted))
 	frame := choice{
 		now:        now,
 		version:    query.pin.Version(),
@@ -53,10 +54,13 @@
 			query.giveUp(position, purpose, verdict.CodeDeadline)
 			continue
 		}
-		if purpose != first {
-			frame.avoidOwner = shard.lastOwner
+		if purpose != first && shard.last != nil {
+			frame.avoidOwner = shard.last.Owner
 		}
 		server := frame.replica(&query.shardMap.Shards[position], shard.tried)
+		if purpose == hedge {
+			server = frame.hedgeReplica(server, shard.last)
+		}
 		if server == nil {
 			query.exhausted(now, position, purpose)
 			continue
@@ -69,6 +73,7 @@
 		}
 		groups[index].shards = append(groups[index].shards, position)
 	}
+	query.actions.Sends = slices.Grow(query.actions.Sends, len(groups))
 	for index := range groups {
 		query.sendGroup(now, &groups[index], purpose)
 	}
@@ -89,6 +94,7 @@
 			shard.passes++
 			shard.tried = 0
 			shard.retryAt = now.Add(delay)
+			query.retries++
 			return
 		}
 	}
@@ -144,7 +150,7 @@
 	for index, position := range group.shards {
 		shard := &query.shards[position]
 		shard.pending++
-		shard.lastOwner = group.server.Owner
+		shard.last = group.server
 		shard.tried |= query.replicaBit(position, group.server)
 		shard.hedged = shard.hedged || purpose == hedge
 		ids[index] = query.shardMap.Shards[position].ID
@@ -193,19 +199,34 @@
 	return 0
 }
 
+// pay takes the price of an attempt from its budget, or says that there is none.
 func (query *Query) pay(purpose purpose) bool {
+	counts := &query.counts
 	switch purpose {
 	case retry:
-		return query.fleet.retries.spend()
+		return spend(&query.fleet.retries, &counts.Retries, &counts.OutOfRetries)
 	case hedge:
-		return query.fleet.hedges.spend()
+		return spend(&query.fleet.hedges, &counts.Hedges, &counts.OutOfHedges)
+	case restarted:
+		counts.Restarted++
+		return true
 	default:
+		counts.First++
 		query.fleet.retries.earn(1)
 		query.fleet.hedges.earn(1)
 		return true
 	}
 }
 
+func spend(budget *budget, paid, refused *int) bool {
+	if !budget.spend() {
+		*refused++
+		return false
+	}
+	*paid++
+	return true
+}
+
 // fail deals with the failure of an attempt: every shard of it that has no other
 // attempt is sent again where that is allowed, or fails.
 func (query *Query) fail(now time.Time, pending *attempt, failure *verdict.Error) {
@@ -234,11 +255,15 @@
 
 // retryDue tries shards again whose pause is over.
 func (query *Query) retryDue(now time.Time) {
+	if query.retries == 0 {
+		return
+	}
 	var due []int
 	for position := range query.shards {
 		shard := &query.shards[position]
-		if shard.status == open && !shard.retryAt.IsZero() && !now.Before(shard.retryAt) {
+		if !shard.retryAt.IsZero() && !now.Before(shard.retryAt) {
 			shard.retryAt = time.Time{}
+			query.retries--
 			due = append(due, position)
 		}
 	}
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/driftstage/driftstage/internal/config"
-	"github.com/driftstage/driftstage/internal/placement"
 	"github.com/driftstage/driftstage/internal/query"
 	"github.com/driftstage/driftstage/internal/snapshot"
 	"github.com/driftstage/driftstage/internal/verdict"
@@ -27,9 +26,6 @@
 
 // New returns a Scatterer that has learned nothing yet.
 func New(options Options) *Scatterer {
-	if options.Rank == nil {
-		options.Rank = placement.Rank
-	}
 	if options.Seed == 0 {
 		options.Seed = rand.Uint64()
 	}
@@ -62,7 +58,7 @@
 		pinned:    pinned,
 		request:   &request,
 		replies:   make(chan ownerReply, replyBuffer),
-		cancels:   make(map[query.AttemptID]context.CancelFunc),
+		cancels:   make(map[query.AttemptID]context.CancelFunc, len(shardMap.Shards)),
 	}
 	run.core = query.New(service.fleet, shardMap, scatterer.parameters(&request, pinned, choice, start, deadline))
 	return run.loop(ctx)
--- a/internal/scatter/scatter_test.go
+++ b/internal/scatter/scatter_test.go
@@ -30,6 +30,8 @@
 	// unreachable nodes refuse connections; lost ones break them after the call.
 	unreachable map[string]bool
 	lost        map[string]bool
+	// calls counts the attempts sent to other nodes.
+	calls atomic.Int32
 }
 
 func (nodes *nodes) Members() []membership.Member { return nodes.members }
@@ -46,6 +48,7 @@
 }
 
 func (nodes *nodes) Execute(ctx context.Context, address string, request *message.SubRequest) (*message.SubReply, error) {
+	nodes.calls.Add(1)
 	if nodes.unreachable[address] {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUnreachable, "connection refused")
 	}
@@ -122,7 +125,7 @@
 // shard and snapshot, and coverage is what the parts say.
 func verify(t *testing.T, id string, answer scatter.Answer) {
 	t.Helper()
-	if answer.Failure == nil && len(answer.Results) != answer.Coverage.Covered {
+	if len(answer.Results) != answer.Coverage.Covered {
 		t.Fatalf("%d results, covered %d", len(answer.Results), answer.Coverage.Covered)
 	}
 	for _, result := range answer.Results {
--- a/internal/scatter/service.go
+++ b/internal/scatter/service.go
@@ -74,19 +74,13 @@
 	service.routes = make(map[string]route)
 	service.fleet.Servers(func(server *query.Server) {
 		described := placement.Server{Service: service.name, Name: server.Name, Zone: server.Zone}
-		first, second := service.scatterer.options.Rank(described, current.nodes)
+		first, second := current.index.Rank(described)
 		server.Owner = first
+		server.OwnerSuspect = current.suspects[first]
 		service.routes[server.Name] = route{first: current.target(first), second: current.target(second)}
 	})
 }
 
-// routeOf returns the owners of a server.
-func (service *service) routeOf(server string) route {
-	service.mutex.Lock()
-	defer service.mutex.Unlock()
-	return service.routes[server]
-}
-
 // pin chooses the index version, after asking owners when none is known.
 func (service *service) pin(ctx context.Context, deadline time.Time) (snapshot.Choice, *verdict.Error) {
 	timer := time.NewTimer(time.Until(deadline))
@@ -193,6 +187,7 @@
 		Queued:        load.Queued,
 		InFlight:      load.InFlight,
 		Window:        load.Window,
+		Wait:          time.Duration(load.WaitMicros) * time.Microsecond,
 		Draining:      load.Draining,
 		Ejected:       load.Ejected,
 		SnapshotsHeld: load.SnapshotsHeld,
