query: full queues count as well when a query is refused before it is sent

Cause: with a deadline of 1 s and a queue of 64 the queues are full at a wait of 270 ms, so no query was refused beforehand and every failure had made some server work.

--- a/internal/query/fleet.go
+++ b/internal/query/fleet.go
@@ -80,8 +80,10 @@
 
 	latencies latencies
 	quantile  float64
-	hedges    budget
-	retries   budget
+	// queue is how many attempts may wait for one server.
+	queue   int
+	hedges  budget
+	retries budget
 
 	// choice is the version to pin; it is computed again when holdings change.
 	choice      snapshot.Choice
@@ -107,6 +109,7 @@
 	}
 	fleet.revision = revision
 	fleet.quantile = spec.Hedging.Quantile
+	fleet.queue = spec.Limits.Queue
 	fleet.hedges.ratio = spec.Hedging.Budget
 	fleet.enough = spec.Coverage.Target
 	fleet.choiceStale = true
--- a/internal/query/overload.go
+++ b/internal/query/overload.go
@@ -6,25 +6,23 @@
 	"github.com/driftstage/driftstage/internal/verdict"
 )
 
-// waitMargin is how much longer than predicted a wait may turn out. With it, few
+// queueMargin is how much longer than predicted a queue may turn out. With it, few
 // queries are refused by some owners after others have begun to work for them.
-const waitMargin = 1.25
+const queueMargin = 1.25
 
 // refuseOverload fails the query before anything is sent if, by what the owners
-// reported, the queues of too many shards are longer than its time. The work of
-// the other shards would be for nothing.
+// reported, the queues of too many shards are full or longer than its time. The
+// work of the other shards would be for nothing.
 func (query *Query) refuseOverload(now time.Time) bool {
 	left := query.parameters.Deadline.Sub(now) - query.fleet.floor()
 	refused := 0
 	for position := range query.shards {
-		wait, known := query.shardMap.Shards[position].wait(now)
-		if !known || float64(wait)*waitMargin <= float64(left) {
-			continue
+		if query.overloaded(now, left, position) {
+			refused++
 		}
-		refused++
-		query.retryAfter = max(query.retryAfter, wait)
 	}
 	if len(query.shards)-refused >= query.minimum() {
+		query.retryAfter = 0
 		return false
 	}
 	for position := range query.shards {
@@ -33,28 +31,39 @@
 	return true
 }
 
-// wait is the shortest predicted wait of the shard's replicas; false when none
-// of them may be asked.
-func (shard *Shard) wait(now time.Time) (time.Duration, bool) {
-	shortest, known := time.Duration(0), false
-	for _, server := range shard.Replicas {
+// overloaded tells whether all replicas of a shard would refuse an attempt, and
+// notes the shortest wait among them as advice.
+func (query *Query) overloaded(now time.Time, left time.Duration, position int) bool {
+	shortest := time.Duration(0)
+	asked := 0
+	for _, server := range query.shardMap.Shards[position].Replicas {
 		if server.removed || server.load.Draining {
 			continue
 		}
-		wait := server.wait(now)
-		if !known || wait < shortest {
-			shortest, known = wait, true
+		queued, wait := server.queue(now)
+		full := query.fleet.queue > 0 && queued*queueMargin >= float64(query.fleet.queue)
+		if !full && float64(wait)*queueMargin <= float64(left) {
+			return false
+		}
+		if asked == 0 || wait < shortest {
+			shortest = wait
 		}
+		asked++
 	}
-	return shortest, known
+	query.retryAfter = max(query.retryAfter, shortest)
+	return asked > 0
 }
 
-// wait predicts the time in the queue of an attempt sent now: the reported wait,
-// less the time since, for the queue has moved on, and longer by the attempts
-// that this gateway has sent since.
-func (server *Server) wait(now time.Time) time.Duration {
-	each := server.load.Wait / time.Duration(server.load.Queued+1)
-	since := max(server.pending-server.pendingAtReport, 0)
-	wait := server.load.Wait + each*time.Duration(since)
-	return max(wait-now.Sub(server.loadSeen), 0)
+// queue predicts the queue at the server's owner and the wait in it: as reported,
+// less what has been served since, more what this gateway has sent since.
+func (server *Server) queue(now time.Time) (float64, time.Duration) {
+	load := &server.load
+	if load.Wait == 0 {
+		return 0, 0
+	}
+	each := load.Wait / time.Duration(load.Queued+1)
+	queued := float64(load.Queued + max(server.pending-server.pendingAtReport, 0))
+	queued -= float64(now.Sub(server.loadSeen)) / float64(max(each, 1))
+	queued = max(queued, 0)
+	return queued, time.Duration((queued + 1) * float64(each))
 }
