Platform client: a watch that ended leaves no goroutine behind

The HTTP client kept a goroutine and a connection record for every watch, since the body's stream was never closed; a controller whose watch is cut often would have grown without bound. Seen red before the change: 3 goroutines before, 105 after 50 watches and 50 refused ones.

--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"runtime"
 	"testing"
 	"time"
 
@@ -203,3 +204,33 @@
 	is.Equal(len(machines), 1)
 	is.Equal(machines[0].State, platform.MachineLive)
 }
+
+// TestWatchesLeaveNothingBehind: neither goroutines nor connections.
+func TestWatchesLeaveNothingBehind(t *testing.T) {
+	is := is.New(t)
+	server, client := start(t, standin.Options{BookmarkInterval: 10 * time.Millisecond})
+	before := runtime.NumGoroutine()
+	const watches = 50
+	for range watches {
+		watch, err := client.QueryServices.Watch(context.Background(), "0")
+		is.NoErr(err)
+		_, err = watch.Next()
+		is.NoErr(err)
+		watch.Close()
+		_, err = watch.Next()
+		is.True(err != nil)
+		watch.Close() // again does no harm
+	}
+	server.SetFaults(standin.Faults{Refuse: true})
+	for range watches {
+		_, err := client.QueryServices.Watch(context.Background(), "0")
+		is.True(err != nil)
+	}
+	deadline := time.Now().Add(30 * time.Second)
+	for runtime.NumGoroutine() > before+watches/5 {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d goroutines before, %d after", before, runtime.NumGoroutine())
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -30,6 +30,10 @@
 
 const eventError EventType = "ERROR"
 
+// watchForgotten is how long the HTTP client keeps a goroutine for a watch that
+// has ended.
+const watchForgotten = time.Second
+
 // Event is one change of an object.
 type Event[Object any] struct {
 	Type   EventType
@@ -42,9 +46,12 @@
 // different goroutines, Next by one at a time.
 type Watch[Object any] struct {
 	connection *watchConnection
-	response   *fasthttp.Response
-	lines      *bufio.Reader
 	stop       func() bool
+
+	// reading is held while Next reads, so that Close lets the body go after it.
+	reading  sync.Mutex
+	response *fasthttp.Response
+	lines    *bufio.Reader
 }
 
 // Watch opens a stream of the events after a version. It ends with ctx.
@@ -58,6 +65,7 @@
 	if err != nil {
 		stopHandshake()
 		holder.close()
+		_ = response.CloseBodyStream()
 		return nil, err
 	}
 	return &Watch[Object]{
@@ -77,6 +85,7 @@
 		return err
 	}
 	host := newHTTPClient(client.options.Address, dialer.dial)
+	host.MaxIdleConnDuration = watchForgotten
 	if err := host.Do(request, response); err != nil {
 		return transportError(err)
 	}
@@ -89,6 +98,8 @@
 
 // Next returns the next event, or the error that ended the stream.
 func (watch *Watch[Object]) Next() (Event[Object], error) {
+	watch.reading.Lock()
+	defer watch.reading.Unlock()
 	line, err := watch.lines.ReadBytes('\n')
 	if err != nil {
 		return Event[Object]{}, &Error{Verdict: verdict.NotRun, Reason: "WatchEnded", Message: err.Error()}
@@ -100,6 +111,10 @@
 func (watch *Watch[Object]) Close() {
 	watch.stop()
 	_ = watch.connection.Close()
+	watch.reading.Lock()
+	defer watch.reading.Unlock()
+	// Only this makes the HTTP client forget the connection.
+	_ = watch.response.CloseBodyStream()
 }
 
 // rawEvent is one line of the stream.
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -71,6 +71,7 @@
 		MaxRequestBodySize:    maxBodyBytes,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
+		MaxIdleWorkerDuration: time.Second,
 	}
 }
 
