--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -172,6 +173,16 @@
 	return entries
 }
 
+// holder is the name of the node in the lease record.
+func (cluster *cluster) holder() string {
+	record, err := cluster.operator.Leases.Get(context.Background(), controller.LeaseName)
+	if err != nil {
+		return ""
+	}
+	name, _, _ := strings.Cut(record.Spec.Holder, "/")
+	return name
+}
+
 // leader is the node that holds the lease.
 func (cluster *cluster) leader() *testNode {
 	var leading *testNode
