--- a/internal/query/query_test.go
+++ b/internal/query/query_test.go
@@ -48,7 +48,7 @@
 		}
 		seen[missing.Shard] = true
 	}
-	if answer.Failure == nil && len(seen) != answer.Shards {
+	if len(seen) != answer.Shards {
 		world.t.Fatalf("the answer speaks of %d of %d shards", len(seen), answer.Shards)
 	}
 	if covered := answer.Shards - len(answer.Missing); (answer.Failure == nil) != (covered >= world.query.minimum()) {
@@ -81,7 +81,7 @@
 		world.apply(world.query.Start(world.now))
 		for range rapid.IntRange(0, 60).Draw(t, "steps") {
 			world.step()
-			if world.answer == nil && len(world.query.attempts) == 0 && world.query.waiting() == 0 {
+			if world.answer == nil && len(world.query.attempts) == 0 && world.query.retries == 0 {
 				t.Fatalf("nothing is under way and there is no answer")
 			}
 		}
@@ -173,7 +173,7 @@
 	is.True(won.Answer != nil)
 	late := query.Handle(start.Add(4*time.Millisecond), Reply{Attempt: sent.Sends[0].Attempt, Snapshot: 41, Parts: []Part{{Shard: 0}}})
 	is.Equal(late, Actions{})
-	is.Equal(query.StaleReplies(), 1)
+	is.Equal(query.Counts().StaleReplies, 1)
 }
 
 // A hedge goes to an ejected replica only if the slow server itself has no room.
@@ -274,3 +274,41 @@
 	is.Equal(actions.Answer.Failure.Code, verdict.CodeOverloaded)
 	is.True(actions.Answer.Failure.RetryAfter >= 70*time.Millisecond)
 }
+
+// When the queues are full or longer than the time of a query, it is refused
+// before anything is sent; the report of a queue grows old, and does not hold for ever.
+func TestRefusesBeforeItSendsWhenQueuesAreLong(t *testing.T) {
+	long := Load{Queued: 9, Window: 1, Wait: testDeadline, SnapshotsHeld: []int64{41}}
+	full := Load{Queued: 60, Window: 1, Wait: testDeadline / 4, SnapshotsHeld: []int64{41}}
+	short := Load{Window: 1, SnapshotsHeld: []int64{41}}
+	tests := map[string]struct {
+		loads   [2]Load
+		age     time.Duration
+		refused bool
+	}{
+		"both long":          {[2]Load{long, long}, 0, true},
+		"both full":          {[2]Load{full, full}, 0, true},
+		"one long, one full": {[2]Load{long, full}, 0, true},
+		"one short":          {[2]Load{full, short}, 0, false},
+		"long, a while ago":  {[2]Load{long, long}, testDeadline / 2, false},
+		"full, a while ago":  {[2]Load{full, full}, testDeadline / 8, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			query, fleet := twoReplicas(false)
+			fleet.queue = 64
+			for index, load := range test.loads {
+				fleet.Observe(start.Add(-test.age), fmt.Sprint("s", index), load)
+			}
+			actions := query.Start(start)
+			is.Equal(len(actions.Sends) == 0, test.refused)
+			if !test.refused {
+				return
+			}
+			is.Equal(actions.Answer.Verdict, verdict.NotRun)
+			is.Equal(actions.Answer.Failure.Code, verdict.CodeOverloaded)
+			is.True(actions.Answer.Failure.RetryAfter >= testDeadline/4)
+		})
+	}
+}
--- a/internal/query/send.go
+++ b/internal/query/send.go
@@ -1,6 +1,7 @@
 package query
 
 import (
+	"slices"
 	"time"
 
 	v1 "github.com/driftstage/driftstage/api/v1"
@@ -35,7 +36,7 @@
 func (query *Query) send(now time.Time, wanted []int, purpose purpose) {
 	tooLate := now.Add(query.fleet.floor()).After(query.parameters.Deadline) || !now.Before(query.parameters.Deadline)
 	var groups []group
-	grouped := make(map[*Server]int)
+	grouped := make(map[*Server]int, len(wanted))
 	frame := choice{
 		now:        now,
 		version:    query.pin.Version(),
@@ -72,6 +73,7 @@
 		}
 		groups[index].shards = append(groups[index].shards, position)
 	}
+	query.actions.Sends = slices.Grow(query.actions.Sends, len(groups))
 	for index := range groups {
 		query.sendGroup(now, &groups[index], purpose)
 	}
@@ -92,6 +94,7 @@
 			shard.passes++
 			shard.tried = 0
 			shard.retryAt = now.Add(delay)
+			query.retries++
 			return
 		}
 	}
@@ -196,19 +199,34 @@
 	return 0
 }
 
+// pay takes the price of an attempt from its budget, or says that there is none.
 func (query *Query) pay(purpose purpose) bool {
+	counts := &query.counts
 	switch purpose {
 	case retry:
-		return query.fleet.retries.spend()
+		return spend(&query.fleet.retries, &counts.Retries, &counts.OutOfRetries)
 	case hedge:
-		return query.fleet.hedges.spend()
+		return spend(&query.fleet.hedges, &counts.Hedges, &counts.OutOfHedges)
+	case restarted:
+		counts.Restarted++
+		return true
 	default:
+		counts.First++
 		query.fleet.retries.earn(1)
 		query.fleet.hedges.earn(1)
 		return true
 	}
 }
 
+func spend(budget *budget, paid, refused *int) bool {
+	if !budget.spend() {
+		*refused++
+		return false
+	}
+	*paid++
+	return true
+}
+
 // fail deals with the failure of an attempt: every shard of it that has no other
 // attempt is sent again where that is allowed, or fails.
 func (query *Query) fail(now time.Time, pending *attempt, failure *verdict.Error) {
@@ -237,11 +255,15 @@
 
 // retryDue tries shards again whose pause is over.
 func (query *Query) retryDue(now time.Time) {
+	if query.retries == 0 {
+		return
+	}
 	var due []int
 	for position := range query.shards {
 		shard := &query.shards[position]
-		if shard.status == open && !shard.retryAt.IsZero() && !now.Before(shard.retryAt) {
+		if !shard.retryAt.IsZero() && !now.Before(shard.retryAt) {
 			shard.retryAt = time.Time{}
+			query.retries--
 			due = append(due, position)
 		}
 	}
--- a/internal/scatter/service.go
+++ b/internal/scatter/service.go
@@ -81,13 +81,6 @@
 	})
 }
 
-// routeOf returns the owners of a server.
-func (service *service) routeOf(server string) route {
-	service.mutex.Lock()
-	defer service.mutex.Unlock()
-	return service.routes[server]
-}
-
 // pin chooses the index version, after asking owners when none is known.
 func (service *service) pin(ctx context.Context, deadline time.Time) (snapshot.Choice, *verdict.Error) {
 	timer := time.NewTimer(time.Until(deadline))
@@ -194,6 +187,7 @@
 		Queued:        load.Queued,
 		InFlight:      load.InFlight,
 		Window:        load.Window,
+		Wait:          time.Duration(load.WaitMicros) * time.Microsecond,
 		Draining:      load.Draining,
 		Ejected:       load.Ejected,
 		SnapshotsHeld: load.SnapshotsHeld,
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -71,6 +71,7 @@
 		MaxRequestBodySize:    maxBodyBytes,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
+		MaxIdleWorkerDuration: time.Second,
 	}
 }
 
@@ -193,8 +194,10 @@
 		} else {
 			stats.Reads++
 		}
+		stats.Waiting++
 	})
 	plan := server.faults.plan(resource, client, write)
+	server.stats.record(client, func(stats *ClientStats) { stats.Waiting-- })
 	if !server.pass(request, plan) {
 		return
 	}
