--- a/internal/gossip/options.go
+++ b/internal/gossip/options.go
@@ -51,7 +51,7 @@
 	// callTimeout bounds a call to another member.
 	callTimeout = 2 * time.Second
 	// keptConnections bounds the connections kept open for calls.
-	keptConnections = 16
+	keptConnections = 4
 	// datagramLimit is above every datagram that is sent, in bytes.
 	datagramLimit = 4096
 )
