--- a/internal/lab/scale/options.go
+++ b/internal/lab/scale/options.go
@@ -9,6 +9,8 @@
 	// Zones and Regions are the numbers over which nodes are spread.
 	Zones   int
 	Regions int
+	// Settle lets gossip about the start die down.
+	Settle time.Duration
 	// Idle is how long the cost at rest is measured.
 	Idle time.Duration
 	// Changes is the number of revisions published, ChangePeriod the time
@@ -36,6 +38,7 @@
 		Sizes:         []int{5, 20, 100},
 		Zones:         16,
 		Regions:       5,
+		Settle:        15 * time.Second,
 		Idle:          15 * time.Second,
 		Changes:       30,
 		ChangePeriod:  time.Second,
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -15,8 +15,6 @@
 	// fastPoll and slowPoll are the periods of looking at nodes.
 	fastPoll = time.Millisecond
 	slowPoll = 100 * time.Millisecond
-	// settle lets gossip about the start die down.
-	settle = 15 * time.Second
 	// service is the name of the service that is published.
 	service = "scale"
 )
@@ -56,7 +54,7 @@
 	steps := []func(context.Context, *fleet, *Size, Options) error{measureIdle, measureChanges, measureApplied, measureKills}
 	for index, step := range steps {
 		if index == 0 {
-			sleep(ctx, settle)
+			sleep(ctx, options.Settle)
 			size.MemoryBytes = (memory() - before) / float64(count)
 		}
 		if err := step(ctx, started, size, options); err != nil {
