--- a/internal/gossip/options.go
+++ b/internal/gossip/options.go
@@ -36,7 +36,7 @@
 	// a node to another, by datagram or call; nil when all are up.
 	Reachable func(from, to string) bool
 	// Changed, when set, is called after a member came or changed its state.
-	// It must return soon.
+	// It must return soon, and may be called from several goroutines at a time.
 	Changed func(membership.Changed)
 	// Registry takes the metrics; nil when there is none.
 	Registry prometheus.Registerer
--- a/internal/placement/measure_test.go
+++ b/internal/placement/measure_test.go
@@ -20,7 +20,6 @@
 	nodes   int
 	zones   int
 	servers []placement.Server
-	// queries is the number of joins and leaves.
 	// shards is the number of shards of the service that is queried.
 	shards int
 	// Bounds on what is measured for Rank.
