--- a/internal/gossip/cluster_test.go
+++ b/internal/gossip/cluster_test.go
@@ -60,13 +60,18 @@
 }
 
 func (cluster *cluster) startWith(join []string) *testNode {
+	return cluster.startAs(len(cluster.nodes), join)
+}
+
+// startAs starts a node of a given number.
+func (cluster *cluster) startAs(number int, join []string) *testNode {
 	t := cluster.t
 	is := is.New(t)
 	connection, err := net.ListenPacket("udp", "127.0.0.1:0")
 	is.NoErr(err)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	node := &testNode{number: len(cluster.nodes), store: config.NewStore()}
+	node := &testNode{number: number, store: config.NewStore()}
 	node.self = membership.Member{
 		ID:            fmt.Sprintf("node-%03d", node.number),
 		Address:       listener.Addr().String(),
