node: membership, dissemination and the controller take the place of reading the platform

Every node takes part in membership over UDP; accepted revisions come from the controller's lease holder by dissemination; a node takes requests once it has synced. The machine list stays a hint: unknown nodes and leaving machines.

--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -6,7 +6,10 @@
 	"go.uber.org/dig"
 
 	"github.com/driftstage/driftstage/internal/config"
+	"github.com/driftstage/driftstage/internal/controller"
 	"github.com/driftstage/driftstage/internal/gateway"
+	"github.com/driftstage/driftstage/internal/gossip"
+	"github.com/driftstage/driftstage/internal/membership"
 	"github.com/driftstage/driftstage/internal/owner"
 	"github.com/driftstage/driftstage/internal/platform"
 	"github.com/driftstage/driftstage/internal/scatter"
@@ -25,11 +28,12 @@
 		config.NewStore,
 		newWireClient,
 		newPlatformClient,
-		newPlatformPoller,
-		newOwner,
 		newWireServer,
+		newMember,
+		newMachineList,
+		newOwner,
+		newController,
 		newScatterer,
-		newReadiness,
 		newGateway,
 		newAdmin,
 		newNode,
@@ -55,7 +59,9 @@
 	Admin     *telemetry.Admin
 	Server    *wire.Server
 	Client    *wire.Client
-	Poller    *platformPoller
+	Member    *gossip.Node
+	Control   *controller.Controller
+	Machines  *machineList
 }
 
 func newNode(parts nodeParts) *Node {
@@ -67,7 +73,9 @@
 		admin:     parts.Admin,
 		server:    parts.Server,
 		client:    parts.Client,
-		poller:    parts.Poller,
+		member:    parts.Member,
+		control:   parts.Control,
+		machines:  parts.Machines,
 	}
 }
 
@@ -79,48 +87,77 @@
 	return platform.NewClient(platform.Options{Address: loaded.PlatformAddress, Name: loaded.Name})
 }
 
-func newOwner(loaded settings.Settings, store *config.Store, poller *platformPoller, registry *prometheus.Registry) *owner.Manager {
+func newWireServer() *wire.Server {
+	return wire.NewServer(wire.ServerOptions{})
+}
+
+func newMember(loaded settings.Settings, opened *listeners, server *wire.Server, store *config.Store, registry *prometheus.Registry) *gossip.Node {
+	return gossip.New(gossip.Options{
+		Self: membership.Member{
+			ID:            loaded.Name,
+			Address:       opened.wire.Addr().String(),
+			GossipAddress: opened.gossip.LocalAddr().String(),
+			Zone:          loaded.Zone,
+			Region:        loaded.Region,
+		},
+		Connection: opened.gossip,
+		Server:     server,
+		Store:      store,
+		Join:       loaded.Join,
+		Registry:   registry,
+	})
+}
+
+func newController(loaded settings.Settings, client *platform.Client, member *gossip.Node, store *config.Store, registry *prometheus.Registry) *controller.Controller {
+	return controller.New(controller.Options{
+		Name:      loaded.Name,
+		Client:    client,
+		Candidate: candidate(loaded.Name, member),
+		Publisher: publisher{member: member},
+		Spread:    spread{member: member},
+		Known:     store,
+		Registry:  registry,
+	})
+}
+
+func newOwner(loaded settings.Settings, store *config.Store, member *gossip.Node, machines *machineList, server *wire.Server, registry *prometheus.Registry) *owner.Manager {
 	manager := owner.NewManager(owner.Options{
 		Services:  store,
-		Ownership: &ownership{self: loaded.Name, members: poller, store: store},
+		Ownership: &ownership{self: loaded.Name, members: member, store: store},
+		Machines:  machines,
 		Metrics:   owner.NewMetrics(registry),
 	})
 	registry.MustRegister(manager)
-	return manager
-}
-
-func newWireServer(manager *owner.Manager) *wire.Server {
-	server := wire.NewServer(wire.ServerOptions{})
 	serveOwner(server, manager)
-	return server
+	return manager
 }
 
-func newScatterer(loaded settings.Settings, poller *platformPoller, client *wire.Client, manager *owner.Manager, registry *prometheus.Registry) *scatter.Scatterer {
+func newScatterer(loaded settings.Settings, member *gossip.Node, client *wire.Client, manager *owner.Manager, registry *prometheus.Registry) *scatter.Scatterer {
 	return scatter.New(scatter.Options{
 		NodeID:  loaded.Name,
 		Zone:    loaded.Zone,
-		Members: poller,
+		Members: member,
 		Owners:  ownerPeers{client: client},
 		Local:   manager,
 		Metrics: scatter.NewMetrics(registry),
 	})
 }
 
-func newGateway(loaded settings.Settings, store *config.Store, scatterer *scatter.Scatterer, ready *readiness, registry *prometheus.Registry) *gateway.Gateway {
+func newGateway(loaded settings.Settings, store *config.Store, scatterer *scatter.Scatterer, member *gossip.Node, registry *prometheus.Registry) *gateway.Gateway {
 	return gateway.New(gateway.Options{
 		Services:           store,
 		Runner:             scatterer,
-		Ready:              ready.reason,
+		Ready:              member.NotReady,
 		Registry:           registry,
 		MaximumBodyBytes:   loaded.MaximumBodyBytes,
 		MaximumConnections: loaded.MaximumConnections,
 	})
 }
 
-func newAdmin(registry *prometheus.Registry, ready *readiness, state stateSource) *telemetry.Admin {
+func newAdmin(registry *prometheus.Registry, member *gossip.Node, state stateSource) *telemetry.Admin {
 	return telemetry.NewAdmin(telemetry.AdminOptions{
 		Registry: registry,
-		Ready:    ready.reason,
+		Ready:    member.NotReady,
 		State:    func() any { return state.read() },
 	})
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,13 +4,16 @@
 
 import (
 	"context"
+	"net"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"github.com/driftstage/driftstage/internal/controller"
 	"github.com/driftstage/driftstage/internal/gateway"
+	"github.com/driftstage/driftstage/internal/gossip"
 	"github.com/driftstage/driftstage/internal/owner"
 	"github.com/driftstage/driftstage/internal/settings"
 	"github.com/driftstage/driftstage/internal/telemetry"
@@ -26,7 +29,9 @@
 	admin     *telemetry.Admin
 	server    *wire.Server
 	client    *wire.Client
-	poller    *platformPoller
+	member    *gossip.Node
+	control   *controller.Controller
+	machines  *machineList
 }
 
 // New opens the listeners and wires the parts; nothing runs yet.
@@ -48,25 +53,13 @@
 func (node *Node) Run(ctx context.Context) error {
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	var servers errgroup.Group
-	failed := make(chan error, 1)
-	serve := func(name string, run func() error) {
-		servers.Go(func() error {
-			err := run()
-			if err != nil {
-				select {
-				case failed <- errors.Wrap(err, name):
-				default:
-				}
-			}
-			return err
-		})
-	}
-	serve("admin", func() error { return node.admin.Serve(node.listeners.admin) })
-	serve("wire", func() error { return node.server.Serve(node.listeners.wire) })
-	serve("gateway", func() error { return node.gateway.Serve(node.listeners.gateway) })
-	go node.owner.Run(background)
-	go node.poller.run(background)
+	failed := node.serve()
+	node.member.Start()
+	var tasks sync.WaitGroup
+	tasks.Go(func() { node.owner.Run(background) })
+	tasks.Go(func() { node.machines.run(background) })
+	controlContext, stopControl := context.WithCancel(background)
+	tasks.Go(func() { node.control.Run(controlContext) })
 	klog.InfoS("started",
 		"zone", node.settings.Zone,
 		"gateway", node.listeners.gateway.Addr().String(),
@@ -80,7 +73,38 @@
 	case cause = <-failed:
 		klog.ErrorS(cause, "a server failed; stopping")
 	}
-	return errors.CombineErrors(cause, node.stop())
+	stopControl()
+	stopped := node.stop()
+	cancel()
+	tasks.Wait()
+	klog.InfoS("stopped", "cut", stopped != nil)
+	klog.Flush()
+	return errors.CombineErrors(cause, stopped)
+}
+
+// serve starts the servers; the channel gives the first that failed.
+func (node *Node) serve() <-chan error {
+	failed := make(chan error, 1)
+	servers := []struct {
+		name     string
+		serve    func(net.Listener) error
+		listener net.Listener
+	}{
+		{"admin", node.admin.Serve, node.listeners.admin},
+		{"wire", node.server.Serve, node.listeners.wire},
+		{"gateway", node.gateway.Serve, node.listeners.gateway},
+	}
+	for _, server := range servers {
+		go func() {
+			if err := server.serve(server.listener); err != nil {
+				select {
+				case failed <- errors.Wrap(err, server.name):
+				default:
+				}
+			}
+		}()
+	}
+	return failed
 }
 
 // stop ends the node without cutting requests under way: new ones are refused
@@ -89,7 +113,9 @@
 func (node *Node) stop() error {
 	klog.InfoS("stopping", "drainDelay", node.settings.DrainDelay.String())
 	node.gateway.Drain()
-	time.Sleep(node.settings.DrainDelay)
+	drained := time.After(node.settings.DrainDelay)
+	node.member.Leave(context.Background())
+	<-drained
 	ctx, cancel := context.WithTimeout(context.Background(), node.settings.StopTimeout)
 	defer cancel()
 	var problems error
@@ -107,9 +133,8 @@
 		}
 	}
 	node.client.Close()
+	node.member.Close()
 	_ = node.admin.Close()
 	node.listeners.close()
-	klog.InfoS("stopped", "cut", problems != nil)
-	klog.Flush()
 	return problems
 }
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -4,37 +4,24 @@
 	"go.uber.org/dig"
 
 	"github.com/driftstage/driftstage/internal/config"
+	"github.com/driftstage/driftstage/internal/controller"
 	"github.com/driftstage/driftstage/internal/gateway"
+	"github.com/driftstage/driftstage/internal/gossip"
 	"github.com/driftstage/driftstage/internal/membership"
 	"github.com/driftstage/driftstage/internal/settings"
 )
 
-// readiness tells whether the node may take requests.
-type readiness struct {
-	members memberView
-}
-
-func newReadiness(poller *platformPoller) *readiness {
-	return &readiness{members: poller}
-}
-
-// reason returns why the node takes no requests; empty when it does.
-func (readiness *readiness) reason() string {
-	if len(readiness.members.Members()) == 0 {
-		return "no members are known yet"
-	}
-	return ""
-}
-
 // state is what /debug/state shows to an operator.
 type state struct {
-	Node     string         `json:"node"`
-	Zone     string         `json:"zone"`
-	Region   string         `json:"region"`
-	NotReady string         `json:"notReady,omitempty"`
-	InFlight int            `json:"queriesInFlight"`
-	Members  []memberState  `json:"members"`
-	Services []serviceState `json:"services"`
+	Node     string `json:"node"`
+	Zone     string `json:"zone"`
+	Region   string `json:"region"`
+	NotReady string `json:"notReady,omitempty"`
+	InFlight int    `json:"queriesInFlight"`
+	// Control tells whether this node holds the controller's lease.
+	Control  controller.State `json:"control"`
+	Members  []memberState    `json:"members"`
+	Services []serviceState   `json:"services"`
 }
 
 type memberState struct {
@@ -59,9 +46,9 @@
 	dig.In
 
 	Settings settings.Settings
-	Ready    *readiness
 	Store    *config.Store
-	Members  *platformPoller
+	Member   *gossip.Node
+	Control  *controller.Controller
 	Gateway  *gateway.Gateway
 }
 
@@ -70,15 +57,16 @@
 		Node:     source.Settings.Name,
 		Zone:     source.Settings.Zone,
 		Region:   source.Settings.Region,
-		NotReady: source.Ready.reason(),
+		NotReady: source.Member.NotReady(),
 		InFlight: source.Gateway.InFlight(),
+		Control:  source.Control.State(),
 		Members:  []memberState{},
 		Services: []serviceState{},
 	}
-	for _, member := range source.Members.Members() {
+	for _, member := range source.Member.Members() {
 		read.Members = append(read.Members, newMemberState(member))
 	}
-	owned := &ownership{self: source.Settings.Name, members: source.Members, store: source.Store}
+	owned := &ownership{self: source.Settings.Name, members: source.Member, store: source.Store}
 	for _, service := range source.Store.Services() {
 		read.Services = append(read.Services, newServiceState(service, owned))
 	}
