Controller: a failing resource waits for its backoff

Looking again at unfinished spreading queued a failing resource ten times a second, past its backoff; a store that refuses one kind of write would have been pressed without end. A name in backoff is now held back, at most 2 s, so that acceptance goes on within seconds once the platform answers.

--- a/internal/controller/queue.go
+++ b/internal/controller/queue.go
@@ -9,7 +9,7 @@
 
 const (
 	firstBackoff = 100 * time.Millisecond
-	maxBackoff   = 5 * time.Second
+	maxBackoff   = 2 * time.Second
 )
 
 // backoff is a capped exponential time with jitter: half to all of it.
@@ -19,11 +19,13 @@
 }
 
 // queue holds names that need work. A name is in the hands of one worker at a
-// time; one added meanwhile comes again afterwards.
+// time; one added meanwhile comes again afterwards. One that failed comes again
+// after its backoff, and not before, however often it is added.
 type queue struct {
 	mutex    sync.Mutex
 	waiting  map[string]bool
 	working  map[string]bool
+	delayed  map[string]bool
 	failures map[string]int
 	// ready is signalled when a name may be taken.
 	ready chan struct{}
@@ -33,6 +35,7 @@
 	return &queue{
 		waiting:  make(map[string]bool),
 		working:  make(map[string]bool),
+		delayed:  make(map[string]bool),
 		failures: make(map[string]int),
 		ready:    make(chan struct{}, 1),
 	}
@@ -72,7 +75,7 @@
 	queue.mutex.Lock()
 	defer queue.mutex.Unlock()
 	for name := range queue.waiting {
-		if queue.working[name] {
+		if queue.working[name] || queue.delayed[name] {
 			continue
 		}
 		delete(queue.waiting, name)
@@ -83,7 +86,8 @@
 	return "", false
 }
 
-// done gives a name back. After a failure it comes again by itself, later with
+// done gives a name back; the worker that calls it takes the next one itself.
+// After a failure it comes again by itself, later with
 // each failure in a row.
 func (queue *queue) done(name string, err error) {
 	queue.mutex.Lock()
@@ -91,10 +95,17 @@
 	delete(queue.working, name)
 	if err == nil {
 		delete(queue.failures, name)
-		queue.signal()
 		return
 	}
-	time.AfterFunc(backoff(queue.failures[name]), func() { queue.add(name) })
+	queue.delayed[name] = true
+	time.AfterFunc(backoff(queue.failures[name]), func() { queue.retry(name) })
 	queue.failures[name]++
+}
+
+func (queue *queue) retry(name string) {
+	queue.mutex.Lock()
+	defer queue.mutex.Unlock()
+	delete(queue.delayed, name)
+	queue.waiting[name] = true
 	queue.signal()
 }
