node: two nodes of each zone read the machine list, the others ask them

Cause: every node read the list every 2 s; at 3,600 nodes that is 1,800 reads a second of a platform that bears few readers. Ruled out: spreading the list by gossip (no revision orders two readings of a list that lags). Change: the two highest-ranked nodes of each zone read (16 a second at 16 zones), the others ask one of them over the wire. Seen red: letting every node read (TestTwoNodesOfAZoneReadTheMachineList).

--- a/internal/node/machines.go
+++ b/internal/node/machines.go
@@ -9,38 +9,99 @@
 	"k8s.io/klog/v2"
 
 	"github.com/driftstage/driftstage/internal/gossip"
+	"github.com/driftstage/driftstage/internal/membership"
+	"github.com/driftstage/driftstage/internal/placement"
 	"github.com/driftstage/driftstage/internal/platform"
+	"github.com/driftstage/driftstage/internal/settings"
+	"github.com/driftstage/driftstage/internal/wire"
+	"github.com/driftstage/driftstage/internal/wire/message"
 )
 
 const (
-	// machinesInterval is the mean time between two reads of the machine list.
+	// machinesInterval is the mean time between two looks at the machine list.
 	machinesInterval = 2 * time.Second
-	// machinesTimeout bounds one read.
+	// machinesTimeout bounds one look.
 	machinesTimeout = 5 * time.Second
+	// machinesFresh is how long a reader's last look may be passed on.
+	machinesFresh = 30 * time.Second
+	// machinesRank is the name by which the readers are ranked.
+	machinesRank = "machine-list"
 )
 
+// machineReader reads the platform's machine list; platform.Client is one.
+type machineReader interface {
+	Machines(ctx context.Context) ([]platform.Machine, error)
+}
+
+// machineFollower takes the addresses of live machines; gossip.Node is one.
+type machineFollower interface {
+	SetMachines(addresses []string)
+}
+
 // machineList follows the platform's list of machines. It is a hint: it finds
 // nodes that no member has named, and machines that are leaving.
+//
+// The platform bears few readers: the two highest-ranked nodes of each zone read
+// the list, the others ask these. A node that knows no other member reads it itself.
 type machineList struct {
-	client  *platform.Client
-	member  *gossip.Node
-	leaving atomic.Pointer[map[string]bool]
+	self     string
+	zone     string
+	platform machineReader
+	client   *wire.Client
+	members  memberView
+	follower machineFollower
+	// seen is the last look, read or asked for.
+	seen atomic.Pointer[machinesSeen]
+}
+
+// machinesSeen is what a look at the machine list showed.
+type machinesSeen struct {
+	at      time.Time
+	leaving []string
+	// byAddress holds leaving.
+	byAddress map[string]bool
+}
+
+func newMachinesSeen(at time.Time, leaving []string) *machinesSeen {
+	seen := &machinesSeen{at: at, leaving: leaving, byAddress: make(map[string]bool, len(leaving))}
+	for _, address := range leaving {
+		seen.byAddress[address] = true
+	}
+	return seen
 }
 
-func newMachineList(client *platform.Client, member *gossip.Node) *machineList {
-	return &machineList{client: client, member: member}
+func newMachineList(loaded settings.Settings, client *platform.Client, wireClient *wire.Client, server *wire.Server, member *gossip.Node) *machineList {
+	list := &machineList{
+		self:     loaded.Name,
+		zone:     loaded.Zone,
+		platform: client,
+		client:   wireClient,
+		members:  member,
+		follower: member,
+	}
+	wire.Handle(server, list.serve)
+	return list
 }
 
 // Leaving reports whether the machine at the address is listed as leaving.
 func (list *machineList) Leaving(address string) bool {
-	leaving := list.leaving.Load()
-	return leaving != nil && (*leaving)[address]
+	seen := list.seen.Load()
+	return seen != nil && seen.byAddress[address]
+}
+
+// serve answers a node that does not read the list itself.
+func (list *machineList) serve(context.Context, *message.MachinesRequest) (*message.MachinesReply, error) {
+	seen := list.seen.Load()
+	if seen == nil || time.Since(seen.at) > machinesFresh {
+		return &message.MachinesReply{Leaving: []string{}}, nil
+	}
+	return &message.MachinesReply{Known: true, Leaving: seen.leaving}, nil
 }
 
 func (list *machineList) run(ctx context.Context) {
 	reachable := true
 	for ctx.Err() == nil {
-		err := list.read(ctx)
+		err := list.look(ctx)
 		if err != nil && reachable && ctx.Err() == nil {
 			klog.ErrorS(err, "machine list can not be read")
 		}
@@ -54,23 +115,59 @@
 	}
 }
 
-func (list *machineList) read(ctx context.Context) error {
+// look reads the list or asks one of the nodes that do.
+func (list *machineList) look(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, machinesTimeout)
 	defer cancel()
-	machines, err := list.client.Machines(ctx)
+	readers, reads := list.readers()
+	if reads {
+		return list.read(ctx)
+	}
+	reader := readers[rand.IntN(len(readers))]
+	reply := &message.MachinesReply{}
+	if err := list.client.Call(ctx, reader.Address, &message.MachinesRequest{}, reply); err != nil {
+		return err
+	}
+	if reply.Known {
+		list.seen.Store(newMachinesSeen(time.Now(), reply.Leaving))
+	}
+	return nil
+}
+
+// readers returns the nodes that read the list for this zone, and whether this
+// node is to read it.
+func (list *machineList) readers() (readers []membership.Member, reads bool) {
+	members := list.members.Members()
+	byID := make(map[string]membership.Member, len(members))
+	var nodes []placement.Node
+	for _, member := range members {
+		if member.State.TakesWork() {
+			byID[member.ID] = member
+			nodes = append(nodes, placement.Node{ID: member.ID, Zone: member.Zone})
+		}
+	}
+	first, second := placement.Rank(placement.Server{Name: machinesRank, Zone: list.zone}, nodes)
+	if second == "" || first == list.self || second == list.self {
+		return nil, true
+	}
+	return []membership.Member{byID[first], byID[second]}, false
+}
+
+func (list *machineList) read(ctx context.Context) error {
+	machines, err := list.platform.Machines(ctx)
 	if err != nil {
 		return err
 	}
-	leaving := make(map[string]bool)
+	leaving := []string{}
 	var live []string
 	for _, machine := range machines {
 		if machine.State == platform.MachineLeaving {
-			leaving[machine.Address] = true
+			leaving = append(leaving, machine.Address)
 			continue
 		}
 		live = append(live, machine.Address)
 	}
-	list.leaving.Store(&leaving)
-	list.member.SetMachines(live)
+	list.seen.Store(newMachinesSeen(time.Now(), leaving))
+	list.follower.SetMachines(live)
 	return nil
 }
--- a/internal/wire/message/messages_gen.go
+++ b/internal/wire/message/messages_gen.go
@@ -550,6 +550,52 @@
 	return avro.Marshal(o.Schema(), o)
 }
 
+// Asks a node that reads the platform's machine list what it says.
+type MachinesRequest struct {
+}
+
+var schemaMachinesRequest = avro.MustParse(`{"name":"MachinesRequest","type":"record","fields":[]}`)
+
+// Schema returns the schema for MachinesRequest.
+func (o *MachinesRequest) Schema() avro.Schema {
+	return schemaMachinesRequest
+}
+
+// Unmarshal decodes b into the receiver.
+func (o *MachinesRequest) Unmarshal(b []byte) error {
+	return avro.Unmarshal(o.Schema(), b, o)
+}
+
+// Marshal encodes the receiver.
+func (o *MachinesRequest) Marshal() ([]byte, error) {
+	return avro.Marshal(o.Schema(), o)
+}
+
+// Answers a MachinesRequest.
+type MachinesReply struct {
+	// False when the node has not read the list lately.
+	Known bool `avro:"known"`
+	// Addresses (IP:port) of the machines that are leaving.
+	Leaving []string `avro:"leaving"`
+}
+
+var schemaMachinesReply = avro.MustParse(`{"name":"MachinesReply","type":"record","fields":[{"name":"known","type":"boolean"},{"name":"leaving","type":{"type":"array","items":"string"}}]}`)
+
+// Schema returns the schema for MachinesReply.
+func (o *MachinesReply) Schema() avro.Schema {
+	return schemaMachinesReply
+}
+
+// Unmarshal decodes b into the receiver.
+func (o *MachinesReply) Unmarshal(b []byte) error {
+	return avro.Unmarshal(o.Schema(), b, o)
+}
+
+// Marshal encodes the receiver.
+func (o *MachinesReply) Marshal() ([]byte, error) {
+	return avro.Marshal(o.Schema(), o)
+}
+
 // An empty answer.
 type Acknowledgement struct {
 }
