--- /dev/null
+++ b/test/e2e/ask_test.go
@@ -0,0 +1,122 @@
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	v1 "github.com/driftstage/driftstage/api/v1"
+	"github.com/driftstage/driftstage/internal/lab"
+	"github.com/driftstage/driftstage/internal/lab/cluster"
+	"github.com/driftstage/driftstage/internal/standin/backend"
+)
+
+// requireUseful fails unless at least the share of the queries had a useful
+// answer: a load that did nothing proves nothing.
+func (system *system) requireUseful(report *lab.Report, share float64) {
+	system.t.Helper()
+	system.t.Logf("sent %d, coverage %.4f, verdicts %v, statuses %v, failures %v, load %.4f",
+		report.Sent, report.Coverage, report.Verdicts, report.Statuses, report.Failures, report.BackEnds.Ratio)
+	useful := report.Statuses[http.StatusOK]
+	if float64(useful) < share*float64(report.Sent) {
+		system.t.Errorf("%d useful answers to %d queries, want a share of %.2f", useful, report.Sent, share)
+	}
+}
+
+// ask sends one repeatable query and returns the answer of status 200.
+func (system *system) ask(gateway string) (lab.Answer, error) {
+	var answer lab.Answer
+	url := fmt.Sprintf("http://%s/v1/services/%s/query", gateway, service)
+	request, err := http.NewRequestWithContext(testContext(system.t), http.MethodPost, url, strings.NewReader(`{"q":"single"}`))
+	if err != nil {
+		return answer, err
+	}
+	request.Header.Set("Driftstage-Timeout", "2s")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return answer, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return answer, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return answer, fmt.Errorf("%s: %s", response.Status, body)
+	}
+	return answer, json.Unmarshal(body, &answer)
+}
+
+// awaitWhole waits until a gateway answers with all shards of the service.
+func (system *system) awaitWhole(gateway string, shards int) {
+	system.t.Helper()
+	system.await(func(context.Context) error {
+		answer, err := system.ask(gateway)
+		if err == nil && (answer.Coverage.Covered != shards || answer.Coverage.Shards != shards) {
+			err = fmt.Errorf("covered %d of %d, want %d", answer.Coverage.Covered, answer.Coverage.Shards, shards)
+		}
+		return err
+	})
+}
+
+func (system *system) await(condition func(context.Context) error) {
+	system.t.Helper()
+	must(system.t, cluster.Await(testContext(system.t), condition))
+}
+
+// fleet describes the back ends.
+func (system *system) fleet() backend.Description {
+	system.t.Helper()
+	fleet, err := system.backends.Fleet()
+	must(system.t, err)
+	return fleet
+}
+
+func (system *system) setFault(fault backend.Fault) {
+	system.t.Helper()
+	must(system.t, system.backends.SetFault(fault))
+}
+
+// updateResource reads the resource, changes it and writes it back.
+func (system *system) updateResource(change func(*v1.QueryService)) error {
+	url := "http://" + system.Platform.Address + "/apis/driftstage.dev/v1/queryservices/" + service
+	response, err := http.Get(url)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	var resource v1.QueryService
+	if err := json.NewDecoder(response.Body).Decode(&resource); err != nil {
+		return err
+	}
+	change(&resource)
+	body, err := json.Marshal(resource)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(testContext(system.t), http.MethodPut, url, strings.NewReader(string(body)))
+	if err != nil {
+		return err
+	}
+	written, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer written.Body.Close()
+	if written.StatusCode != http.StatusOK {
+		reason, _ := io.ReadAll(written.Body)
+		return fmt.Errorf("%s: %s", written.Status, reason)
+	}
+	return nil
+}
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -21,6 +22,8 @@
 	patience = 90 * time.Second
 	// service is the name of the query service of most tests.
 	service = "search"
+	// queryTimeout is what the loads give as the timeout of a query.
+	queryTimeout = 500 * time.Millisecond
 )
 
 // binaries is the directory of the programs under test.
@@ -37,7 +40,8 @@
 		return 1
 	}
 	defer os.RemoveAll(directory)
-	build := exec.Command("go", "build", "-o", directory+"/", "./cmd/...")
+	arguments := append([]string{"build", "-o", directory + "/"}, buildFlags...)
+	build := exec.Command("go", append(arguments, "./cmd/...")...)
 	build.Dir = filepath.Join("..", "..")
 	build.Stderr = os.Stderr
 	if err := build.Run(); err != nil {
@@ -100,6 +104,10 @@
 }
 
 func (system *system) stop() {
+	for _, node := range system.Running() {
+		// A daemon that a failed test left stopped could not end.
+		_ = node.Signal(syscall.SIGCONT)
+	}
 	if err := system.Stop(); err != nil {
 		system.t.Errorf("stop: %v", err)
 	}
@@ -128,6 +136,7 @@
 	options.Warmup = time.Second
 	options.RepeatableShare = 0.5
 	options.Seed = 7
+	options.Timeout = queryTimeout
 	return options
 }
 
