Pass over an index version whose partitions do not fit the shard map

Cause: between a repartitioned version and the resource with its map, the gateway pinned the newest version held, which every server refuses for its partition count (412): 77 of 597 queries failed in TestRepartitioning (race build, 100/s, window of about 1 s), though the older version was still held. Change: a version that a server refuses while it holds it is passed over for 2 s, or until the next revision of the resource; the query restarts at an older one that fits. After: 4 of 597 failed in the same test, which now wants 95% useful answers. Seen red: without excludeRefused TestRepartitionedVersionIsPassedOver fails; TestRepartitioning had 87% useful.

--- /dev/null
+++ b/internal/query/exclude_test.go
@@ -0,0 +1,55 @@
+package query
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	v1 "github.com/driftstage/driftstage/api/v1"
+	"github.com/driftstage/driftstage/internal/verdict"
+)
+
+// A version that a server refuses though it holds it has other partitions: the
+// query moves to an older one that fits, later queries pin that at once, and a
+// new shard map is free to use the newer version.
+func TestRepartitionedVersionIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	spec := &v1.QueryServiceSpec{
+		Coverage: v1.Coverage{Target: 1},
+		Servers:  []v1.Server{{Name: "s"}},
+		Shards:   []v1.Shard{{ID: 0, Replicas: []string{"s"}}},
+	}
+	fleet := NewFleet("a")
+	shardMap := fleet.Configure(1, spec)
+	load := Load{Window: 1, SnapshotsHeld: []int64{40, 41}}
+	fleet.Observe(start, "s", load)
+	is.Equal(fleet.Snapshot().Version, int64(41))
+	next := AttemptID(0)
+	query := New(fleet, shardMap, Parameters{
+		Deadline:    start.Add(testDeadline),
+		AnswerAfter: start.Add(testDeadline),
+		Minimum:     1,
+		Target:      1,
+		Snapshot:    41,
+		NextAttempt: func() AttemptID { next++; return next },
+		Random:      rand.New(rand.NewPCG(1, 1)),
+	})
+	first := query.Start(start).Sends[0]
+	fleet.Observe(start, "s", load)
+	refusal := verdict.New(verdict.NotRun, verdict.CodeVersionNotHeld, "other partitions")
+	actions := query.Handle(start, Reply{Attempt: first.Attempt, Failure: refusal})
+	is.Equal(len(actions.Sends), 1)
+	is.Equal(actions.Sends[0].Snapshot, int64(40))
+
+	fleet.Observe(start, "s", load)
+	is.Equal(fleet.Snapshot().Version, int64(40))
+	fleet.Observe(start.Add(exclusionValid+time.Millisecond), "s", load)
+	is.Equal(fleet.Snapshot().Version, int64(41)) // Tried again.
+
+	fleet.exclude(start, 41)
+	fleet.Configure(2, spec)
+	fleet.Observe(start, "s", load)
+	is.Equal(fleet.Snapshot().Version, int64(41))
+}
--- a/internal/query/fleet.go
+++ b/internal/query/fleet.go
@@ -87,6 +87,10 @@
 	choice      snapshot.Choice
 	choiceStale bool
 	enough      float64
+
+	// excluded is a version that is passed over until excludedUntil; zero for none.
+	excluded      int64
+	excludedUntil time.Time
 }
 
 // NewFleet returns a fleet for a gateway in the zone.
@@ -110,6 +114,7 @@
 	fleet.hedges.ratio = spec.Hedging.Budget
 	fleet.enough = spec.Coverage.Target
 	fleet.choiceStale = true
+	fleet.excluded = snapshot.Unknown
 	fleet.updateServers(spec)
 	fleet.current = fleet.newMap(spec)
 	return fleet.current
@@ -161,6 +166,7 @@
 	if !ok {
 		return
 	}
+	load.SnapshotsHeld = fleet.usable(now, load.SnapshotsHeld)
 	if !slices.Equal(server.load.SnapshotsHeld, load.SnapshotsHeld) {
 		fleet.choiceStale = true
 	}
--- a/internal/query/send.go
+++ b/internal/query/send.go
@@ -232,6 +232,7 @@
 func (query *Query) fail(now time.Time, pending *attempt, failure *verdict.Error) {
 	query.verdict = query.verdict.With(failure.Verdict)
 	query.retryAfter = max(query.retryAfter, failure.RetryAfter)
+	query.excludeRefused(now, pending.server, failure)
 	var again []int
 	for _, position := range pending.shards {
 		shard := &query.shards[position]
--- a/test/e2e/change_test.go
+++ b/test/e2e/change_test.go
@@ -39,7 +39,7 @@
 		must(t, err)
 		must(t, system.updateResource(func(stored *v1.QueryService) { stored.Spec.Shards = resource.Spec.Shards }))
 	})
-	system.requireUseful(report, 0.8)
+	system.requireUseful(report, 0.95)
 	for _, node := range system.Nodes {
 		system.awaitWhole(node.Gateway, 16)
 	}
