--- a/internal/lab/answer.go
+++ b/internal/lab/answer.go
@@ -71,6 +71,8 @@
 // outcome is what the caller of one query saw.
 type outcome struct {
 	query query
+	// sentAt is when the query was sent.
+	sentAt time.Time
 	// status is the HTTP status; zero when no answer came.
 	status  int
 	verdict verdict.Verdict
--- a/internal/lab/check.go
+++ b/internal/lab/check.go
@@ -1,6 +1,8 @@
 package lab
 
 import (
+	"time"
+
 	v1 "github.com/driftstage/driftstage/api/v1"
 	"github.com/driftstage/driftstage/internal/standin/backend"
 	"github.com/driftstage/driftstage/internal/verdict"
@@ -13,6 +15,8 @@
 	perShard map[v1.ShardID]int
 	// completed holds the shards that completed, by version.
 	completed map[shardVersion]bool
+	// lastStart is when the last execution began.
+	lastStart time.Time
 }
 
 type shardVersion struct {
@@ -30,6 +34,9 @@
 			groups[execution.QueryHash] = group
 		}
 		group.executions++
+		if execution.Start.After(group.lastStart) {
+			group.lastStart = execution.Start
+		}
 		for _, shard := range execution.Shards {
 			group.perShard[shard]++
 			if execution.Outcome == backend.OutcomeCompleted {
@@ -63,3 +70,13 @@
 		}
 	}
 }
+
+// lateTolerance is how long after its deadline a query may still begin to run
+// before the execution counts as late: clocks are the same, but what was
+// written in time takes a while to arrive.
+const lateTolerance = 250 * time.Millisecond
+
+// late tells whether a back end began to run the query long after its deadline.
+func (outcome *outcome) late(timeout time.Duration, ran *executed) bool {
+	return ran != nil && ran.lastStart.After(outcome.sentAt.Add(timeout+lateTolerance))
+}
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -56,7 +56,7 @@
 			notSent++
 			continue
 		}
-		result := &outcome{query: query}
+		result := &outcome{query: query, sentAt: time.Now()}
 		outcomes = append(outcomes, result)
 		waiting.Go(func() {
 			target.ask(options, result)
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -32,6 +32,8 @@
 	ShardExecutions int `json:"shardExecutions"`
 	// SubRequests counts executions; one may be of several shards.
 	SubRequests int `json:"subRequests"`
+	// Late counts queries that began to run long after their deadline.
+	Late int `json:"late"`
 	// Ratio is ShardExecutions over ShardsAsked: 1 is no extra load.
 	Ratio float64 `json:"ratio"`
 }
@@ -177,6 +179,9 @@
 			continue
 		}
 		load.SubRequests += ran.executions
+		if outcome.late(builder.options.Timeout, ran) {
+			load.Late++
+		}
 		for _, count := range ran.perShard {
 			load.ShardExecutions += count
 		}
--- a/internal/lab/table.go
+++ b/internal/lab/table.go
@@ -33,6 +33,7 @@
 	row("refusal p50 ms", func(report *Report) string { return fmt.Sprintf("%.2f", report.Refusals.P50) })
 	row("shard executions/asked", (*Report).loadCell)
 	row("sub-requests run", func(report *Report) string { return fmt.Sprint(report.BackEnds.SubRequests) })
+	row("begun after deadline", func(report *Report) string { return fmt.Sprint(report.BackEnds.Late) })
 	row("without answer", func(report *Report) string { return fmt.Sprint(report.Sent - report.Answered) })
 	row("wrong answers", func(report *Report) string { return fmt.Sprint(report.WrongAnswers) })
 	for _, name := range verdictNames(reports) {
--- a/test/e2e/nodes_test.go
+++ b/test/e2e/nodes_test.go
@@ -56,6 +56,7 @@
 		is.NoErr(owner.Signal(syscall.SIGCONT))
 	})
 	is.True(report.Answered == report.Sent)
+	is.Equal(report.BackEnds.Late, 0) // Nothing began to run long after its sender gave it up.
 	t.Logf("useful %d of %d, coverage of all %.4f, verdicts %v", report.Useful, report.Sent, report.CoverageOfAll, report.Verdicts)
 }
 
