--- a/internal/lab/experiment/overhead.go
+++ b/internal/lab/experiment/overhead.go
@@ -2,51 +2,71 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/driftstage/driftstage/internal/lab"
 )
 
-// overheadRate is a light load, in queries a second: latency without queues.
-const overheadRate = 100
+const (
+	// lightRate is a load, in queries a second, without queues.
+	lightRate = 100
+	// heavyRate is about half of what the servers bear.
+	heavyRate = 600
+)
 
-// Overhead measures what driftstage adds to healthy back ends under a light
-// load: latency, and the processor time of all daemons for each sub-request.
+// Overhead measures what driftstage adds to healthy back ends: latency at a
+// light load, and the processor time of all daemons for each further sub-request
+// between a light and a heavy load.
 func Overhead(ctx context.Context, options Options, user User) (result *Result, failure error) {
-	set, err := setUp(ctx, options, user, "--straggler-one-in", "0")
+	set, err := setUp(ctx, options, user)
 	if err != nil {
 		return nil, err
 	}
 	defer func() { failure = errors.Join(failure, set.cluster.Stop()) }()
-	load := set.load(options, overheadRate)
-	direct, err := lab.Load(ctx, load, set.baseline(options), set.backends)
+	direct, err := lab.Load(ctx, set.load(options, lightRate), set.baseline(options), set.backends)
 	if err != nil {
 		return nil, err
 	}
-	idle, err := set.cluster.ProcessorTime()
+	light, lightTime, err := set.timedLoad(ctx, set.load(options, lightRate))
 	if err != nil {
 		return nil, err
 	}
-	through, err := lab.Load(ctx, load, set.driftstage(), set.backends)
+	heavyLoad := set.load(options, heavyRate)
+	// Queries are told apart by their bodies, which follow from the seed.
+	heavyLoad.Seed++
+	heavy, heavyTime, err := set.timedLoad(ctx, heavyLoad)
 	if err != nil {
 		return nil, err
 	}
-	used, err := set.cluster.ProcessorTime()
-	if err != nil {
-		return nil, err
-	}
-	perSubRequest := ratio(float64((used - idle).Microseconds()), float64(through.BackEnds.SubRequests))
-	perShard := ratio(float64((used - idle).Microseconds()), float64(through.BackEnds.ShardExecutions))
+	added := float64((heavyTime - lightTime).Microseconds())
 	return &Result{
 		Experiment: "overhead",
 		Service:    user.Service,
-		Reports:    []*lab.Report{direct, through},
+		Reports:    []*lab.Report{direct, light, heavy},
 		Figures: []Figure{
-			{"added p50", through.Latency.P50 - direct.Latency.P50, "ms"},
-			{"added p99", through.Latency.P99 - direct.Latency.P99, "ms"},
-			{"processor time of all daemons per sub-request", perSubRequest, "µs"},
-			{"processor time of all daemons per shard", perShard, "µs"},
+			{"added p50", light.Latency.P50 - direct.Latency.P50, "ms"},
+			{"added p99", light.Latency.P99 - direct.Latency.P99, "ms"},
+			{"processor time of all daemons for each further sub-request",
+				ratio(added, float64(heavy.BackEnds.SubRequests-light.BackEnds.SubRequests)), "µs"},
+			{"processor time of all daemons for each further query",
+				ratio(added, float64(heavy.Sent-light.Sent)), "µs"},
 		},
 	}, nil
 }
+
+// timedLoad sends a load through driftstage and returns the processor time that
+// the daemons used for it.
+func (scene *scene) timedLoad(ctx context.Context, load lab.LoadOptions) (*lab.Report, time.Duration, error) {
+	before, err := scene.cluster.ProcessorTime()
+	if err != nil {
+		return nil, 0, err
+	}
+	report, err := lab.Load(ctx, load, scene.driftstage(), scene.backends)
+	if err != nil {
+		return nil, 0, err
+	}
+	after, err := scene.cluster.ProcessorTime()
+	return report, after - before, err
+}
