Membership: a process that restarts under its name at another address

Cause: an incarnation could reach a member before the details that belong to it, by a message's header or by a refutation, and the old address stayed for good. A header now counts only from the known address, and a new process sends its details for a minute with all that it says of itself.

Seen red: header taken from anywhere; no details after the start.

--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -31,6 +31,7 @@
 	doubts   []*record
 	suspects []*record
 
+	started       time.Time
 	lastTick      time.Time
 	lastHeard     time.Time
 	isolated      bool
@@ -58,6 +59,7 @@
 		news:      newNewsQueue(),
 		sequence:  random.Uint64() >> 1,
 		relays:    make(map[uint64]relay),
+		started:   now,
 		lastTick:  now,
 		lastHeard: now,
 	}
@@ -172,7 +174,18 @@
 	core.table.change(core.self, func() {
 		core.self.Incarnation = max(core.self.Incarnation, above) + 1
 	})
-	core.spread(core.self.update())
+	core.spread(core.selfUpdate())
+}
+
+// detailsPeriod is how long a new process sends its details with all that it
+// says of itself: until then some may know an earlier one elsewhere.
+const detailsPeriod = time.Minute
+
+func (core *Core) selfUpdate() Update {
+	if core.now.Sub(core.started) < detailsPeriod {
+		return core.self.detailedUpdate()
+	}
+	return core.self.update()
 }
 
 func (core *Core) leave() {
@@ -184,7 +197,7 @@
 		core.self.Incarnation++
 	})
 	core.act(Changed{Member: core.self.Member, Before: Alive})
-	core.spread(core.self.update())
+	core.spread(core.selfUpdate())
 	core.gossip(core.options.GossipFanout)
 }
 
--- a/internal/membership/core_test.go
+++ b/internal/membership/core_test.go
@@ -200,6 +200,31 @@
 	}
 }
 
+// A process that restarts under its name at another address is known there, also
+// when messages are lost and it is suspected meanwhile.
+func TestRestartAtAnotherAddress(t *testing.T) {
+	for seed := range uint64(20) {
+		simulation := started(t, seed, 8)
+		simulation.run(10 * time.Second)
+		moved := simulation.nodes[4]
+		simulation.kill(moved)
+		simulation.run(3 * time.Second)
+		simulation.loss = 0.4
+		moved.address = "10.0.9.9:7000"
+		simulation.startNode(moved, moved.id)
+		simulation.run(5 * time.Second)
+		simulation.loss = 0
+		mustAgree(t, simulation, joinBound)
+		for _, node := range simulation.nodes {
+			for _, member := range node.core.Members() {
+				if member.ID == moved.id && member.GossipAddress != moved.address {
+					t.Fatalf("seed %d: %s knows it at %s", seed, node.id, member.GossipAddress)
+				}
+			}
+		}
+	}
+}
+
 // A restarted process whose wall clock went back still replaces the old one.
 func TestRestartWithEarlierClock(t *testing.T) {
 	for _, suffix := range []string{"", "-new"} {
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -30,8 +30,7 @@
 
 // Member is one node of the system as others see it.
 type Member struct {
-	// ID names the node; it is unique among the live nodes, and a process
-	// that starts at another address takes another ID.
+	// ID names the node; it is unique among the live nodes.
 	ID string
 	// Address is the IP:port of the wire protocol (TCP).
 	Address string
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -107,7 +107,7 @@
 	}
 	core.heard()
 	before := core.self.Incarnation
-	core.takeUpdates(message)
+	core.takeUpdates(address, message)
 	sender := core.table.byID[message.From]
 	if core.self.Incarnation != before && message.Kind != Ping {
 		core.send(address, core.message(Gossip))
@@ -127,13 +127,13 @@
 
 // takeUpdates applies what the sender says of itself, then its news of others,
 // unless the sender is held dead: it may be cut off from those that it judges.
-func (core *Core) takeUpdates(message Message) {
+func (core *Core) takeUpdates(address string, message Message) {
 	for _, update := range message.Updates {
 		if update.ID == message.From || update.ID == core.self.ID {
 			core.apply(update)
 		}
 	}
-	core.apply(Update{ID: message.From, Incarnation: message.FromIncarnation, Status: message.FromStatus})
+	core.takeHeader(address, message)
 	sender := core.table.byID[message.From]
 	if sender != nil && sender.dead() {
 		return
@@ -143,6 +143,21 @@
 	}
 }
 
+// takeHeader applies what a message says of its sender, who is asked for details
+// when it is not where it was: they belong to its incarnation.
+func (core *Core) takeHeader(address string, message Message) {
+	update := Update{ID: message.From, Incarnation: message.FromIncarnation, Status: message.FromStatus}
+	known := core.table.byID[message.From]
+	switch {
+	case known == nil || !known.olderThan(update):
+	case known.GossipAddress == address:
+		core.apply(update)
+	case core.now.Sub(known.informedAt) >= core.options.GossipPeriod:
+		known.informedAt = core.now
+		core.pingAddress(address)
+	}
+}
+
 // inform tells a sender that it is held dead, and asks one that is not known for
 // its details. Neither may answer itself without end: a member is informed once
 // in a while, and a message that introduces its sender is not asked back.
--- a/internal/membership/step_test.go
+++ b/internal/membership/step_test.go
@@ -199,3 +199,22 @@
 	is.Equal(answer.Address, peerAddress(9))
 	is.Equal(answer.Message.FromIncarnation, uint64(8))
 }
+
+// A new process sends its details also when it has had to refute: some may know
+// an earlier one elsewhere.
+func TestRefutationOfNewProcessHasDetails(t *testing.T) {
+	is := is.New(t)
+	one := newSingle(1)
+	one.step(membership.Received{Address: peerAddress(0), Message: membership.Message{
+		From: peerID(0), FromIncarnation: 5, Kind: membership.Gossip,
+		Updates: []membership.Update{{ID: "self", Incarnation: 3, Status: membership.StatusSuspect}},
+	}})
+	found := false
+	for _, action := range one.run(time.Second) {
+		send, sent := action.(membership.Send)
+		for _, update := range send.Message.Updates {
+			found = found || sent && update.ID == "self" && update.Incarnation == 4 && update.Details != nil
+		}
+	}
+	is.True(found)
+}
