Membership: new nodes fetch tables without waiting for news to end

Change: a node compares tables in its first minute also while there is news, and any node when news has gone on for three sync periods.

Seen red: TestManyStartAtOnce without the rule for new nodes.

--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -38,6 +38,7 @@
 	nextProbe     time.Time
 	nextGossip    time.Time
 	nextDeadProbe time.Time
+	lastSync      time.Time
 	nextSync      time.Time
 	nextExpiry    time.Time
 }
@@ -60,6 +61,7 @@
 		sequence:  random.Uint64() >> 1,
 		relays:    make(map[uint64]relay),
 		started:   now,
+		lastSync:  now,
 		lastTick:  now,
 		lastHeard: now,
 	}
--- a/internal/membership/core_test.go
+++ b/internal/membership/core_test.go
@@ -81,6 +81,15 @@
 	})
 }
 
+// Many nodes that start at once know each other soon: what is slow in news is
+// fetched by whole tables.
+func TestManyStartAtOnce(t *testing.T) {
+	simulation := newSimulator(1, 200)
+	simulation.startAll()
+	took := mustAgree(t, simulation, 5*time.Second)
+	t.Logf("agreed after %v", took)
+}
+
 // A killed node is found dead by all within the bound.
 func TestKilledNodeIsFound(t *testing.T) {
 	for _, count := range []int{3, 5, 40} {
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -48,16 +48,15 @@
 	return entries
 }
 
-// compareTables asks for a sync when tables differ and there is no news left
-// that would explain it, or when this node has just started.
+// compareTables asks for a sync when tables differ.
 func (core *Core) compareTables(message Message, sender *record) {
 	if message.TableHash == core.table.hash || sender == nil || sender.dead() {
 		return
 	}
-	quiet := message.Quiet && core.news.empty()
-	if core.now.Before(core.nextSync) || core.synced && !quiet {
+	if core.now.Before(core.nextSync) || !core.maySync(message) {
 		return
 	}
+	core.lastSync = core.now
 	core.nextSync = core.now.Add(core.options.SyncPeriod/2 + core.jitter(core.options.SyncPeriod))
 	if !core.synced {
 		core.nextSync = core.now.Add(core.options.ProbePeriod)
@@ -65,6 +64,19 @@
 	core.act(Sync{Address: sender.Address})
 }
 
+// syncOverdue times the SyncPeriod is how long news may put off a sync.
+const syncOverdue = 3
+
+// maySync tells whether it is worth while to compare tables that differ: not when
+// news is still on its way, unless this node is new, as many may be with it, or
+// there has been news for long.
+func (core *Core) maySync(message Message) bool {
+	quiet := message.Quiet && core.news.empty()
+	young := core.now.Sub(core.started) < detailsPeriod
+	overdue := core.now.Sub(core.lastSync) > syncOverdue*core.options.SyncPeriod
+	return quiet || young || overdue
+}
+
 // merge takes in entries of another table. They are no news to most, and are
 // not spread; where they contradict this table, the member itself is asked.
 func (core *Core) merge(entries []Update) {
