Cluster name in hello and datagrams: clusters that get each other's addresses stay apart

Cause: in a whole test run the end-to-end test of a platform outage during a rolling replacement failed: no node took the lease for 90 s, and a node asked for the machine list of a 'member' that did not know the request. A stopped daemon's ports had gone to a node of another test, which answered the probes of its address, and the two clusters became one, whose candidates ran no controller. Machines that are handed from one system to another would do the same. Ruled out: the platform's faults (they were over; the update was written), the lease core (it passes alone, 19 s). Change: a cluster name (setting 'cluster'), hashed into the hello of every connection and into every datagram; what is of another cluster is dropped. Seen red: TestClustersStayApart without the check (3 members instead of 2), TestOtherClusterIsRefused.

--- a/internal/gossip/caller.go
+++ b/internal/gossip/caller.go
@@ -24,6 +24,7 @@
 }
 
 func newCaller(options Options) *caller {
+	options.Client.Cluster = options.Cluster
 	return &caller{
 		self:      options.Self.Address,
 		client:    wire.NewClient(options.Client),
--- a/internal/gossip/cluster_test.go
+++ b/internal/gossip/cluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -22,7 +23,9 @@
 
 // cluster is a set of nodes on the loopback interface with links that can be cut.
 type cluster struct {
-	t     *testing.T
+	t *testing.T
+	// name keeps clusters apart that get each other's old ports.
+	name  string
 	nodes []*testNode
 	// membership are the periods of nodes started from now on.
 	membership membership.Options
@@ -43,7 +46,7 @@
 }
 
 func newCluster(t *testing.T, count int) *cluster {
-	cluster := &cluster{t: t, owners: make(map[string]int), aloneAfter: time.Second}
+	cluster := &cluster{t: t, name: fmt.Sprint(t.Name(), os.Getpid()), owners: make(map[string]int), aloneAfter: time.Second}
 	cluster.membership = membership.DefaultOptions()
 	cluster.startMany(count)
 	return cluster
@@ -90,8 +93,9 @@
 	cluster.owners[node.self.Address] = node.number
 	cluster.owners[node.self.GossipAddress] = node.number
 	cluster.mutex.Unlock()
-	server := wire.NewServer(wire.ServerOptions{})
+	server := wire.NewServer(wire.ServerOptions{Cluster: cluster.name})
 	node.Node = gossip.New(gossip.Options{
+		Cluster:    cluster.name,
 		Self:       node.self,
 		Connection: connection,
 		Server:     server,
--- a/internal/gossip/datagram.go
+++ b/internal/gossip/datagram.go
@@ -1,6 +1,9 @@
 package gossip
 
 import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/driftstage/driftstage/internal/config"
@@ -15,16 +18,29 @@
 	tagRevisionReply
 )
 
-var errUnknownDatagram = errors.New("datagram of unknown type")
+// datagramHeader is the number of bytes before the content: tag and cluster.
+const datagramHeader = 1 + 4
+
+var (
+	errUnknownDatagram = errors.New("datagram of unknown type")
+	errOtherCluster    = errors.New("datagram of another cluster")
+)
+
+// clusterMark stands in every datagram, so that an address that changed hands
+// between two clusters does not join them.
+func clusterMark(cluster string) uint32 { return uint32(xxhash.Sum64String(cluster)) }
 
 type marshaler interface{ Marshal() ([]byte, error) }
 
-func encodeDatagram(tag byte, content marshaler) ([]byte, error) {
+func encodeDatagram(tag byte, mark uint32, content marshaler) ([]byte, error) {
 	encoded, err := content.Marshal()
 	if err != nil {
 		return nil, errors.Wrap(err, "encode datagram")
 	}
-	return append([]byte{tag}, encoded...), nil
+	datagram := make([]byte, 0, datagramHeader+len(encoded))
+	datagram = append(datagram, tag)
+	datagram = binary.BigEndian.AppendUint32(datagram, mark)
+	return append(datagram, encoded...), nil
 }
 
 func newMemberDatagram(sent membership.Message, summary config.Summary) *message.MemberDatagram {
--- a/internal/gossip/datagram_test.go
+++ b/internal/gossip/datagram_test.go
@@ -52,7 +52,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		sent := drawMessage(t)
 		summary := config.Summary{Highest: rapid.Int64().Draw(t, "highest"), Hash: rapid.Uint64().Draw(t, "config hash")}
-		encoded, err := encodeDatagram(tagMember, newMemberDatagram(sent, summary))
+		encoded, err := encodeDatagram(tagMember, 0, newMemberDatagram(sent, summary))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -60,7 +60,7 @@
 			t.Fatalf("%d bytes, estimated as %d", len(encoded), sent.Size())
 		}
 		datagram := &message.MemberDatagram{}
-		if err := datagram.Unmarshal(encoded[1:]); err != nil {
+		if err := datagram.Unmarshal(encoded[datagramHeader:]); err != nil {
 			t.Fatal(err)
 		}
 		received := memberMessage(datagram)
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -19,6 +19,8 @@
 // dissemination of accepted configuration. It is safe for concurrent use.
 type Node struct {
 	options Options
+	// mark tells the datagrams of this cluster.
+	mark    uint32
 	store   *config.Store
 	encoded *encodedEntries
 	caller  *caller
@@ -50,6 +52,7 @@
 	now := time.Now()
 	node := &Node{
 		options: options,
+		mark:    clusterMark(options.Cluster),
 		store:   options.Store,
 		encoded: newEncodedEntries(),
 		caller:  newCaller(options),
@@ -222,7 +225,7 @@
 	if !node.options.Reachable(node.options.Self.GossipAddress, address) {
 		return
 	}
-	encoded, err := encodeDatagram(tag, content)
+	encoded, err := encodeDatagram(tag, node.mark, content)
 	if err != nil {
 		klog.ErrorS(err, "datagram not sent")
 		return
--- a/internal/gossip/node_test.go
+++ b/internal/gossip/node_test.go
@@ -166,3 +166,19 @@
 	cluster.nodes = append(cluster.nodes[:1], cluster.nodes[2:]...)
 	cluster.awaitMembers(3)
 }
+
+// Two clusters whose nodes know each other's addresses, as when a machine is
+// handed from one to the other, must not become one.
+func TestClustersStayApart(t *testing.T) {
+	is := is.New(t)
+	one := newCluster(t, 2)
+	other := &cluster{t: t, name: one.name + "-other", owners: make(map[string]int), aloneAfter: time.Second, membership: membership.DefaultOptions()}
+	stranger := other.startAs(7, []string{one.nodes[0].self.GossipAddress})
+	stranger.SetMachines([]string{one.nodes[0].self.Address, one.nodes[1].self.Address})
+	one.nodes[0].SetMachines([]string{stranger.self.Address})
+	time.Sleep(2 * time.Second)
+	for _, node := range one.nodes {
+		is.Equal(len(node.Members()), 2)
+	}
+	is.Equal(len(stranger.Members()), 1)
+}
--- a/internal/gossip/options.go
+++ b/internal/gossip/options.go
@@ -13,6 +13,8 @@
 
 // Options configures a Node.
 type Options struct {
+	// Cluster is the name of the system: nodes of another are not heard.
+	Cluster string
 	// Self describes the node. A zero incarnation becomes the wall clock in
 	// milliseconds. Addresses must be those that others can reach.
 	Self membership.Member
--- a/internal/gossip/receive.go
+++ b/internal/gossip/receive.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"encoding/binary"
 	"net"
 
 	"github.com/driftstage/driftstage/internal/config"
@@ -11,10 +12,13 @@
 // takeDatagram decodes a datagram and gives it to its receiver. The data is
 // valid only until it returns.
 func (node *Node) takeDatagram(from net.Addr, data []byte) error {
-	if len(data) == 0 {
+	if len(data) < datagramHeader {
 		return errUnknownDatagram
 	}
-	tag, content := data[0], data[1:]
+	tag, mark, content := data[0], binary.BigEndian.Uint32(data[1:]), data[datagramHeader:]
+	if mark != node.mark {
+		return errOtherCluster
+	}
 	switch tag {
 	case tagMember:
 		datagram := &message.MemberDatagram{}
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -109,6 +109,8 @@
 func (cluster *Cluster) StartNode(ctx context.Context, options NodeOptions) (*Node, error) {
 	arguments := []string{
 		"--name", options.Name,
+		// Clusters on one machine may get each other's old ports.
+		"--cluster", "loopback-" + cluster.Platform.Address,
 		"--zone", options.Zone,
 		"--region", options.Region,
 		"--gateway-address", "127.0.0.1:0",
--- a/internal/lab/scale/fleet.go
+++ b/internal/lab/scale/fleet.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/oklog/ulid/v2"
 
 	"github.com/driftstage/driftstage/internal/config"
 	"github.com/driftstage/driftstage/internal/gossip"
@@ -20,6 +21,8 @@
 
 // fleet is a set of hollow nodes.
 type fleet struct {
+	// name keeps fleets apart that get each other's old ports.
+	name    string
 	nodes   []*hollow
 	traffic *streamTraffic
 }
@@ -33,7 +36,7 @@
 }
 
 func startFleet(count int, options Options) (*fleet, error) {
-	fleet := &fleet{traffic: &streamTraffic{}}
+	fleet := &fleet{name: ulid.Make().String(), traffic: &streamTraffic{}}
 	var join []string
 	for index := range count {
 		started, err := fleet.start(index, join, options)
@@ -67,9 +70,10 @@
 		Zone:          fmt.Sprintf("zone-%02d", zone),
 		Region:        fmt.Sprintf("region-%d", zone%options.Regions),
 	}
-	server := wire.NewServer(wire.ServerOptions{})
+	server := wire.NewServer(wire.ServerOptions{Cluster: fleet.name})
 	started := &hollow{store: config.NewStore(), server: server, self: self}
 	started.node = gossip.New(gossip.Options{
+		Cluster:    fleet.name,
 		Self:       self,
 		Connection: connection,
 		Server:     server,
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -74,7 +74,7 @@
 
 // The sizes of encoded messages are estimated from above, in bytes.
 const (
-	messageBytes = 96
+	messageBytes = 100
 	updateBytes  = 16
 	detailsBytes = 8
 )
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -79,20 +79,21 @@
 	}
 }
 
-func newWireClient() *wire.Client {
-	return wire.NewClient(wire.ClientOptions{})
+func newWireClient(loaded settings.Settings) *wire.Client {
+	return wire.NewClient(wire.ClientOptions{Cluster: loaded.Cluster})
 }
 
 func newPlatformClient(loaded settings.Settings) *platform.Client {
 	return platform.NewClient(platform.Options{Address: loaded.PlatformAddress, Name: loaded.Name})
 }
 
-func newWireServer() *wire.Server {
-	return wire.NewServer(wire.ServerOptions{})
+func newWireServer(loaded settings.Settings) *wire.Server {
+	return wire.NewServer(wire.ServerOptions{Cluster: loaded.Cluster})
 }
 
 func newMember(loaded settings.Settings, opened *listeners, server *wire.Server, store *config.Store, registry *prometheus.Registry) *gossip.Node {
 	return gossip.New(gossip.Options{
+		Cluster: loaded.Cluster,
 		Self: membership.Member{
 			ID:            loaded.Name,
 			Address:       opened.wire.Addr().String(),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -24,9 +24,11 @@
 // Settings are the checked settings of one daemon.
 type Settings struct {
 	// Name is the node's identity among the live nodes; it defaults to WireAddress.
-	Name   string
-	Zone   string
-	Region string
+	Name string
+	// Cluster is the name of the system to which the node belongs.
+	Cluster string
+	Zone    string
+	Region  string
 	// GatewayAddress is where callers are served over HTTP (IP:port).
 	GatewayAddress string
 	// WireAddress is where other nodes are served over TCP (IP:port).
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -32,6 +32,9 @@
 		}
 		return label(&s.Name, text)
 	}},
+	{"cluster", "driftstage", "name of the system: nodes of another are not talked to", func(s *Settings, text string) error {
+		return label(&s.Cluster, text)
+	}},
 	{"zone", "", "zone of this machine (required)", func(s *Settings, text string) error {
 		return label(&s.Zone, text)
 	}},
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -14,6 +14,8 @@
 
 // ClientOptions configures a Client; zero fields take the defaults below.
 type ClientOptions struct {
+	// Cluster is the name of the system: peers of another are not talked to.
+	Cluster string
 	// Dial opens a connection; nil means TCP. Tests put faults here.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// DialTimeout bounds connecting and the hello.
@@ -190,7 +192,7 @@
 		return nil, nil, err
 	}
 	reader := newFrameReader(network)
-	if err := exchangeHello(network, reader, client.options.DialTimeout); err != nil {
+	if err := exchangeHello(network, reader, client.options.Cluster, client.options.DialTimeout); err != nil {
 		_ = network.Close()
 		return nil, nil, err
 	}
@@ -198,14 +200,15 @@
 }
 
 // exchangeHello sends and checks the hello within the timeout.
-func exchangeHello(network net.Conn, reader *frameReader, timeout time.Duration) error {
+func exchangeHello(network net.Conn, reader *frameReader, cluster string, timeout time.Duration) error {
+	hello := helloOf(cluster)
 	if err := network.SetDeadline(time.Now().Add(timeout)); err != nil {
 		return err
 	}
 	if _, err := network.Write(hello); err != nil {
 		return err
 	}
-	if err := reader.readHello(); err != nil {
+	if err := reader.readHello(hello); err != nil {
 		return err
 	}
 	return network.SetDeadline(time.Time{})
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"bytes"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hamba/avro/v2"
 )
 
@@ -20,8 +22,18 @@
 // protocolVersion is raised by changes of the frame format, not of messages.
 const protocolVersion byte = 1
 
-// hello opens a connection in both directions.
-var hello = []byte{'D', 'R', 'F', 'T', protocolVersion}
+// helloMagic starts the hello that opens a connection in both directions.
+var helloMagic = []byte{'D', 'R', 'F', 'T', protocolVersion}
+
+// errOtherCluster ends a connection between processes of different clusters.
+var errOtherCluster = errors.New("the peer belongs to another cluster")
+
+// helloOf returns the hello of a cluster's processes: magic, protocol version
+// and a hash of the cluster's name. An address that changed hands between two
+// clusters must not join them.
+func helloOf(cluster string) []byte {
+	return binary.BigEndian.AppendUint64(bytes.Clone(helloMagic), xxhash.Sum64String(cluster))
+}
 
 // frameKind tells what a frame carries.
 type frameKind uint8
@@ -88,13 +100,16 @@
 	keptBufferBytes = 256 << 10
 )
 
-func (r *frameReader) readHello() error {
-	received := make([]byte, len(hello))
+func (r *frameReader) readHello(want []byte) error {
+	received := make([]byte, len(want))
 	if _, err := io.ReadFull(r.reader, received); err != nil {
 		return fmt.Errorf("read hello: %w", err)
 	}
-	if !bytes.Equal(received, hello) {
-		return fmt.Errorf("hello is %q, want %q: the peer speaks another protocol or version", received, hello)
+	if !bytes.HasPrefix(received, helloMagic) {
+		return fmt.Errorf("hello is %q, want %q: the peer speaks another protocol or version", received, want)
+	}
+	if !bytes.Equal(received, want) {
+		return errOtherCluster
 	}
 	return nil
 }
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -14,6 +14,8 @@
 
 // ServerOptions configures a Server; zero fields take the defaults below.
 type ServerOptions struct {
+	// Cluster is the name of the system: peers of another are not served.
+	Cluster string
 	// HelloTimeout bounds how long a new connection may stay without a hello.
 	HelloTimeout time.Duration
 	// WriteTimeout bounds one write.
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -39,7 +39,7 @@
 	defer s.writer.close()
 	defer s.network.Close()
 	reader := newFrameReader(s.network)
-	if err := exchangeHello(s.network, reader, s.server.options.HelloTimeout); err != nil {
+	if err := exchangeHello(s.network, reader, s.server.options.Cluster, s.server.options.HelloTimeout); err != nil {
 		return err
 	}
 	go s.write()
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -122,7 +122,7 @@
 			return
 		}
 		reader := newFrameReader(network)
-		_ = exchangeHello(network, reader, patience)
+		_ = exchangeHello(network, reader, "", patience)
 		_, _ = reader.read()
 		_ = network.Close()
 	}()
@@ -143,7 +143,7 @@
 		if err != nil {
 			return
 		}
-		_ = exchangeHello(network, newFrameReader(network), patience)
+		_ = exchangeHello(network, newFrameReader(network), "", patience)
 		_, _ = io.Copy(io.Discard, network)
 	}()
 	client := startClient(t, ClientOptions{PingInterval: 10 * time.Millisecond, SilenceLimit: 40 * time.Millisecond})
@@ -236,9 +236,9 @@
 
 func TestGarbageAndHalfOpenConnectionsAreClosed(t *testing.T) {
 	_, address := startServer(t, ServerOptions{HelloTimeout: 50 * time.Millisecond}, echo)
-	oversized := append(append([]byte{}, hello...), (&frame{kind: frameRequest}).appendTo(nil)...)
+	oversized := append(helloOf(""), (&frame{kind: frameRequest}).appendTo(nil)...)
 	oversized[len(oversized)-4] = 0xff
-	unknownKind := append(append([]byte{}, hello...), (&frame{kind: 99}).appendTo(nil)...)
+	unknownKind := append(helloOf(""), (&frame{kind: 99}).appendTo(nil)...)
 	for name, sent := range map[string][]byte{
 		"nothing":      nil,
 		"http":         []byte("GET / HTTP/1.1\r\n\r\n"),
@@ -268,3 +268,16 @@
 	is.Equal(failure.Verdict, verdict.NotRun)
 	is.Equal(failure.Code, verdict.CodeInvalid)
 }
+
+// TestOtherClusterIsRefused: an address that changed hands must not let the
+// processes of two systems talk to each other.
+func TestOtherClusterIsRefused(t *testing.T) {
+	is := is.New(t)
+	_, address := startServer(t, ServerOptions{Cluster: "one"}, echo)
+	same := startClient(t, ClientOptions{Cluster: "one"})
+	is.NoErr(same.Call(testContext(t), address, &message.LoadRequest{}, &message.LoadReply{}))
+	other := startClient(t, ClientOptions{Cluster: "two"})
+	failure := failureOf(t, other.Call(testContext(t), address, &message.LoadRequest{}, &message.LoadReply{}))
+	is.Equal(failure.Verdict, verdict.NotRun)
+	is.Equal(failure.Code, verdict.CodeUnreachable)
+}
