Gossip test: the child process belongs to its parent's cluster

The cluster name of the tests holds the process id, so the child of TestStoppedProcess was alone; the test was red since the cluster name came in.

--- a/internal/gossip/stop_test.go
+++ b/internal/gossip/stop_test.go
@@ -13,8 +13,12 @@
 	"github.com/matryer/is"
 )
 
-// joinVariable makes this test binary run one node that joins at the address.
-const joinVariable = "DRIFTSTAGE_TEST_JOIN"
+const (
+	// joinVariable makes this test binary run one node that joins at the address.
+	joinVariable = "DRIFTSTAGE_TEST_JOIN"
+	// clusterVariable is the name of its cluster.
+	clusterVariable = "DRIFTSTAGE_TEST_CLUSTER"
+)
 
 func TestMain(m *testing.M) {
 	if join := os.Getenv(joinVariable); join != "" {
@@ -32,6 +36,7 @@
 		return // it is no child
 	}
 	cluster := newCluster(t, 0)
+	cluster.name = os.Getenv(clusterVariable)
 	cluster.aloneAfter = time.Hour
 	node := cluster.startAs(100, []string{join})
 	last, sampled := "", time.Now()
@@ -59,7 +64,9 @@
 	executable, err := os.Executable()
 	is.NoErr(err)
 	child := exec.Command(executable)
-	child.Env = append(os.Environ(), joinVariable+"="+cluster.nodes[0].self.GossipAddress)
+	child.Env = append(os.Environ(),
+		joinVariable+"="+cluster.nodes[0].self.GossipAddress,
+		clusterVariable+"="+cluster.name)
 	output, err := child.StdoutPipe()
 	is.NoErr(err)
 	is.NoErr(child.Start())
