Controller: asking the members how far a revision has come holds up nothing

Now that the answer goes over the network (up to 3 s with a member that does not answer), asking within a reconcile would have delayed each acceptance and the release of the lease by it, and the look at every resource each 5 s would have sent a message to every member for every service. The members are asked by workers of their own: at once after an acceptance, from 100 ms doubling to 2 s while a member lags, and within two minutes once every member had it.

Seen red: asking before the acceptance is written; a stop that waits for the answer; an answer about another revision taken; the interval not growing.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -36,6 +36,8 @@
 	mutex     sync.Mutex
 	nodes     map[string]*testNode
 	published []config.Entry
+	// answers, when set, holds back the answers of Applied until it is closed.
+	answers chan struct{}
 }
 
 // testNode is one node; it publishes for its controller.
@@ -140,6 +142,9 @@
 
 // Applied counts what the members hold.
 func (cluster *cluster) Applied(service string, revision int64) (total, applied int, lagging []string) {
+	if cluster.answers != nil {
+		<-cluster.answers
+	}
 	cluster.mutex.Lock()
 	defer cluster.mutex.Unlock()
 	for name, node := range cluster.nodes {
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -88,6 +88,27 @@
 	cluster.awaitInForce("fleet", "/one")
 }
 
+// TestAcceptanceWaitsForNoMember: members that do not answer how far a revision
+// has come hold up neither acceptance nor the release of the lease.
+func TestAcceptanceWaitsForNoMember(t *testing.T) {
+	is := is.New(t)
+	cluster := newCluster(t)
+	cluster.answers = make(chan struct{})
+	node := cluster.start("a")
+	for round := range 3 {
+		path := fmt.Sprint("/", round)
+		cluster.apply("fleet", validSpec(path))
+		cluster.eventually(path+" accepted", func() bool {
+			accepted := cluster.get("fleet").Status.Accepted
+			return accepted != nil && accepted.Spec.Path == path
+		})
+	}
+	is.Equal(conditionStatus(cluster.get("fleet"), v1.ConditionInForce), v1.ConditionFalse)
+	node.stop()
+	is.Equal(cluster.holder(), "")
+	close(cluster.answers)
+}
+
 func TestDeletionWaitsForTheTombstone(t *testing.T) {
 	is := is.New(t)
 	cluster := newCluster(t)
--- a/internal/controller/decide.go
+++ b/internal/controller/decide.go
@@ -48,27 +48,17 @@
 	spec       *v1.QueryServiceSpec
 	generation int64
 	faults     []v1.FieldError
-}
-
-// progress is how far a revision has come among the live members.
-type progress struct {
-	total   int
-	applied int
-	lagging []string
-	// laggingFor is how long some member has been without it.
-	laggingFor time.Duration
-}
-
-func (progress *progress) complete() bool {
-	return progress.total > 0 && progress.applied >= progress.total
+	// spread is to be reported.
+	spread *progress
 }
 
 // situation is what a decision rests on besides the resource.
 type situation struct {
 	// knownRevision is the highest that this node holds of the service.
 	knownRevision int64
-	// spread is that of the tombstone if there is one, else of what was accepted.
-	spread progress
+	// spread is that of the tombstone if there is one, else of what was
+	// accepted; nil while it is unknown.
+	spread *progress
 	// sinceReport is the time since the last report of this resource.
 	sinceReport time.Duration
 	// tombstone is the revision of a tombstone published in this epoch, or zero.
@@ -93,7 +83,7 @@
 		return step{kind: stepAccept, spec: &accepted.Spec, generation: accepted.Generation}
 	}
 	if accepted != nil && mustReport(status, situation) {
-		return step{kind: stepReport}
+		return step{kind: stepReport, spread: situation.spread}
 	}
 	return step{}
 }
@@ -117,7 +107,10 @@
 	if situation.tombstone == 0 {
 		return stepTombstone
 	}
-	spread := &situation.spread
+	spread := situation.spread
+	if spread == nil {
+		return stepNone
+	}
 	mostHaveIt := spread.laggingFor >= tombstoneGrace && 2*spread.applied > spread.total
 	if spread.complete() || mostHaveIt {
 		return stepRemoveFinalizer
@@ -127,7 +120,10 @@
 
 // mustReport tells whether the status differs enough from the truth.
 func mustReport(status *v1.QueryServiceStatus, situation *situation) bool {
-	spread := &situation.spread
+	spread := situation.spread
+	if spread == nil {
+		return false
+	}
 	reported := findCondition(status.Conditions, v1.ConditionInForce)
 	if reported == nil {
 		return true
--- a/internal/controller/decide_test.go
+++ b/internal/controller/decide_test.go
@@ -13,16 +13,20 @@
 
 func drawSituation(t *rapid.T) *situation {
 	total := rapid.IntRange(0, 5).Draw(t, "total")
-	return &situation{
+	result := &situation{
 		knownRevision: rapid.Int64Range(0, 5).Draw(t, "known"),
 		tombstone:     rapid.Int64Range(0, 2).Draw(t, "tombstone"),
 		sinceReport:   time.Duration(rapid.IntRange(0, 120).Draw(t, "since report")) * time.Second,
-		spread: progress{
+		spread: &progress{
 			total:      total,
 			applied:    rapid.IntRange(0, total).Draw(t, "applied"),
 			laggingFor: time.Duration(rapid.IntRange(0, 10).Draw(t, "lagging")) * time.Second,
 		},
 	}
+	if rapid.Bool().Draw(t, "spread unknown") {
+		result.spread = nil
+	}
+	return result
 }
 
 func drawObject(t *rapid.T) (*v1.QueryServiceObject, *v1.QueryServiceStatus) {
@@ -68,7 +72,7 @@
 			if !deleted {
 				t.Fatal("ended a service that nobody deleted")
 			}
-			if next.kind == stepRemoveFinalizer && (situation.tombstone == 0 || 2*situation.spread.applied <= situation.spread.total) {
+			if next.kind == stepRemoveFinalizer && (situation.tombstone == 0 || situation.spread == nil || 2*situation.spread.applied <= situation.spread.total) {
 				t.Fatal("let the deletion end before most members have the tombstone")
 			}
 		case stepRefuse:
@@ -98,11 +102,11 @@
 func TestInForceDoesNotFlap(t *testing.T) {
 	is := is.New(t)
 	status := reportedStatus(v1.QueryServiceStatus{Accepted: &v1.Accepted{}}, progress{total: 3, applied: 3}, time.Now())
-	starting := situation{spread: progress{total: 4, applied: 3, laggingFor: inForceGrace - 1}, sinceReport: time.Hour}
+	starting := situation{spread: &progress{total: 4, applied: 3, laggingFor: inForceGrace - 1}, sinceReport: time.Hour}
 	is.True(!mustReport(&status, &starting))
 	starting.spread.laggingFor = inForceGrace
 	is.True(mustReport(&status, &starting))
-	status = reportedStatus(status, starting.spread, time.Now())
+	status = reportedStatus(status, *starting.spread, time.Now())
 	is.Equal(status.Conditions[0].Status, v1.ConditionFalse)
 	starting.spread.applied = 4
 	is.True(mustReport(&status, &starting))
@@ -119,3 +123,32 @@
 	_, possible = revisions.next(4 << 32)
 	is.True(!possible) // a later epoch's revision stands
 }
+
+// TestSpreadTracker asks often while a member lags, and seldom afterwards.
+func TestSpreadTracker(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	tracker := &spreadTracker{}
+	is.True(!tracker.due(now))
+	tracker.follow(7, false, now)
+	is.True(tracker.due(now))
+	is.True(tracker.spread() == nil)
+	asked := 0
+	for end := now.Add(time.Minute); now.Before(end); now = now.Add(measureTick) {
+		if tracker.due(now) {
+			asked++
+			tracker.take(7, progress{total: 3, applied: 2}, now)
+		}
+	}
+	is.True(asked > 25 && asked < 40)
+	is.True(tracker.spread().laggingFor > 50*time.Second)
+	tracker.take(6, progress{total: 3, applied: 3}, now) // a late answer about another revision
+	is.Equal(tracker.spread().applied, 2)
+	tracker.take(7, progress{total: 3, applied: 3}, now)
+	is.True(!tracker.due(now.Add(settledInterval/2 - 1)))
+	is.True(tracker.due(now.Add(settledInterval)))
+	tracker.take(7, progress{total: 4, applied: 3}, now)
+	is.Equal(tracker.spread().laggingFor, time.Duration(0)) // counted anew
+	tracker.follow(8, false, now)
+	is.True(tracker.spread() == nil && tracker.due(now))
+}
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -14,10 +14,10 @@
 const (
 	// workers bounds the resources handled at a time.
 	workers = 4
-	// spreadInterval is how often unfinished spreading is looked at.
-	spreadInterval = 100 * time.Millisecond
-	// sweepInterval is how often every resource is looked at.
-	sweepInterval = 5 * time.Second
+	// measureTick is how often the trackers of spreading are looked at.
+	measureTick = 100 * time.Millisecond
+	// sweepInterval is how often every resource is looked at, from the cache.
+	sweepInterval = 10 * time.Second
 )
 
 // leader acts for one epoch of the lease.
@@ -27,6 +27,8 @@
 	revisions  *revisions
 	cache      *cache
 	queue      *queue
+	// measures holds the resources to ask the members about.
+	measures *queue
 
 	mutex   sync.Mutex
 	records map[string]*record
@@ -41,9 +43,8 @@
 	tombstoneUID string
 	// deleted tells that the watch showed the end of the object.
 	deleted bool
-	// spreading tells that some member lacks the revision, since lagsSince.
-	spreading  bool
-	lagsSince  time.Time
+	// spread is that of the tombstone or the accepted revision.
+	spread     spreadTracker
 	reportedAt time.Time
 }
 
@@ -54,6 +55,7 @@
 		revisions:  &revisions{epoch: epoch},
 		cache:      newCache(),
 		queue:      newQueue(),
+		measures:   newQueue(),
 		records:    make(map[string]*record),
 	}
 }
@@ -64,6 +66,9 @@
 	for range workers {
 		group.Go(func() { leader.work(ctx) })
 	}
+	for range measureWorkers {
+		group.Go(func() { leader.measure(ctx) })
+	}
 	group.Go(func() { leader.lookAgain(ctx) })
 	leader.follow(ctx)
 	group.Wait()
@@ -83,35 +88,24 @@
 	}
 }
 
-// lookAgain queues resources whose spreading is unfinished, and now and then all.
+// lookAgain queues the questions to the members that are due, and now and then
+// all resources.
 func (leader *leader) lookAgain(ctx context.Context) {
-	spread, sweep := time.NewTicker(spreadInterval), time.NewTicker(sweepInterval)
-	defer spread.Stop()
+	measure, sweep := time.NewTicker(measureTick), time.NewTicker(sweepInterval)
+	defer measure.Stop()
 	defer sweep.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-spread.C:
-			leader.queue.add(leader.unfinished()...)
+		case now := <-measure.C:
+			leader.measures.add(leader.dueMeasures(now)...)
 		case <-sweep.C:
 			leader.queue.add(leader.cache.names()...)
 		}
 	}
 }
 
-func (leader *leader) unfinished() []string {
-	leader.mutex.Lock()
-	defer leader.mutex.Unlock()
-	var names []string
-	for name, record := range leader.records {
-		if record.spreading {
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
 // follow keeps the cache up to date by one watch at a time.
 func (leader *leader) follow(ctx context.Context) {
 	resourceVersion, failures := "", 0
--- a/internal/controller/queue_test.go
+++ b/internal/controller/queue_test.go
@@ -23,7 +23,7 @@
 		adding.Go(func() {
 			for ctx.Err() == nil {
 				queue.add("broken", "fine")
-				time.Sleep(spreadInterval)
+				time.Sleep(measureTick)
 			}
 		})
 		taken := map[string]int{}
--- a/internal/controller/reconcile.go
+++ b/internal/controller/reconcile.go
@@ -91,39 +91,32 @@
 func (leader *leader) situation(object *v1.QueryServiceObject, status *v1.QueryServiceStatus) *situation {
 	name, now := object.Metadata.Name, time.Now()
 	result := &situation{knownRevision: leader.controller.options.Known.Revision(name)}
+	due := false
 	leader.update(name, func(record *record) {
+		record.deleted = false
+		result.sinceReport = now.Sub(record.reportedAt)
 		if record.tombstoneUID == object.Metadata.UID {
 			result.tombstone = record.tombstone
 		}
-		result.sinceReport = now.Sub(record.reportedAt)
-		record.deleted = false
+		revision, everywhere := revisionToFollow(status, result.tombstone)
+		record.spread.follow(revision, everywhere, now)
+		result.spread = record.spread.spread()
+		due = record.spread.due(now)
 	})
-	wanted := result.tombstone
-	if wanted == 0 && status.Accepted != nil {
-		wanted = status.Accepted.Revision
-	}
-	if wanted > 0 {
-		result.spread = leader.progress(name, wanted, now)
+	if due {
+		leader.measures.add(name)
 	}
 	return result
 }
 
-// progress asks how far a revision has come and remembers since when it lags.
-func (leader *leader) progress(name string, revision int64, now time.Time) progress {
-	total, applied, lagging := leader.controller.options.Spread.Applied(name, revision)
-	result := progress{total: total, applied: applied, lagging: lagging}
-	leader.update(name, func(record *record) {
-		switch {
-		case result.complete():
-			record.spreading = false
-		case !record.spreading:
-			record.spreading = true
-			record.lagsSince = now
-		default:
-			result.laggingFor = now.Sub(record.lagsSince)
-		}
-	})
-	return result
+// revisionToFollow is the tombstone's, or the accepted one; the status may
+// tell that every member has it.
+func revisionToFollow(status *v1.QueryServiceStatus, tombstone int64) (revision int64, everywhere bool) {
+	if tombstone > 0 || status.Accepted == nil {
+		return tombstone, false
+	}
+	inForce := findCondition(status.Conditions, v1.ConditionInForce)
+	return status.Accepted.Revision, inForce != nil && inForce.Status == v1.ConditionTrue
 }
 
 func (leader *leader) carryOut(ctx context.Context, object *v1.QueryServiceObject, status v1.QueryServiceStatus, next step) error {
@@ -137,7 +130,7 @@
 		klog.InfoS("resource refused", "service", object.Metadata.Name, "generation", object.Metadata.Generation, "error", joinFaults(next.faults))
 		return leader.writeStatus(ctx, object, refusedStatus(status, object.Metadata.Generation, next.faults, time.Now()))
 	case stepReport:
-		return leader.report(ctx, object, status)
+		return leader.report(ctx, object, reportedStatus(status, *next.spread, time.Now()))
 	case stepTombstone:
 		return leader.publishTombstone(object.Metadata.Name, object.Metadata.UID, &status)
 	default:
@@ -154,8 +147,7 @@
 		return err
 	}
 	accepted := v1.Accepted{Generation: next.generation, Revision: revision, Spec: *next.spec}
-	spread := leader.progress(name, revision, time.Now())
-	err = leader.writeStatus(ctx, object, acceptedStatus(status, accepted, object.Metadata.Generation, spread, time.Now()))
+	err = leader.writeStatus(ctx, object, acceptedStatus(status, accepted, object.Metadata.Generation, time.Now()))
 	if err == nil {
 		leader.controller.metrics.accepted.WithLabelValues("true").Inc()
 		klog.InfoS("resource accepted", "service", name, "generation", next.generation, "revision", revision)
@@ -178,8 +170,7 @@
 }
 
 func (leader *leader) report(ctx context.Context, object *v1.QueryServiceObject, status v1.QueryServiceStatus) error {
-	spread := leader.progress(object.Metadata.Name, status.Accepted.Revision, time.Now())
-	err := leader.writeStatus(ctx, object, reportedStatus(status, spread, time.Now()))
+	err := leader.writeStatus(ctx, object, status)
 	if err == nil {
 		leader.update(object.Metadata.Name, func(record *record) { record.reportedAt = time.Now() })
 	}
@@ -197,8 +188,6 @@
 	leader.update(name, func(record *record) {
 		record.published = revision
 		record.tombstone, record.tombstoneUID = revision, uid
-		record.spreading = true
-		record.lagsSince = time.Now()
 	})
 	klog.InfoS("service deleted, tombstone published", "service", name, "revision", revision)
 	return nil
@@ -210,7 +199,7 @@
 	deleted := false
 	leader.update(name, func(record *record) {
 		deleted = record.deleted
-		record.spreading = false
+		record.spread = spreadTracker{}
 	})
 	if _, inForce := leader.controller.options.Known.Service(name); !inForce || !deleted {
 		return nil
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -23,10 +23,10 @@
 // acceptedStatus is the status after an acceptance. The Accepted condition
 // speaks of the newest generation judged: it stays when an earlier one is
 // accepted again.
-func acceptedStatus(status v1.QueryServiceStatus, accepted v1.Accepted, observed int64, spread progress, now time.Time) v1.QueryServiceStatus {
+func acceptedStatus(status v1.QueryServiceStatus, accepted v1.Accepted, observed int64, now time.Time) v1.QueryServiceStatus {
 	status.ObservedGeneration = observed
 	status.Accepted = &accepted
-	status.Nodes = v1.NodeCounts{Total: spread.total}
+	status.Nodes = v1.NodeCounts{Total: status.Nodes.Total}
 	if accepted.Generation == observed {
 		status.Conditions = withCondition(status.Conditions, v1.Condition{
 			Type:               v1.ConditionAccepted,
