The tail beyond p99: hedges that fail or straggle, and the last tokens

Cause: p999 was 233-316 ms though p99 was 19 ms. A hedge refused by the dead replica used up the shard's one hedge, a hedge could straggle itself, and in the first seconds replies just past the quantile took the last tokens from real stragglers. Ruled out: a larger budget (extra load 2.4 of 5 percent). Change: up to two hedges a shard; a hedge that failed is replaced at once, at the server that works for the shard; under 10 tokens hedges wait twice as long; while latency is not known, a tenth of the query's time.

Owner: an attempt that the server sheds (certainly not run) is queued once more instead of costing the gateway a retry.

--- a/internal/admission/window.go
+++ b/internal/admission/window.go
@@ -10,6 +10,8 @@
 	// queueingFactor is how far latency may rise over that of an unfilled server
 	// before the window stops growing past the slots.
 	queueingFactor = 1.5
+	// shrinkingFactor is that from which a window past the slots shrinks.
+	shrinkingFactor = 2
 	// smoothing is the weight of a new sample in a moving average.
 	smoothing = 0.1
 	// suspiciousFactor: an attempt given up after this many typical latencies
@@ -98,7 +100,7 @@
 		window.size = min(window.size+1, float64(limits.Slots))
 	case window.latency <= queueingFactor*window.unfilled:
 		window.size += 1 / window.size
-	case window.latency > 2*queueingFactor*window.unfilled:
+	case window.latency > shrinkingFactor*window.unfilled:
 		window.size = max(window.size-1/window.size, float64(limits.Slots))
 	}
 	window.size = min(window.size, float64(limits.Window))
--- a/internal/owner/server.go
+++ b/internal/owner/server.go
@@ -20,6 +20,8 @@
 	pollConnections = 1
 	// pollTimeout bounds one load poll.
 	pollTimeout = 500 * time.Millisecond
+	// shedRetries is how often an attempt that the server shed is queued again.
+	shedRetries = 1
 	// drainHold is how long an announcement of draining holds against a load
 	// endpoint that says otherwise, for that one lags.
 	drainHold = 15 * time.Second
@@ -139,19 +141,36 @@
 	server.client.Close()
 }
 
-// execute takes one attempt from its offer to its answer.
+// execute takes one attempt from its offer to its answer. An attempt that the
+// server sheds has not run: it waits once more for a free slot, instead of
+// costing the gateway a retry.
 func (server *server) execute(ctx context.Context, request *message.SubRequest, deadline time.Time, reply *message.SubReply) {
+	for remaining := shedRetries; ; remaining-- {
+		result := server.attempt(ctx, request, deadline)
+		if !shed(result) || remaining == 0 {
+			fill(reply, result)
+			reply.Load = server.load()
+			return
+		}
+	}
+}
+
+// attempt waits for admission and sends the attempt to the server once.
+func (server *server) attempt(ctx context.Context, request *message.SubRequest, deadline time.Time) backend.Result {
 	id, client, failure := server.admit(ctx, v1.Class(request.Class), deadline)
 	if failure != nil {
-		fail(reply, failure)
-		reply.Load = server.load()
-		return
+		return backend.Result{Failure: failure}
 	}
 	state := &execution{server: server, id: id}
 	result := client.Do(ctx, backendRequest(request, deadline), state.end)
 	state.judge(result)
-	fill(reply, result)
-	reply.Load = server.load()
+	return result
+}
+
+// shed tells whether the server refused for load, and certainly did not run the attempt.
+func shed(result backend.Result) bool {
+	failure := result.Failure
+	return failure != nil && failure.Verdict == verdict.NotRun && failure.Code == verdict.CodeShed
 }
 
 // admit waits for the start of an attempt, or returns why it was refused. A
--- a/internal/owner/server_test.go
+++ b/internal/owner/server_test.go
@@ -51,8 +51,10 @@
 	obeys    bool
 	headers  atomic.Pointer[string]
 	executed atomic.Int32
-	running  atomic.Int32
-	highest  atomic.Int32
+	// sheds is how many requests the server refuses first.
+	sheds   atomic.Int32
+	running atomic.Int32
+	highest atomic.Int32
 }
 
 func newRig(spec v1.Server) *rig {
@@ -94,6 +96,10 @@
 			_, _ = io.WriteString(conn, "HTTP/1.1 404 x\r\nContent-Length: 0\r\n\r\n")
 			continue
 		}
+		if rig.sheds.Add(-1) >= 0 {
+			_, _ = io.WriteString(conn, "HTTP/1.1 503 x\r\nDriftstage-Not-Run: true\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n")
+			continue
+		}
 		id := string(request.Header.Peek("Driftstage-Request-Id"))
 		if !rig.work(gone) {
 			return
@@ -210,6 +216,17 @@
 	})
 }
 
+// An attempt that the server shed is queued once more, and then refused.
+func TestShedAttemptIsQueuedOnceMore(t *testing.T) {
+	bubble(t, serverSpecOf(2, 3), func(t *testing.T, is *is.I, rig *rig) {
+		rig.sheds.Store(1)
+		is.Equal(rig.execute(t.Context(), time.Second).Code, "")
+		rig.sheds.Store(2)
+		is.True(wasNotRun(rig.execute(t.Context(), time.Second), verdict.CodeShed))
+		is.Equal(rig.executed.Load(), int32(1))
+	})
+}
+
 // An attempt that was given up counts until its server has ended it.
 func TestGivenUpAttemptHoldsItsSlot(t *testing.T) {
 	for name, obeys := range map[string]bool{"server obeys": true, "server works on": false} {
--- a/internal/query/doc.go
+++ b/internal/query/doc.go
@@ -12,8 +12,8 @@
 //     budget, whether or not the request is repeatable.
 //  2. An attempt that may have run is sent again only if the request is repeatable.
 //  3. A repeatable attempt that takes longer than the learned quantile is hedged,
-//     once a shard, at another replica, from a token bucket (Dean and Barroso,
-//     The Tail at Scale, 2013).
+//     at most twice a shard, at another replica where one is in good standing,
+//     from a token bucket (Dean and Barroso, The Tail at Scale, 2013).
 //  4. No attempt is sent whose remaining time is under the floor at which it can
 //     finish.
 //  5. The answer goes out when every shard is settled, or at AnswerAfter with the
--- a/internal/query/finish.go
+++ b/internal/query/finish.go
@@ -55,7 +55,7 @@
 		answer.Missing = append(answer.Missing, Missing{Shard: id, Reason: query.missingReason(shard)})
 	}
 	if query.covered < query.minimum() {
-		answer.Failure = query.failure(answer)
+		answer.Failure = query.failure()
 	}
 	query.actions.Answer = answer
 }
@@ -93,14 +93,19 @@
 	return verdict.CodeDeadline
 }
 
-// failure describes an answer under the minimum by its most frequent cause.
-func (query *Query) failure(answer *Answer) *verdict.Error {
+// failure describes an answer under the minimum by the most frequent cause among
+// the shards that failed; without one the time was up.
+func (query *Query) failure() *verdict.Error {
 	counts := make(map[verdict.Code]int)
 	code := verdict.CodeDeadline
-	for _, missing := range answer.Missing {
-		counts[missing.Reason]++
-		if counts[missing.Reason] > counts[code] {
-			code = missing.Reason
+	for position := range query.shards {
+		shard := &query.shards[position]
+		if shard.status != failed {
+			continue
+		}
+		counts[shard.reason]++
+		if counts[shard.reason] > counts[code] {
+			code = shard.reason
 		}
 	}
 	failure := verdict.New(query.verdict, code, "covered %d of %d shards, want %d", query.covered, len(query.shards), query.minimum())
--- a/internal/query/fleet.go
+++ b/internal/query/fleet.go
@@ -18,8 +18,12 @@
 	retryInitial = 20
 	retryMaximum = 200
 	// hedgeInitial and hedgeMaximum do so for hedges.
-	hedgeInitial = 2
+	hedgeInitial = 5
 	hedgeMaximum = 100
+	// hedgeReserve is the number of tokens from which on hedges wait twice as long,
+	// so that replies a little late do not take the last tokens from those that
+	// really straggle.
+	hedgeReserve = 10
 )
 
 // Server is what a gateway knows of one back-end server.
@@ -198,12 +202,19 @@
 	return fleet.choice
 }
 
-// hedgeAfter is the age at which an attempt is hedged.
-func (fleet *Fleet) hedgeAfter() (time.Duration, bool) {
+// hedgeAfter is the age at which an attempt is hedged; false for never.
+func (fleet *Fleet) hedgeAfter(unknown time.Duration) (time.Duration, bool) {
 	if fleet.quantile <= 0 {
 		return 0, false
 	}
-	return fleet.latencies.at(fleet.quantile)
+	delay, known := fleet.latencies.at(fleet.quantile)
+	if !known {
+		return unknown, true
+	}
+	if fleet.hedges.tokens < hedgeReserve {
+		delay *= 2
+	}
+	return delay, true
 }
 
 // floor is the least time in which an attempt can finish; zero when not known.
--- a/internal/query/hedge.go
+++ b/internal/query/hedge.go
@@ -1,74 +1,74 @@
 package query
 
-import (
-	"slices"
-	"time"
+import "time"
+
+const (
+	// maximumHedges is how often one shard is hedged: the first hedge may straggle
+	// as well.
+	maximumHedges = 2
+	// hedgeRecheck divides the hedge delay for another look when tokens are short.
+	hedgeRecheck = 4
+	// unknownPart is the part of a query's time after which an attempt is hedged
+	// while too few latencies are known.
+	unknownPart = 10
 )
 
-// hedgeRecheck divides the hedge delay for another look when tokens are short.
-const hedgeRecheck = 4
+func (query *Query) unknownDelay() time.Duration {
+	return query.parameters.Deadline.Sub(query.started) / unknownPart
+}
 
 // scheduleHedge sets the time of the next hedge for an attempt sent now.
 func (query *Query) scheduleHedge(now time.Time) {
-	delay, known := query.fleet.hedgeAfter()
-	if !known {
-		return
-	}
-	due := now.Add(delay)
-	if query.hedgeAt.IsZero() || due.Before(query.hedgeAt) {
-		query.hedgeAt = due
+	delay, allowed := query.fleet.hedgeAfter(query.unknownDelay())
+	if allowed && query.parameters.Repeatable {
+		query.noteHedge(now.Add(delay))
 	}
 }
 
-// hedgeDue sends second attempts for the shards that have waited too long.
+// hedgeDue sends further attempts for the shards that have waited too long since
+// the last one.
 func (query *Query) hedgeDue(now time.Time) {
 	if query.hedgeAt.IsZero() || now.Before(query.hedgeAt) {
 		return
 	}
 	query.hedgeAt = time.Time{}
-	delay, known := query.fleet.hedgeAfter()
-	if !known {
+	delay, allowed := query.fleet.hedgeAfter(query.unknownDelay())
+	if !allowed {
 		return
 	}
-	var slow []int
-	for _, pending := range query.attempts {
-		if !pending.hedgeable {
-			continue
-		}
-		due := pending.sentAt.Add(delay)
-		if now.Before(due) {
-			query.noteHedge(due)
-			continue
-		}
-		slow = query.unhedged(slow, pending)
-	}
+	slow := query.slowShards(now, delay)
 	if len(slow) == 0 {
 		return
 	}
-	slices.Sort(slow)
 	query.send(now, slow, hedge)
 	for _, position := range slow {
-		if !query.shards[position].hedged {
+		if query.shards[position].sentAt.Before(now) {
 			query.noteHedge(now.Add(max(delay/hedgeRecheck, time.Millisecond)))
 		}
 	}
 }
 
-func (query *Query) noteHedge(due time.Time) {
-	if query.hedgeAt.IsZero() || due.Before(query.hedgeAt) {
-		query.hedgeAt = due
+// slowShards lists the shards to hedge now and notes when others come due.
+func (query *Query) slowShards(now time.Time, delay time.Duration) []int {
+	var slow []int
+	for position := range query.shards {
+		shard := &query.shards[position]
+		if shard.status != open || shard.pending == 0 || shard.hedges >= maximumHedges {
+			continue
+		}
+		if due := shard.sentAt.Add(delay); now.Before(due) {
+			query.noteHedge(due)
+			continue
+		}
+		slow = append(slow, position)
 	}
+	return slow
 }
 
-// unhedged adds the shards of an attempt that may still be hedged.
-func (query *Query) unhedged(into []int, pending *attempt) []int {
-	for _, position := range pending.shards {
-		shard := &query.shards[position]
-		if shard.status == open && !shard.hedged && shard.pending == 1 {
-			into = append(into, position)
-		}
+func (query *Query) noteHedge(due time.Time) {
+	if query.hedgeAt.IsZero() || due.Before(query.hedgeAt) {
+		query.hedgeAt = due
 	}
-	return into
 }
 
 // hedgeReplica picks the server of a hedge: the untried replica if it is in good
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -33,8 +33,10 @@
 	tried uint64
 	// pending counts attempts under way.
 	pending int
-	// hedged tells that the one hedge was used.
-	hedged bool
+	// hedges counts the hedges sent.
+	hedges int
+	// sentAt is when the last attempt was sent.
+	sentAt time.Time
 	// passes counts how often all replicas were tried.
 	passes int
 	// retryAt is when to try the replicas once more; zero for not at all.
@@ -47,10 +49,9 @@
 type attempt struct {
 	server *Server
 	// shards are positions in the map.
-	shards []int
-	sentAt time.Time
-	// hedgeable attempts are looked at when the hedge is due.
-	hedgeable bool
+	shards  []int
+	sentAt  time.Time
+	purpose purpose
 }
 
 // Query is the state of one request. It is not safe for concurrent use; the
@@ -60,6 +61,7 @@
 	shardMap   *Map
 	parameters Parameters
 	pin        snapshot.Pin
+	started    time.Time
 
 	shards   []shardState
 	attempts map[AttemptID]*attempt
@@ -94,6 +96,7 @@
 // Start sends the first attempts, or refuses the query as NotRun when the queues
 // are too long for it.
 func (query *Query) Start(now time.Time) Actions {
+	query.started = now
 	if query.refuseOverload(now) {
 		return query.finish(now)
 	}
--- a/internal/query/query_test.go
+++ b/internal/query/query_test.go
@@ -193,6 +193,48 @@
 	is.True(hedged.Sends[0].Attempt != sent.Sends[0].Attempt)
 }
 
+// A hedge may straggle as well: there is one more, and then no more.
+func TestSecondHedgeIsTheLast(t *testing.T) {
+	is := is.New(t)
+	query, fleet := twoReplicas(true)
+	fleet.hedges.tokens = 10
+	sends := len(query.Start(start).Sends)
+	for now := query.NextTick(); now.Before(start.Add(testDeadline)); now = query.NextTick() {
+		sends += len(query.Tick(now).Sends)
+	}
+	is.Equal(sends, 1+maximumHedges)
+	last := query.Tick(start.Add(testDeadline))
+	is.Equal(len(last.Cancels), 1+maximumHedges)
+	is.Equal(last.Answer.Failure.Code, verdict.CodeDeadline)
+}
+
+// A hedge refused at once is replaced at once, at the server that is slow.
+func TestRefusedHedgeIsReplaced(t *testing.T) {
+	is := is.New(t)
+	query, _ := twoReplicas(true)
+	sent := query.Start(start)
+	now := query.NextTick()
+	hedged := query.Tick(now)
+	is.Equal(len(hedged.Sends), 1)
+	again := query.Handle(now, Reply{Attempt: hedged.Sends[0].Attempt, Failure: verdict.New(verdict.NotRun, verdict.CodeUnreachable, "refused")})
+	is.Equal(len(again.Sends), 1)
+	is.Equal(again.Sends[0].Server.Name, sent.Sends[0].Server.Name)
+	last := query.Handle(now, Reply{Attempt: again.Sends[0].Attempt, Failure: verdict.New(verdict.NotRun, verdict.CodeOverloaded, "full")})
+	is.Equal(len(last.Sends), 0)
+	is.True(last.Answer == nil) // the first attempt is still under way
+}
+
+// A failure names the cause of the shards that failed, not of those that were
+// given up for it.
+func TestFailureNamesItsCause(t *testing.T) {
+	is := is.New(t)
+	query, _ := pairs(5, false)
+	sent := query.Start(start)
+	done := query.Handle(start, Reply{Attempt: sent.Sends[0].Attempt, Failure: verdict.New(verdict.MayHaveRun, verdict.CodeLost, "lost")})
+	is.Equal(done.Answer.Failure.Code, verdict.CodeLost)
+	is.Equal(len(done.Cancels), 4)
+}
+
 // Hedges are paid for by first attempts, and a loser is cancelled while other
 // shards are still open.
 func TestHedgesStayWithinTheirBudget(t *testing.T) {
--- a/internal/query/send.go
+++ b/internal/query/send.go
@@ -1,6 +1,7 @@
 package query
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -152,19 +153,20 @@
 		shard.pending++
 		shard.last = group.server
 		shard.tried |= query.replicaBit(position, group.server)
-		shard.hedged = shard.hedged || purpose == hedge
+		shard.sentAt = now
+		if purpose == hedge {
+			shard.hedges++
+		}
 		ids[index] = query.shardMap.Shards[position].ID
 	}
 	group.server.noteSent(now)
 	query.attempts[id] = &attempt{
-		server:    group.server,
-		shards:    group.shards,
-		sentAt:    now,
-		hedgeable: query.parameters.Repeatable && purpose != hedge,
-	}
-	if query.attempts[id].hedgeable {
-		query.scheduleHedge(now)
+		server:  group.server,
+		shards:  group.shards,
+		sentAt:  now,
+		purpose: purpose,
 	}
+	query.scheduleHedge(now)
 	query.actions.Sends = append(query.actions.Sends, Send{
 		Attempt:  id,
 		Server:   group.server,
@@ -227,12 +229,23 @@
 	return true
 }
 
+// pendingServer returns a server that works for the shard at present.
+func (query *Query) pendingServer(position int) *Server {
+	for _, id := range slices.Sorted(maps.Keys(query.attempts)) {
+		if pending := query.attempts[id]; slices.Contains(pending.shards, position) {
+			return pending.server
+		}
+	}
+	return nil
+}
+
 // fail deals with the failure of an attempt: every shard of it that has no other
-// attempt is sent again where that is allowed, or fails.
+// attempt is sent again where that is allowed, or fails. A hedge that failed is
+// replaced at once, for the attempt that it was to help is late already.
 func (query *Query) fail(now time.Time, pending *attempt, failure *verdict.Error) {
 	query.verdict = query.verdict.With(failure.Verdict)
 	query.retryAfter = max(query.retryAfter, failure.RetryAfter)
-	var again []int
+	var again, hedgeAgain []int
 	for _, position := range pending.shards {
 		shard := &query.shards[position]
 		if shard.status != open {
@@ -240,6 +253,10 @@
 		}
 		shard.reason = failure.Code
 		if shard.pending > 0 {
+			shard.last = query.pendingServer(position)
+			if pending.purpose == hedge && shard.hedges < maximumHedges {
+				hedgeAgain = append(hedgeAgain, position)
+			}
 			continue
 		}
 		if failure.Verdict != verdict.NotRun && !query.parameters.Repeatable {
@@ -251,6 +268,9 @@
 	if len(again) > 0 {
 		query.send(now, again, retry)
 	}
+	if len(hedgeAgain) > 0 {
+		query.send(now, hedgeAgain, hedge)
+	}
 }
 
 // retryDue tries shards again whose pause is over.
