--- a/internal/query/send.go
+++ b/internal/query/send.go
@@ -245,6 +245,7 @@
 func (query *Query) fail(now time.Time, pending *attempt, failure *verdict.Error) {
 	query.verdict = query.verdict.With(failure.Verdict)
 	query.retryAfter = max(query.retryAfter, failure.RetryAfter)
+	query.excludeRefused(now, pending.server, failure)
 	var again, hedgeAgain []int
 	for _, position := range pending.shards {
 		shard := &query.shards[position]
