--- a/internal/owner/execution.go
+++ b/internal/owner/execution.go
@@ -16,6 +16,8 @@
 type execution struct {
 	server *server
 	id     admission.ID
+	// request is the caller's request, for the log.
+	request string
 	// first is set by whichever of judge and end comes first.
 	first atomic.Bool
 }
@@ -37,7 +39,12 @@
 	defer server.mutex.Unlock()
 	now := server.options.Now()
 	server.learn(now, result.Draining, result.SnapshotsHeld)
-	server.apply(server.core.Judge(now, execution.id, outcomeOf(result)))
+	outcome := outcomeOf(result)
+	server.apply(server.core.Judge(now, execution.id, outcome))
+	server.log.state(server.core.View())
+	if outcome == admission.Failed {
+		server.log.fault(execution.request, result.Failure)
+	}
 	if !execution.first.CompareAndSwap(false, true) {
 		server.apply(server.core.End(now, execution.id))
 	}
--- a/internal/owner/pause.go
+++ b/internal/owner/pause.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"k8s.io/klog/v2"
 )
 
 const (
@@ -41,6 +43,7 @@
 		return
 	}
 	if gap := now.Sub(detector.seen); gap > pauseThreshold {
+		klog.InfoS("process was paused", "for", gap.String())
 		detector.ended = now
 		detector.length = gap
 		detector.seen = now
--- a/internal/owner/server.go
+++ b/internal/owner/server.go
@@ -50,6 +50,7 @@
 	drainOrdered bool
 	drainSeen    time.Time
 	polling      bool
+	log          serverLog
 }
 
 // waiter is an attempt between its offer and its decision.
@@ -66,6 +67,7 @@
 		name:    spec.Name,
 		core:    admission.NewServer(limitsOf(service, spec)),
 		waiters: make(map[admission.ID]*waiter),
+		log:     newServerLog(service.Name, spec.Name),
 	}
 }
 
@@ -131,6 +133,7 @@
 	leaving := server.options.Machines != nil && server.options.Machines.Leaving(server.address)
 	draining := server.drainOrdered || !server.drainSeen.IsZero() || leaving
 	server.apply(server.core.Drain(now, draining))
+	server.log.state(server.core.View())
 }
 
 // remove refuses what waits and closes connections as they become idle.
@@ -161,7 +164,7 @@
 	if failure != nil {
 		return backend.Result{Failure: failure}
 	}
-	state := &execution{server: server, id: id}
+	state := &execution{server: server, id: id, request: request.RequestID}
 	result := client.Do(ctx, backendRequest(request, deadline), state.end)
 	state.judge(result)
 	return result
--- a/internal/scatter/run.go
+++ b/internal/scatter/run.go
@@ -109,6 +109,7 @@
 		run.service.fleet.Observe(now, reply.server, loadOf(reply.load))
 	} else if ownerFailed(reply.reply.Failure) {
 		run.service.fleet.Suspect(now, reply.server)
+		run.service.log.owner(reply.server, reply.reply.Failure)
 	}
 	delete(run.cancels, reply.reply.Attempt)
 	run.scatterer.options.Metrics.replied(reply.reply.Failure)
@@ -183,6 +184,7 @@
 
 func (run *run) answer(decided *query.Answer) Answer {
 	run.scatterer.options.Metrics.answered(decided, run.core.Counts())
+	run.service.log.answered(run.request.RequestID, decided)
 	answer := Answer{
 		Revision: run.pinned.Revision,
 		Snapshot: decided.Snapshot,
--- a/internal/scatter/service.go
+++ b/internal/scatter/service.go
@@ -28,6 +28,7 @@
 type service struct {
 	scatterer *Scatterer
 	name      string
+	log       *serviceLog
 
 	mutex  sync.Mutex
 	fleet  *query.Fleet
@@ -46,6 +47,7 @@
 	return &service{
 		scatterer: scatterer,
 		name:      name,
+		log:       newServiceLog(name),
 		fleet:     query.NewFleet(scatterer.options.Zone),
 	}
 }
