--- a/test/e2e/ask_test.go
+++ b/test/e2e/ask_test.go
@@ -12,6 +12,7 @@
 	v1 "github.com/driftstage/driftstage/api/v1"
 	"github.com/driftstage/driftstage/internal/lab"
 	"github.com/driftstage/driftstage/internal/lab/cluster"
+	"github.com/driftstage/driftstage/internal/platform"
 	"github.com/driftstage/driftstage/internal/standin/backend"
 )
 
@@ -81,37 +82,20 @@
 	must(system.t, system.backends.SetFault(fault))
 }
 
-// updateResource reads the resource, changes it and writes it back.
+// updateResource changes the resource on top of what is stored, as often as it
+// takes: a controller may write its status in between.
 func (system *system) updateResource(change func(*v1.QueryService)) error {
-	url := "http://" + system.Platform.Address + "/apis/driftstage.dev/v1/queryservices/" + service
-	response, err := http.Get(url)
-	if err != nil {
-		return err
-	}
-	defer response.Body.Close()
-	var resource v1.QueryService
-	if err := json.NewDecoder(response.Body).Decode(&resource); err != nil {
-		return err
-	}
-	change(&resource)
-	body, err := json.Marshal(resource)
-	if err != nil {
-		return err
-	}
-	request, err := http.NewRequestWithContext(testContext(system.t), http.MethodPut, url, strings.NewReader(string(body)))
-	if err != nil {
-		return err
-	}
-	written, err := http.DefaultClient.Do(request)
-	if err != nil {
+	client := platform.NewClient(platform.Options{Address: system.Platform.Address, Name: "test"})
+	defer client.Close()
+	return cluster.Await(testContext(system.t), func(ctx context.Context) error {
+		stored, err := client.QueryServices.Get(ctx, service)
+		if err != nil {
+			return err
+		}
+		change(stored)
+		_, err = client.QueryServices.Update(ctx, stored)
 		return err
-	}
-	defer written.Body.Close()
-	if written.StatusCode != http.StatusOK {
-		reason, _ := io.ReadAll(written.Body)
-		return fmt.Errorf("%s: %s", written.Status, reason)
-	}
-	return nil
+	})
 }
 
 func must(t *testing.T, err error) {
--- a/test/e2e/configuration_test.go
+++ b/test/e2e/configuration_test.go
@@ -10,11 +10,14 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	v1 "github.com/driftstage/driftstage/api/v1"
+	"github.com/driftstage/driftstage/internal/controller"
 	"github.com/driftstage/driftstage/internal/lab/cluster"
+	platformclient "github.com/driftstage/driftstage/internal/platform"
 	"github.com/driftstage/driftstage/internal/standin/platform"
 )
 
@@ -234,3 +237,54 @@
 	must(t, json.Unmarshal(object, &fields))
 	return fields[name]
 }
+
+// TestLeaseHolderIsFrozen stops the controller that holds the lease in the middle
+// of changes, lets another take over, and wakes it: what it still believes
+// changes nothing, no node goes back, and all end at the same revision.
+func TestLeaseHolderIsFrozen(t *testing.T) {
+	system := startSystem(t, 4)
+	watch := system.watchRevisions()
+	holder := system.leaseHolder()
+	for change := range 3 {
+		must(t, system.updateResource(func(resource *v1.QueryService) { resource.Spec.Limits.Queue = 100 + change }))
+	}
+	must(t, holder.Signal(syscall.SIGSTOP))
+	must(t, system.updateResource(func(resource *v1.QueryService) { resource.Spec.Limits.Queue = 200 }))
+	generation := system.resource().Metadata.Generation
+	must(t, cluster.Await(testContext(t), func(context.Context) error {
+		accepted := system.resource().Status.Accepted
+		if accepted == nil || accepted.Generation != generation {
+			return fmt.Errorf("generation %d is not accepted: %+v", generation, accepted)
+		}
+		return nil
+	}))
+	if next := system.leaseHolder(); next == holder {
+		t.Errorf("%s holds the lease still: the test shows nothing", holder.Name)
+	}
+	must(t, holder.Signal(syscall.SIGCONT))
+	must(t, system.updateResource(func(resource *v1.QueryService) { resource.Spec.Limits.Queue = 300 }))
+	system.awaitAccepted(system.resource().Metadata.Generation)
+	watch.end()
+}
+
+// leaseHolder returns the node whose controller holds the lease.
+func (system *system) leaseHolder() *cluster.Node {
+	system.t.Helper()
+	var holder *cluster.Node
+	must(system.t, cluster.Await(testContext(system.t), func(ctx context.Context) error {
+		client := platformclient.NewClient(platformclient.Options{Address: system.Platform.Address, Name: "test"})
+		defer client.Close()
+		object, err := client.Leases.Get(ctx, controller.LeaseName)
+		if err != nil {
+			return err
+		}
+		for _, node := range system.Nodes {
+			if strings.HasPrefix(object.Spec.Holder, node.Name) {
+				holder = node
+				return nil
+			}
+		}
+		return fmt.Errorf("no node is the holder %q", object.Spec.Holder)
+	}))
+	return holder
+}
