InForce counts failed members that may still exist as lagging

Cause: Applied counted only members that are not dead, so when regions lost each other, the part with the controller called a revision in force everywhere while the other part served by an earlier one.

Change: a member that was found dead without having announced that it leaves counts in the total and among the lagging while the platform's machine list holds its wire address as live. Without a list of the last minute it counts for 5 minutes, so that a crashed machine that was never listed does not hold InForce false for ever. A later process at the same wire address replaces it. The holder of the controllers' lease and the candidates for it read the machine list as well. membership.Core gets an accessor, Failed, and remembers whether a member announced that it leaves. The decision in the controller is unchanged.

Ruled out: counting every remembered dead member (a crashed machine would hold InForce false for the 24 h of DeadRetention).

--- a/api/v1/types.go
+++ b/api/v1/types.go
@@ -153,7 +153,8 @@
 const (
 	// ConditionAccepted tells whether the newest generation was accepted.
 	ConditionAccepted ConditionType = "Accepted"
-	// ConditionInForce tells whether every live node applies the accepted revision.
+	// ConditionInForce tells whether every node applies the accepted revision, those
+	// that failed and may still exist included.
 	ConditionInForce ConditionType = "InForce"
 )
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -19,10 +19,11 @@
 	Publish(entry message.ConfigEntry)
 }
 
-// Spread tells how far a revision has come among the live members.
+// Spread tells how far a revision has come among the members.
 type Spread interface {
-	// Applied counts the live members and those that hold this revision of the
-	// service or a higher one, and names some that do not.
+	// Applied counts the members, failed ones that may still exist included, and
+	// those that hold this revision of the service or a higher one, and names
+	// some that do not.
 	Applied(service string, revision int64) (total, applied int, lagging []string)
 }
 
--- a/internal/controller/spread.go
+++ b/internal/controller/spread.go
@@ -18,7 +18,7 @@
 	settledInterval = 2 * time.Minute
 )
 
-// progress is how far a revision has come among the live members.
+// progress is how far a revision has come among the members.
 type progress struct {
 	total   int
 	applied int
--- a/internal/gossip/applied.go
+++ b/internal/gossip/applied.go
@@ -29,9 +29,14 @@
 
 // Applied asks all members that take work whether they apply a revision of a
 // service, or a later one. It returns how many there are, how many apply it, and
-// names some that do not or do not answer, at most v1.MaxLaggingNames.
+// names some that do not or do not answer, at most v1.MaxLaggingNames. Failed
+// members that may still exist count as lagging: they may be cut off, and go on
+// serving by an earlier revision.
 func (node *Node) Applied(ctx context.Context, service string, revision int64) (total, applied int, lagging []string) {
-	groups := node.groups()
+	members := node.Members()
+	cutOff := node.cutOff(members)
+	total, lagging = len(cutOff), cutOff
+	groups := groupsOf(members)
 	replies := make([]message.AppliedReply, len(groups))
 	var asking sync.WaitGroup
 	for index, group := range groups {
@@ -47,10 +52,10 @@
 	return total, applied, lagging[:min(len(lagging), v1.MaxLaggingNames)]
 }
 
-// groups splits the members that take work into groups of one zone each.
-func (node *Node) groups() [][]membership.Member {
+// groupsOf splits the members that take work into groups of one zone each.
+func groupsOf(all []membership.Member) [][]membership.Member {
 	var members []membership.Member
-	for _, member := range node.Members() {
+	for _, member := range all {
 		if member.State.TakesWork() {
 			members = append(members, member)
 		}
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -33,7 +33,7 @@
 	core  *membership.Core
 	// members is the newest list, rebuilt when it is asked for after a change.
 	members  atomic.Pointer[[]membership.Member]
-	machines []string
+	machines machineList
 	leaving  bool
 	// lastTick is when the core ticked last, since start.
 	lastTick atomic.Int64
--- a/internal/gossip/table.go
+++ b/internal/gossip/table.go
@@ -63,7 +63,7 @@
 // says that nodes are. It tells as well that the platform can be reached.
 func (node *Node) SetMachines(addresses []string) {
 	node.mutex.Lock()
-	node.machines = addresses
+	node.machines = machineList{addresses: addresses, readAt: time.Now()}
 	node.mutex.Unlock()
 	node.ready.platformSeen.Store(true)
 }
@@ -97,7 +97,7 @@
 
 func (node *Node) strangers() []string {
 	node.mutex.Lock()
-	machines := node.machines
+	machines := node.machines.addresses
 	node.mutex.Unlock()
 	known := make(map[string]bool)
 	for _, member := range node.Members() {
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -124,6 +124,18 @@
 	return members
 }
 
+// Failed returns the members that were found dead and are remembered, by ID,
+// without those that announced that they leave.
+func (core *Core) Failed() []Failed {
+	var failed []Failed
+	for _, record := range core.table.ordered {
+		if record.dead() && !record.left && !record.announcedLeave {
+			failed = append(failed, Failed{Member: record.Member, Since: record.deadSince})
+		}
+	}
+	return failed
+}
+
 // visible returns the member with a suspicion shown in its state; a suspect
 // that was leaving is still leaving.
 func (record *record) visible() Member {
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -1,5 +1,7 @@
 package membership
 
+import "time"
+
 // State is what a node believes of a member.
 type State uint8
 
@@ -48,3 +50,11 @@
 func (state State) TakesWork() bool {
 	return state == Alive || state == Suspect
 }
+
+// Failed is a member that was found dead though it never said that it leaves:
+// it has crashed or is cut off.
+type Failed struct {
+	Member
+	// Since is when this node learnt of it.
+	Since time.Time
+}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -16,6 +16,8 @@
 	suspectUntil time.Time
 	// left tells a member that ended by itself from one that failed.
 	left bool
+	// announcedLeave tells that the member was last seen to be leaving.
+	announcedLeave bool
 	// deadSince is when the member was found dead.
 	deadSince time.Time
 	// informedAt is when the member was last told that it is held dead.
--- a/internal/membership/update.go
+++ b/internal/membership/update.go
@@ -69,9 +69,11 @@
 	switch status {
 	case StatusAlive:
 		known.State = Alive
+		known.announcedLeave = false
 		core.endSuspicion(known)
 	case StatusLeaving:
 		known.State = Leaving
+		known.announcedLeave = true
 		core.endSuspicion(known)
 	case StatusSuspect:
 		if known.dead() {
--- a/internal/node/machines.go
+++ b/internal/node/machines.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/driftstage/driftstage/internal/controller"
 	"github.com/driftstage/driftstage/internal/gossip"
 	"github.com/driftstage/driftstage/internal/membership"
 	"github.com/driftstage/driftstage/internal/placement"
@@ -42,7 +43,9 @@
 // nodes that no member has named, and machines that are leaving.
 //
 // The platform bears few readers: the two highest-ranked nodes of each zone read
-// the list, the others ask these. A node that knows no other member reads it itself.
+// the list, and so do the candidates for the controller's lease and its holder,
+// which must know what machines exist; the others ask the readers of their zone.
+// A node that knows no other member reads it itself.
 type machineList struct {
 	self     string
 	zone     string
@@ -50,6 +53,8 @@
 	client   *wire.Client
 	members  memberView
 	follower machineFollower
+	// controls tells whether this node runs the controller or may come to.
+	controls func() bool
 	// seen is the last look, read or asked for.
 	seen atomic.Pointer[machinesSeen]
 }
@@ -70,7 +75,8 @@
 	return seen
 }
 
-func newMachineList(loaded settings.Settings, client *platform.Client, wireClient *wire.Client, server *wire.Server, member *gossip.Node) *machineList {
+func newMachineList(loaded settings.Settings, client *platform.Client, wireClient *wire.Client, server *wire.Server, member *gossip.Node, control *controller.Controller) *machineList {
+	mayLead := candidate(loaded.Name, member)
 	list := &machineList{
 		self:     loaded.Name,
 		zone:     loaded.Zone,
@@ -78,6 +84,7 @@
 		client:   wireClient,
 		members:  member,
 		follower: member,
+		controls: func() bool { return control.State().Leading || mayLead() },
 	}
 	wire.Handle(server, list.serve)
 	return list
@@ -147,7 +154,7 @@
 		}
 	}
 	first, second := placement.Rank(placement.Server{Name: machinesRank, Zone: list.zone}, nodes)
-	if second == "" || first == list.self || second == list.self {
+	if second == "" || first == list.self || second == list.self || list.controls() {
 		return nil, true
 	}
 	return []membership.Member{byID[first], byID[second]}, false
--- a/internal/node/machines_test.go
+++ b/internal/node/machines_test.go
@@ -46,7 +46,7 @@
 		is.NoErr(err)
 		id := fmt.Sprint("node-", index)
 		members[index] = membership.Member{ID: id, Zone: "a", Address: listener.Addr().String()}
-		lists[index] = &machineList{self: id, zone: "a", platform: source, client: client, members: members, follower: ignoreMachines{}}
+		lists[index] = &machineList{self: id, zone: "a", platform: source, client: client, members: members, follower: ignoreMachines{}, controls: func() bool { return false }}
 		server := wire.NewServer(wire.ServerOptions{})
 		wire.Handle(server, lists[index].serve)
 		go func() { _ = server.Serve(listener) }()
@@ -75,6 +75,18 @@
 	}
 }
 
+// A node that has the controller's lease, or may take it, reads the list besides.
+func TestControllersReadTheMachineList(t *testing.T) {
+	is := is.New(t)
+	source := &countingPlatform{}
+	lists := startLists(t, 6, source)
+	for _, list := range lists {
+		list.controls = func() bool { return true }
+	}
+	lookAll(t, lists)
+	is.Equal(source.reads, 2*len(lists))
+}
+
 func TestALoneNodeReadsItself(t *testing.T) {
 	is := is.New(t)
 	source := &countingPlatform{}
