driftlab: one check for stray arguments, one way to start a node in a zone

Four commands of driftlab had the same check, and the demo and the experiments the same loop that starts a daemon in each zone. demo() is split, the type of its answer has a name, and Process.LogPath, which nobody called, is gone.

Behaviour is the same but for one text: `driftlab demo x` now says "usage: unexpected argument", as the other commands do; exit status 2 as before.

--- a/cmd/driftlab/backends.go
+++ b/cmd/driftlab/backends.go
@@ -34,8 +34,8 @@
 		ShortHelp: "run the stand-in of the back ends of one service",
 		Flags:     flags,
 		Exec: func(ctx context.Context, args []string) error {
-			if len(args) > 0 {
-				return fmt.Errorf("%w: unexpected argument %q", errUsage, args[0])
+			if err := wantNoArguments(args); err != nil {
+				return err
 			}
 			return settings.run(ctx)
 		},
--- a/cmd/driftlab/demo.go
+++ b/cmd/driftlab/demo.go
@@ -53,15 +53,16 @@
 		ShortHelp: "start the whole system on loopback, ask one query of each user, stop it",
 		Flags:     flags,
 		Exec: func(ctx context.Context, args []string) error {
-			if len(args) > 0 {
-				return errors.Mark(errors.Newf("unexpected argument %q", args[0]), errUsage)
+			if err := wantNoArguments(args); err != nil {
+				return err
 			}
 			return demo(ctx, *logs, *hold)
 		},
 	}
 }
 
-func demo(interrupted context.Context, logs string, hold bool) (failure error) {
+// demo runs the demo within demoTimeout, unless it is held until interrupted.
+func demo(interrupted context.Context, logs string, hold bool) error {
 	ctx, cancel := context.WithTimeout(interrupted, demoTimeout)
 	defer cancel()
 	executable, err := os.Executable()
@@ -77,8 +78,13 @@
 	} else if err := os.MkdirAll(logs, 0o755); err != nil {
 		return err
 	}
+	return runDemo(ctx, interrupted, filepath.Dir(executable), logs, hold)
+}
+
+// runDemo starts the system from the programs in a directory, asks it, and stops it.
+func runDemo(ctx, interrupted context.Context, binaries, logs string, hold bool) (failure error) {
 	running, err := cluster.Start(ctx, cluster.Options{
-		Binaries:          filepath.Dir(executable),
+		Binaries:          binaries,
 		Directory:         logs,
 		PlatformArguments: []string{"--machine-lag", "100ms"},
 	})
@@ -121,13 +127,8 @@
 			return err
 		}
 	}
-	for index, zone := range append(demoUsers[0].zones, demoUsers[1].zones...) {
-		node, err := running.StartNode(ctx, cluster.NodeOptions{
-			Name:      fmt.Sprintf("node-%d", index+1),
-			Zone:      zone,
-			Region:    zone,
-			Arguments: []string{"--drain-delay", "200ms"},
-		})
+	for _, zone := range append(demoUsers[0].zones, demoUsers[1].zones...) {
+		node, err := running.StartNodeIn(ctx, zone)
 		if err != nil {
 			return err
 		}
@@ -144,6 +145,18 @@
 	return nil
 }
 
+// demoAnswer is the part of a gateway's answer that the demo prints.
+type demoAnswer struct {
+	Revision int64
+	Snapshot int64
+	Verdict  string
+	Coverage struct {
+		Shards, Covered int
+		Missing         []json.RawMessage
+	}
+	Results []json.RawMessage
+}
+
 // askDemo sends one query and prints its answer.
 func askDemo(ctx context.Context, gateway string, user demoUser) error {
 	url := fmt.Sprintf("http://%s/v1/services/%s/query", gateway, user.service)
@@ -161,17 +174,7 @@
 	if err != nil {
 		return err
 	}
-	var answer struct {
-		RequestID string
-		Revision  int64
-		Snapshot  int64
-		Verdict   string
-		Coverage  struct {
-			Shards, Covered int
-			Missing         []json.RawMessage
-		}
-		Results []json.RawMessage
-	}
+	var answer demoAnswer
 	if err := json.Unmarshal(body, &answer); err != nil {
 		return errors.Wrapf(err, "answer %q", body)
 	}
--- a/cmd/driftlab/load.go
+++ b/cmd/driftlab/load.go
@@ -40,8 +40,8 @@
 			"With --admin, every answer is compared with what the back ends really ran. Exit status 1 when one was wrong.",
 		Flags: flags,
 		Exec: func(ctx context.Context, args []string) error {
-			if len(args) > 0 {
-				return fmt.Errorf("%w: unexpected argument %q", errUsage, args[0])
+			if err := wantNoArguments(args); err != nil {
+				return err
 			}
 			return settings.run(ctx)
 		},
--- a/cmd/driftlab/main.go
+++ b/cmd/driftlab/main.go
@@ -61,6 +61,14 @@
 	}
 }
 
+// wantNoArguments refuses what stands on the command line besides flags.
+func wantNoArguments(args []string) error {
+	if len(args) > 0 {
+		return fmt.Errorf("%w: unexpected argument %q", errUsage, args[0])
+	}
+	return nil
+}
+
 func reportUsage(root *ff.Command, err error) int {
 	selected := root.GetSelected()
 	if selected == nil {
--- a/cmd/driftlab/scale.go
+++ b/cmd/driftlab/scale.go
@@ -38,8 +38,8 @@
 			"Costs are of one node; bytes are sent and received together, with headers.",
 		Flags: flags,
 		Exec: func(ctx context.Context, args []string) error {
-			if len(args) > 0 {
-				return fmt.Errorf("%w: unexpected argument %q", errUsage, args[0])
+			if err := wantNoArguments(args); err != nil {
+				return err
 			}
 			parsed, err := parseSizes(sizes)
 			if err != nil {
--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -135,6 +135,17 @@
 	return started, json.Unmarshal([]byte(line), started)
 }
 
+// StartNodeIn starts the next daemon, node-1 the first, in a zone that is a
+// region of its own. It drains only briefly.
+func (cluster *Cluster) StartNodeIn(ctx context.Context, zone string) (*Node, error) {
+	return cluster.StartNode(ctx, NodeOptions{
+		Name:      fmt.Sprintf("node-%d", len(cluster.Nodes)+1),
+		Zone:      zone,
+		Region:    zone,
+		Arguments: []string{"--drain-delay", "200ms"},
+	})
+}
+
 // maximumJoin bounds the list of nodes to join.
 const maximumJoin = 3
 
--- a/internal/lab/cluster/process.go
+++ b/internal/lab/cluster/process.go
@@ -113,11 +113,6 @@
 	return string(content)
 }
 
-// LogPath names the file with all that the program has printed.
-func (process *Process) LogPath() string {
-	return process.log.Name()
-}
-
 // Signal sends a signal, such as SIGSTOP, to the program.
 func (process *Process) Signal(signal syscall.Signal) error {
 	return process.command.Process.Signal(signal)
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -131,13 +131,8 @@
 	if err := scene.cluster.Create(ctx, started.Resource); err != nil {
 		return err
 	}
-	for index, zone := range scene.user.Zones {
-		node, err := scene.cluster.StartNode(ctx, cluster.NodeOptions{
-			Name:      fmt.Sprintf("node-%d", index+1),
-			Zone:      zone,
-			Region:    zone,
-			Arguments: []string{"--drain-delay", "200ms"},
-		})
+	for _, zone := range scene.user.Zones {
+		node, err := scene.cluster.StartNodeIn(ctx, zone)
 		if err != nil {
 			return err
 		}
