--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -93,8 +93,8 @@
 	return nil
 }
 
-// scene is a running system with one user's service.
-type scene struct {
+// system is a running one with one user's service.
+type system struct {
 	cluster  *cluster.Cluster
 	user     User
 	backends *backend.Client
@@ -103,7 +103,7 @@
 }
 
 // setUp starts the system: one daemon in each zone of the user.
-func setUp(ctx context.Context, options Options, user User, backendArguments ...string) (*scene, error) {
+func setUp(ctx context.Context, options Options, user User, backendArguments ...string) (*system, error) {
 	running, err := cluster.Start(ctx, cluster.Options{
 		Binaries:          options.Binaries,
 		Directory:         options.Directory,
@@ -112,55 +112,55 @@
 	if err != nil {
 		return nil, err
 	}
-	set := &scene{cluster: running, user: user}
-	if err := set.fill(ctx, append(user.BackendArguments(), backendArguments...)); err != nil {
+	system := &system{cluster: running, user: user}
+	if err := system.fill(ctx, append(user.BackendArguments(), backendArguments...)); err != nil {
 		return nil, errors.CombineErrors(err, running.Stop())
 	}
-	return set, nil
+	return system, nil
 }
 
-func (scene *scene) fill(ctx context.Context, backendArguments []string) error {
-	started, err := scene.cluster.StartBackends(ctx, scene.user.Service, backendArguments...)
+func (system *system) fill(ctx context.Context, backendArguments []string) error {
+	started, err := system.cluster.StartBackends(ctx, system.user.Service, backendArguments...)
 	if err != nil {
 		return err
 	}
-	scene.backends = backend.NewClient(started.Admin)
-	if scene.fleet, err = scene.backends.Fleet(); err != nil {
+	system.backends = backend.NewClient(started.Admin)
+	if system.fleet, err = system.backends.Fleet(); err != nil {
 		return err
 	}
-	if err := scene.cluster.Create(ctx, started.Resource); err != nil {
+	if err := system.cluster.Create(ctx, started.Resource); err != nil {
 		return err
 	}
-	for _, zone := range scene.user.Zones {
-		node, err := scene.cluster.StartNodeIn(ctx, zone)
+	for _, zone := range system.user.Zones {
+		node, err := system.cluster.StartNodeIn(ctx, zone)
 		if err != nil {
 			return err
 		}
-		scene.gateways = append(scene.gateways, node.Gateway)
+		system.gateways = append(system.gateways, node.Gateway)
 	}
-	if err := scene.cluster.PublishMachines(ctx); err != nil {
+	if err := system.cluster.PublishMachines(ctx); err != nil {
 		return err
 	}
-	return scene.cluster.AwaitService(ctx, scene.user.Service)
+	return system.cluster.AwaitService(ctx, system.user.Service)
 }
 
-// load returns the options of a load on the scene.
-func (scene *scene) load(options Options, rate float64) lab.LoadOptions {
+// load returns the options of a load on the system.
+func (system *system) load(options Options, rate float64) lab.LoadOptions {
 	load := lab.DefaultLoadOptions()
-	load.Service = scene.user.Service
+	load.Service = system.user.Service
 	load.Rate = rate
 	load.Duration = options.Duration
 	load.Seed = options.Seed
 	return load
 }
 
-// baseline and driftstage are the two targets of a scene.
-func (scene *scene) baseline(options Options) lab.Target {
-	return lab.NewDirect(scene.fleet, options.Seed)
+// baseline and driftstage are the two targets of a system.
+func (system *system) baseline(options Options) lab.Target {
+	return lab.NewDirect(system.fleet, options.Seed)
 }
 
-func (scene *scene) driftstage() lab.Target {
-	return lab.NewGateways(scene.gateways)
+func (system *system) driftstage() lab.Target {
+	return lab.NewGateways(system.gateways)
 }
 
 func ratio(numerator, denominator float64) float64 {
--- a/internal/lab/experiment/overhead.go
+++ b/internal/lab/experiment/overhead.go
@@ -20,23 +20,23 @@
 // light load, and the processor time of all daemons for each further sub-request
 // between a light and a heavy load.
 func Overhead(ctx context.Context, options Options, user User) (result *Result, failure error) {
-	set, err := setUp(ctx, options, user)
+	system, err := setUp(ctx, options, user)
 	if err != nil {
 		return nil, err
 	}
-	defer func() { failure = errors.Join(failure, set.cluster.Stop()) }()
-	direct, err := lab.Load(ctx, set.load(options, lightRate), set.baseline(options), set.backends)
+	defer func() { failure = errors.Join(failure, system.cluster.Stop()) }()
+	direct, err := lab.Load(ctx, system.load(options, lightRate), system.baseline(options), system.backends)
 	if err != nil {
 		return nil, err
 	}
-	light, lightTime, err := set.timedLoad(ctx, set.load(options, lightRate))
+	light, lightTime, err := system.timedLoad(ctx, system.load(options, lightRate))
 	if err != nil {
 		return nil, err
 	}
-	heavyLoad := set.load(options, heavyRate)
+	heavyLoad := system.load(options, heavyRate)
 	// Queries are told apart by their bodies, which follow from the seed.
 	heavyLoad.Seed++
-	heavy, heavyTime, err := set.timedLoad(ctx, heavyLoad)
+	heavy, heavyTime, err := system.timedLoad(ctx, heavyLoad)
 	if err != nil {
 		return nil, err
 	}
@@ -58,15 +58,15 @@
 
 // timedLoad sends a load through driftstage and returns the processor time that
 // the daemons used for it.
-func (scene *scene) timedLoad(ctx context.Context, load lab.LoadOptions) (*lab.Report, time.Duration, error) {
-	before, err := scene.cluster.ProcessorTime()
+func (system *system) timedLoad(ctx context.Context, load lab.LoadOptions) (*lab.Report, time.Duration, error) {
+	before, err := system.cluster.ProcessorTime()
 	if err != nil {
 		return nil, 0, err
 	}
-	report, err := lab.Load(ctx, load, scene.driftstage(), scene.backends)
+	report, err := lab.Load(ctx, load, system.driftstage(), system.backends)
 	if err != nil {
 		return nil, 0, err
 	}
-	after, err := scene.cluster.ProcessorTime()
+	after, err := system.cluster.ProcessorTime()
 	return report, after - before, err
 }
--- a/internal/lab/experiment/overload.go
+++ b/internal/lab/experiment/overload.go
@@ -16,18 +16,18 @@
 // Overload raises the load to more than twice what the servers bear, and tells
 // which part of the peak of useful answers remains, and how fast refusals are.
 func Overload(ctx context.Context, options Options, user User) (result *Result, failure error) {
-	set, err := setUp(ctx, options, user, "--median", "20ms")
+	system, err := setUp(ctx, options, user, "--median", "20ms")
 	if err != nil {
 		return nil, err
 	}
-	defer func() { failure = errors.Join(failure, set.cluster.Stop()) }()
+	defer func() { failure = errors.Join(failure, system.cluster.Stop()) }()
 	result = &Result{Experiment: "overload", Service: user.Service}
 	peak, peakRate := 0.0, 0.0
 	for index, rate := range overloadRates {
-		load := set.load(options, rate)
+		load := system.load(options, rate)
 		// Queries are told apart by their bodies, which follow from the seed.
 		load.Seed += uint64(index)
-		report, err := lab.Load(ctx, load, set.driftstage(), set.backends)
+		report, err := lab.Load(ctx, load, system.driftstage(), system.backends)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/lab/experiment/stragglers.go
+++ b/internal/lab/experiment/stragglers.go
@@ -15,21 +15,21 @@
 // Stragglers measures the tail with 1 in 100 replies 50 times slower and one
 // server dead: every shard still has a live replica.
 func Stragglers(ctx context.Context, options Options, user User) (result *Result, failure error) {
-	set, err := setUp(ctx, options, user, "--straggler-one-in", "100", "--straggler-factor", "50")
+	system, err := setUp(ctx, options, user, "--straggler-one-in", "100", "--straggler-factor", "50")
 	if err != nil {
 		return nil, err
 	}
-	defer func() { failure = errors.Join(failure, set.cluster.Stop()) }()
-	dead := set.fleet.Servers[0].Name
-	if err := set.backends.SetFault(backend.Fault{Server: dead, Kind: backend.FaultDie}); err != nil {
+	defer func() { failure = errors.Join(failure, system.cluster.Stop()) }()
+	dead := system.fleet.Servers[0].Name
+	if err := system.backends.SetFault(backend.Fault{Server: dead, Kind: backend.FaultDie}); err != nil {
 		return nil, err
 	}
-	load := set.load(options, stragglerRate)
-	direct, err := lab.Load(ctx, load, set.baseline(options), set.backends)
+	load := system.load(options, stragglerRate)
+	direct, err := lab.Load(ctx, load, system.baseline(options), system.backends)
 	if err != nil {
 		return nil, err
 	}
-	through, err := lab.Load(ctx, load, set.driftstage(), set.backends)
+	through, err := lab.Load(ctx, load, system.driftstage(), system.backends)
 	if err != nil {
 		return nil, err
 	}
