--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,7 +68,7 @@
 	metrics  *metrics
 	inFlight inFlight
 	draining atomic.Bool
-	// running ends queries that are still under way when Close is called.
+	// running is the context of all queries; cancel ends those that Shutdown gives up.
 	running context.Context
 	cancel  context.CancelFunc
 }
--- a/internal/node/machines.go
+++ b/internal/node/machines.go
@@ -146,14 +146,10 @@
 func (list *machineList) readers() (readers []membership.Member, reads bool) {
 	members := list.members.Members()
 	byID := make(map[string]membership.Member, len(members))
-	var nodes []placement.Node
 	for _, member := range members {
-		if member.State.TakesWork() {
-			byID[member.ID] = member
-			nodes = append(nodes, placement.Node{ID: member.ID, Zone: member.Zone})
-		}
+		byID[member.ID] = member
 	}
-	first, second := placement.Rank(placement.Server{Name: machinesRank, Zone: list.zone}, nodes)
+	first, second := placement.Rank(placement.Server{Name: machinesRank, Zone: list.zone}, rankedNodes(members))
 	if second == "" || first == list.self || second == list.self || list.controls() {
 		return nil, true
 	}
--- a/internal/node/ownership.go
+++ b/internal/node/ownership.go
@@ -59,13 +59,18 @@
 	}
 	ownership.list = slices.Clone(members)
 	ownership.owned = make(map[string]ownedServers)
+	ownership.index = placement.NewIndex(rankedNodes(members))
+}
+
+// rankedNodes returns the members that take work, as placement ranks them.
+func rankedNodes(members []membership.Member) []placement.Node {
 	var nodes []placement.Node
 	for _, member := range members {
 		if member.State.TakesWork() {
 			nodes = append(nodes, placement.Node{ID: member.ID, Zone: member.Zone})
 		}
 	}
-	ownership.index = placement.NewIndex(nodes)
+	return nodes
 }
 
 func (ownership *ownership) rank(service *config.Service) ownedServers {
