--- a/internal/wire/connection.go
+++ b/internal/wire/connection.go
@@ -54,14 +54,14 @@
 }
 
 // usable reports whether new calls may start on the connection.
-func (c *connection) usable() bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return c.failure == nil && !c.goneAway
+func (connection *connection) usable() bool {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	return connection.failure == nil && !connection.goneAway
 }
 
 // call sends one request and waits for its reply, its failure or ctx.
-func (c *connection) call(ctx context.Context, request, reply Message) error {
+func (connection *connection) call(ctx context.Context, request, reply Message) error {
 	payload, err := request.Marshal()
 	if err != nil {
 		return verdict.New(verdict.NotRun, verdict.CodeInvalid, "encode request: %v", err)
@@ -69,41 +69,41 @@
 	if len(payload) > MaxPayloadBytes {
 		return verdict.New(verdict.NotRun, verdict.CodeTooLarge, "request of %d bytes, limit is %d", len(payload), MaxPayloadBytes)
 	}
-	started, err := c.start(reply)
+	started, err := connection.start(reply)
 	if err != nil {
 		return err
 	}
-	queued := c.writer.enqueue(outgoing{
+	queued := connection.writer.enqueue(outgoing{
 		frame: frame{kind: frameRequest, id: started.id, fingerprint: fingerprintOf(request.Schema()), payload: payload},
-		taken: func() bool { return c.markWritten(started) },
+		taken: func() bool { return connection.markWritten(started) },
 	})
 	if !queued {
-		c.giveUp(started)
+		connection.giveUp(started)
 		return verdict.New(verdict.NotRun, verdict.CodeUnreachable, "connection is closed")
 	}
 	select {
 	case <-started.done:
 		return started.err
 	case <-ctx.Done():
-		return c.abandon(ctx, started)
+		return connection.abandon(ctx, started)
 	}
 }
 
-func (c *connection) start(reply Message) (*call, error) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if c.failure != nil || c.goneAway {
+func (connection *connection) start(reply Message) (*call, error) {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	if connection.failure != nil || connection.goneAway {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeUnreachable, "connection takes no new requests")
 	}
-	c.nextID++
-	started := &call{id: c.nextID, state: callQueued, reply: reply, done: make(chan struct{})}
-	c.calls[started.id] = started
+	connection.nextID++
+	started := &call{id: connection.nextID, state: callQueued, reply: reply, done: make(chan struct{})}
+	connection.calls[started.id] = started
 	return started, nil
 }
 
-func (c *connection) markWritten(started *call) bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
+func (connection *connection) markWritten(started *call) bool {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
 	if started.state == callGivenUp {
 		return false
 	}
@@ -113,13 +113,13 @@
 
 // giveUp takes a call off the connection and reports whether it was written,
 // and whether its reply is already being read.
-func (c *connection) giveUp(started *call) (written, answered bool) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if _, pending := c.calls[started.id]; !pending {
+func (connection *connection) giveUp(started *call) (written, answered bool) {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	if _, pending := connection.calls[started.id]; !pending {
 		return true, true
 	}
-	delete(c.calls, started.id)
+	delete(connection.calls, started.id)
 	if started.state == callWritten {
 		return true, false
 	}
@@ -127,8 +127,8 @@
 	return false, false
 }
 
-func (c *connection) abandon(ctx context.Context, started *call) error {
-	written, answered := c.giveUp(started)
+func (connection *connection) abandon(ctx context.Context, started *call) error {
+	written, answered := connection.giveUp(started)
 	if answered {
 		<-started.done
 		return started.err
@@ -140,33 +140,33 @@
 	if !written {
 		return verdict.New(verdict.NotRun, code, "given up before it was written")
 	}
-	c.writer.enqueue(outgoing{frame: frame{kind: frameCancel, id: started.id}})
+	connection.writer.enqueue(outgoing{frame: frame{kind: frameCancel, id: started.id}})
 	return verdict.New(verdict.MayHaveRun, code, "given up while waiting for the reply")
 }
 
 // read handles frames until the connection fails.
-func (c *connection) read(reader *frameReader) error {
+func (connection *connection) read(reader *frameReader) error {
 	for {
 		received, err := reader.read()
 		if err != nil {
 			return err
 		}
-		c.handle(received)
+		connection.handle(received)
 	}
 }
 
-func (c *connection) handle(received frame) {
-	c.mutex.Lock()
-	c.lastRead = time.Now()
+func (connection *connection) handle(received frame) {
+	connection.mutex.Lock()
+	connection.lastRead = time.Now()
 	if received.kind == frameGoAway {
-		c.goneAway = true
+		connection.goneAway = true
 	}
-	answered := c.calls[received.id]
+	answered := connection.calls[received.id]
 	isAnswer := received.kind == frameReply || received.kind == frameFailure
 	if isAnswer && answered != nil {
-		delete(c.calls, received.id)
+		delete(connection.calls, received.id)
 	}
-	c.mutex.Unlock()
+	connection.mutex.Unlock()
 	if !isAnswer || answered == nil {
 		return
 	}
@@ -192,32 +192,32 @@
 }
 
 // fail ends the connection: written calls may have run, the others did not.
-func (c *connection) fail(cause error) {
-	c.mutex.Lock()
-	if c.failure != nil {
-		c.mutex.Unlock()
+func (connection *connection) fail(cause error) {
+	connection.mutex.Lock()
+	if connection.failure != nil {
+		connection.mutex.Unlock()
 		return
 	}
 	if cause == nil {
 		cause = net.ErrClosed
 	}
-	c.failure = cause
-	lost := c.calls
-	c.calls = make(map[uint64]*call)
+	connection.failure = cause
+	lost := connection.calls
+	connection.calls = make(map[uint64]*call)
 	for _, started := range lost {
-		started.err = c.lostError(started, cause)
+		started.err = connection.lostError(started, cause)
 	}
-	c.mutex.Unlock()
+	connection.mutex.Unlock()
 
-	c.writer.close()
-	_ = c.network.Close()
-	close(c.closed)
+	connection.writer.close()
+	_ = connection.network.Close()
+	close(connection.closed)
 	for _, started := range lost {
 		close(started.done)
 	}
 }
 
-func (c *connection) lostError(started *call, cause error) error {
+func (connection *connection) lostError(started *call, cause error) error {
 	if started.state == callWritten {
 		return verdict.New(verdict.MayHaveRun, verdict.CodeLost, "connection failed: %v", cause)
 	}
@@ -226,32 +226,32 @@
 }
 
 // silence returns for how long nothing was read while calls were waiting.
-func (c *connection) silence(now time.Time) time.Duration {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if len(c.calls) == 0 {
-		c.lastRead = now
+func (connection *connection) silence(now time.Time) time.Duration {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	if len(connection.calls) == 0 {
+		connection.lastRead = now
 		return 0
 	}
-	return now.Sub(c.lastRead)
+	return now.Sub(connection.lastRead)
 }
 
 // watch pings a silent peer and fails the connection when it stays silent.
-func (c *connection) watch(options ClientOptions) {
+func (connection *connection) watch(options ClientOptions) {
 	ticker := time.NewTicker(options.PingInterval)
 	defer ticker.Stop()
 	for {
 		select {
-		case <-c.closed:
+		case <-connection.closed:
 			return
 		case now := <-ticker.C:
-			silence := c.silence(now)
+			silence := connection.silence(now)
 			if silence > options.SilenceLimit {
-				c.fail(errSilent)
+				connection.fail(errSilent)
 				return
 			}
 			if silence > options.PingInterval/2 {
-				c.writer.enqueue(outgoing{frame: frame{kind: framePing}})
+				connection.writer.enqueue(outgoing{frame: frame{kind: framePing}})
 			}
 		}
 	}
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -85,13 +85,13 @@
 
 // frameReader reads frames; the payload of a frame is valid until the next read.
 type frameReader struct {
-	reader *bufio.Reader
+	source *bufio.Reader
 	header [headerBytes]byte
 	buffer []byte
 }
 
 func newFrameReader(reader io.Reader) *frameReader {
-	return &frameReader{reader: bufio.NewReaderSize(reader, readBufferBytes)}
+	return &frameReader{source: bufio.NewReaderSize(reader, readBufferBytes)}
 }
 
 const (
@@ -100,9 +100,9 @@
 	keptBufferBytes = 256 << 10
 )
 
-func (r *frameReader) readHello(want []byte) error {
+func (reader *frameReader) readHello(want []byte) error {
 	received := make([]byte, len(want))
-	if _, err := io.ReadFull(r.reader, received); err != nil {
+	if _, err := io.ReadFull(reader.source, received); err != nil {
 		return fmt.Errorf("read hello: %w", err)
 	}
 	if !bytes.HasPrefix(received, helloMagic) {
@@ -114,26 +114,26 @@
 	return nil
 }
 
-func (r *frameReader) read() (frame, error) {
-	if _, err := io.ReadFull(r.reader, r.header[:]); err != nil {
+func (reader *frameReader) read() (frame, error) {
+	if _, err := io.ReadFull(reader.source, reader.header[:]); err != nil {
 		return frame{}, err
 	}
 	read := frame{
-		kind:        frameKind(r.header[0]),
-		id:          binary.BigEndian.Uint64(r.header[1:]),
-		fingerprint: fingerprint(binary.BigEndian.Uint64(r.header[9:])),
+		kind:        frameKind(reader.header[0]),
+		id:          binary.BigEndian.Uint64(reader.header[1:]),
+		fingerprint: fingerprint(binary.BigEndian.Uint64(reader.header[9:])),
 	}
-	length := int(binary.BigEndian.Uint32(r.header[17:]))
+	length := int(binary.BigEndian.Uint32(reader.header[17:]))
 	if length > MaxPayloadBytes {
 		return frame{}, fmt.Errorf("payload of %d bytes, limit is %d", length, MaxPayloadBytes)
 	}
 	if read.kind < frameRequest || read.kind > framePong {
 		return frame{}, fmt.Errorf("unknown frame kind %d", read.kind)
 	}
-	if cap(r.buffer) < length || cap(r.buffer) > keptBufferBytes {
-		r.buffer = make([]byte, length)
+	if cap(reader.buffer) < length || cap(reader.buffer) > keptBufferBytes {
+		reader.buffer = make([]byte, length)
 	}
-	read.payload = r.buffer[:length]
-	_, err := io.ReadFull(r.reader, read.payload)
+	read.payload = reader.buffer[:length]
+	_, err := io.ReadFull(reader.source, read.payload)
 	return read, err
 }
