--- a/internal/lab/experiment/overhead.go
+++ b/internal/lab/experiment/overhead.go
@@ -29,33 +29,80 @@
 	if err != nil {
 		return nil, err
 	}
-	light, lightTime, err := set.timedLoad(ctx, set.load(options, lightRate))
+	slope, err := set.measureSlope(ctx, options, lightRate, heavyRate)
 	if err != nil {
 		return nil, err
 	}
-	heavyLoad := set.load(options, heavyRate)
-	// Queries are told apart by their bodies, which follow from the seed.
-	heavyLoad.Seed++
-	heavy, heavyTime, err := set.timedLoad(ctx, heavyLoad)
+	return &Result{
+		Experiment: "overhead",
+		Service:    user.Service,
+		Reports:    append([]*lab.Report{direct}, slope.light, slope.heavy),
+		Figures: append([]Figure{
+			{"added p50", slope.light.Latency.P50 - direct.Latency.P50, "ms"},
+			{"added p99", slope.light.Latency.P99 - direct.Latency.P99, "ms"},
+		}, slope.figures()...),
+	}, nil
+}
+
+const (
+	// throughputLight and throughputHeavy are loads in queries a second; at 16
+	// sub-requests a query they are 3,200 and 12,800 sub-requests a second.
+	throughputLight = 200
+	throughputHeavy = 800
+)
+
+// Throughput measures the processor time of all daemons for each further
+// sub-request where they are busy: 16 fast servers, 16 sub-requests a query.
+func Throughput(ctx context.Context, options Options, user User) (result *Result, failure error) {
+	set, err := setUp(ctx, options, user, "--servers", "16", "--shards", "16", "--slots", "32", "--queue", "64", "--connections", "200", "--median", "1ms")
+	if err != nil {
+		return nil, err
+	}
+	defer func() { failure = errors.Join(failure, set.cluster.Stop()) }()
+	slope, err := set.measureSlope(ctx, options, throughputLight, throughputHeavy)
 	if err != nil {
 		return nil, err
 	}
-	added := float64((heavyTime - lightTime).Microseconds())
 	return &Result{
-		Experiment: "overhead",
+		Experiment: "throughput",
 		Service:    user.Service,
-		Reports:    []*lab.Report{direct, light, heavy},
-		Figures: []Figure{
-			{"added p50", light.Latency.P50 - direct.Latency.P50, "ms"},
-			{"added p99", light.Latency.P99 - direct.Latency.P99, "ms"},
-			{"processor time of all daemons for each further sub-request",
-				ratio(added, float64(heavy.BackEnds.SubRequests-light.BackEnds.SubRequests)), "µs"},
-			{"processor time of all daemons for each further query",
-				ratio(added, float64(heavy.Sent-light.Sent)), "µs"},
-		},
+		Reports:    []*lab.Report{slope.light, slope.heavy},
+		Figures:    slope.figures(),
 	}, nil
 }
 
+// slope is what two loads show together.
+type slope struct {
+	light, heavy *lab.Report
+	// added is the processor time of the heavy load over that of the light one.
+	added time.Duration
+}
+
+// measureSlope sends a light and a heavy load through driftstage.
+func (scene *scene) measureSlope(ctx context.Context, options Options, lightRate, heavyRate float64) (*slope, error) {
+	light, lightTime, err := scene.timedLoad(ctx, scene.load(options, lightRate))
+	if err != nil {
+		return nil, err
+	}
+	heavyLoad := scene.load(options, heavyRate)
+	// Queries are told apart by their bodies, which follow from the seed.
+	heavyLoad.Seed++
+	heavy, heavyTime, err := scene.timedLoad(ctx, heavyLoad)
+	if err != nil {
+		return nil, err
+	}
+	return &slope{light: light, heavy: heavy, added: heavyTime - lightTime}, nil
+}
+
+func (slope *slope) figures() []Figure {
+	added := float64(slope.added.Microseconds())
+	subRequests := slope.heavy.BackEnds.SubRequests - slope.light.BackEnds.SubRequests
+	return []Figure{
+		{"processor time of all daemons for each further sub-request", ratio(added, float64(subRequests)), "µs"},
+		{"processor time of all daemons for each further query", ratio(added, float64(slope.heavy.Sent-slope.light.Sent)), "µs"},
+	}
+}
+
 // timedLoad sends a load through driftstage and returns the processor time that
 // the daemons used for it.
 func (scene *scene) timedLoad(ctx context.Context, load lab.LoadOptions) (*lab.Report, time.Duration, error) {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -27,9 +27,15 @@
 
 func startServer(t *testing.T, options ServerOptions, handler loadHandler) (*Server, string) {
 	t.Helper()
-	is := is.New(t)
 	server := NewServer(options)
 	Handle(server, handler)
+	return server, listenLoopback(t, server)
+}
+
+// listenLoopback serves until the end of the test and returns the address.
+func listenLoopback(t testing.TB, server *Server) string {
+	t.Helper()
+	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	go func() { _ = server.Serve(listener) }()
@@ -38,7 +44,7 @@
 		cancel()
 		_ = server.Shutdown(ctx)
 	})
-	return server, listener.Addr().String()
+	return listener.Addr().String()
 }
 
 func startClient(t *testing.T, options ClientOptions) *Client {
