--- a/internal/lab/experiment/overhead.go
+++ b/internal/lab/experiment/overhead.go
@@ -20,16 +20,16 @@
 // light load, and the processor time of all daemons for each further sub-request
 // between a light and a heavy load.
 func Overhead(ctx context.Context, options Options, user User) (result *Result, failure error) {
-	set, err := setUp(ctx, options, user)
+	system, err := setUp(ctx, options, user)
 	if err != nil {
 		return nil, err
 	}
-	defer func() { failure = errors.Join(failure, set.cluster.Stop()) }()
-	direct, err := lab.Load(ctx, set.load(options, lightRate), set.baseline(options), set.backends)
+	defer func() { failure = errors.Join(failure, system.cluster.Stop()) }()
+	direct, err := lab.Load(ctx, system.load(options, lightRate), system.baseline(options), system.backends)
 	if err != nil {
 		return nil, err
 	}
-	slope, err := set.measureSlope(ctx, options, lightRate, heavyRate)
+	slope, err := system.measureSlope(ctx, options, lightRate, heavyRate)
 	if err != nil {
 		return nil, err
 	}
@@ -54,12 +54,12 @@
 // Throughput measures the processor time of all daemons for each further
 // sub-request where they are busy: 16 fast servers, 16 sub-requests a query.
 func Throughput(ctx context.Context, options Options, user User) (result *Result, failure error) {
-	set, err := setUp(ctx, options, user, "--servers", "16", "--shards", "16", "--slots", "32", "--queue", "64", "--connections", "200", "--median", "1ms")
+	system, err := setUp(ctx, options, user, "--servers", "16", "--shards", "16", "--slots", "32", "--queue", "64", "--connections", "200", "--median", "1ms")
 	if err != nil {
 		return nil, err
 	}
-	defer func() { failure = errors.Join(failure, set.cluster.Stop()) }()
-	slope, err := set.measureSlope(ctx, options, throughputLight, throughputHeavy)
+	defer func() { failure = errors.Join(failure, system.cluster.Stop()) }()
+	slope, err := system.measureSlope(ctx, options, throughputLight, throughputHeavy)
 	if err != nil {
 		return nil, err
 	}
@@ -79,15 +79,15 @@
 }
 
 // measureSlope sends a light and a heavy load through driftstage.
-func (scene *scene) measureSlope(ctx context.Context, options Options, lightRate, heavyRate float64) (*slope, error) {
-	light, lightTime, err := scene.timedLoad(ctx, scene.load(options, lightRate))
+func (system *system) measureSlope(ctx context.Context, options Options, lightRate, heavyRate float64) (*slope, error) {
+	light, lightTime, err := system.timedLoad(ctx, system.load(options, lightRate))
 	if err != nil {
 		return nil, err
 	}
-	heavyLoad := scene.load(options, heavyRate)
+	heavyLoad := system.load(options, heavyRate)
 	// Queries are told apart by their bodies, which follow from the seed.
 	heavyLoad.Seed++
-	heavy, heavyTime, err := scene.timedLoad(ctx, heavyLoad)
+	heavy, heavyTime, err := system.timedLoad(ctx, heavyLoad)
 	if err != nil {
 		return nil, err
 	}
@@ -105,15 +105,15 @@
 
 // timedLoad sends a load through driftstage and returns the processor time that
 // the daemons used for it.
-func (scene *scene) timedLoad(ctx context.Context, load lab.LoadOptions) (*lab.Report, time.Duration, error) {
-	before, err := scene.cluster.ProcessorTime()
+func (system *system) timedLoad(ctx context.Context, load lab.LoadOptions) (*lab.Report, time.Duration, error) {
+	before, err := system.cluster.ProcessorTime()
 	if err != nil {
 		return nil, 0, err
 	}
-	report, err := lab.Load(ctx, load, scene.driftstage(), scene.backends)
+	report, err := lab.Load(ctx, load, system.driftstage(), system.backends)
 	if err != nil {
 		return nil, 0, err
 	}
-	after, err := scene.cluster.ProcessorTime()
+	after, err := system.cluster.ProcessorTime()
 	return report, after - before, err
 }
