gateway: an explicit minimum coverage of 0 counts

Cause: zero meant 'the service's minimum', so a caller who takes any part could not say so. Seen red: TestMinimumCoverageOfZeroIsPassedOn did not compile; with a plain number instead of a pointer both cases are 0.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -115,6 +115,20 @@
 	is.Equal(string(decoded.Results[0].Body), `{"q":1}`)
 }
 
+// An explicit minimum of zero is not the same as none.
+func TestMinimumCoverageOfZeroIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	var got *float64
+	_, address := start(t, func(ctx context.Context, query scatter.Query) scatter.Answer {
+		got = query.MinimumCoverage
+		return covered(ctx, query)
+	})
+	post(t, queryURL(address, testService), "1")
+	is.True(got == nil)
+	post(t, queryURL(address, testService), "1", HeaderMinimumCoverage, "0")
+	is.True(got != nil && *got == 0)
+}
+
 func TestBadInputIsRefusedAsNotRun(t *testing.T) {
 	_, address := start(t, func(context.Context, scatter.Query) scatter.Answer {
 		t.Error("a refused request was run")
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -35,11 +35,10 @@
 func parseQuery(ctx *fasthttp.RequestCtx, service *config.Service) (scatter.Query, error) {
 	spec := service.Spec
 	query := scatter.Query{
-		Service:         service,
-		Timeout:         time.Duration(spec.Deadlines.Default),
-		Repeatable:      true,
-		Class:           spec.Class,
-		MinimumCoverage: spec.Coverage.Minimum,
+		Service:    service,
+		Timeout:    time.Duration(spec.Deadlines.Default),
+		Repeatable: true,
+		Class:      spec.Class,
 	}
 	if len(ctx.PostBody()) > spec.Limits.BodyBytes {
 		return query, verdict.New(verdict.NotRun, verdict.CodeTooLarge, "body of %d bytes, the service's limit is %d", len(ctx.PostBody()), spec.Limits.BodyBytes)
@@ -118,6 +117,6 @@
 	if err != nil || !(minimum >= 0 && minimum <= 1) {
 		return malformed(HeaderMinimumCoverage, text, "a number from 0 to 1")
 	}
-	query.MinimumCoverage = minimum
+	query.MinimumCoverage = &minimum
 	return nil
 }
--- a/internal/scatter/scatter.go
+++ b/internal/scatter/scatter.go
@@ -67,8 +67,8 @@
 func (scatterer *Scatterer) parameters(request *Query, pinned *config.Service, choice snapshot.Choice, start, deadline time.Time) query.Parameters {
 	spec := pinned.Spec
 	minimum := spec.Coverage.Minimum
-	if request.MinimumCoverage > 0 {
-		minimum = request.MinimumCoverage
+	if request.MinimumCoverage != nil {
+		minimum = *request.MinimumCoverage
 	}
 	return query.Parameters{
 		Repeatable:  request.Repeatable,
--- a/internal/scatter/types.go
+++ b/internal/scatter/types.go
@@ -22,8 +22,8 @@
 	Timeout    time.Duration
 	Repeatable bool
 	Class      v1.Class
-	// MinimumCoverage replaces the service's minimum; zero keeps that.
-	MinimumCoverage float64
+	// MinimumCoverage replaces the service's minimum, 0 to 1; nil keeps that.
+	MinimumCoverage *float64
 }
 
 // Answer is what the caller gets.
