wire: closing a client while it dials is no data race

Cause: Close and Forget read a peer's connection after letting the lock go, while a dial that ends writes it.

Change: both take the connections under the lock.

--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -98,26 +98,32 @@
 func (client *Client) Close() {
 	client.mutex.Lock()
 	client.closed = true
-	peers := client.peers
-	client.peers = make(map[string]*peer)
-	client.mutex.Unlock()
-	for _, closing := range peers {
+	var established []*connection
+	for _, closing := range client.peers {
 		if closing.connection != nil {
-			closing.connection.fail(net.ErrClosed)
+			established = append(established, closing.connection)
 		}
 	}
+	client.peers = make(map[string]*peer)
+	client.mutex.Unlock()
+	for _, closing := range established {
+		closing.fail(net.ErrClosed)
+	}
 }
 
 // Forget closes the connection to an address that has left.
 func (client *Client) Forget(address string) {
 	client.mutex.Lock()
-	forgotten := client.peers[address]
-	if forgotten != nil && forgotten.dialing == nil {
-		delete(client.peers, address)
+	var established *connection
+	if forgotten := client.peers[address]; forgotten != nil {
+		established = forgotten.connection
+		if forgotten.dialing == nil {
+			delete(client.peers, address)
+		}
 	}
 	client.mutex.Unlock()
-	if forgotten != nil && forgotten.connection != nil {
-		forgotten.connection.fail(net.ErrClosed)
+	if established != nil {
+		established.fail(net.ErrClosed)
 	}
 }
 
