Back-end protocol: an attempt id, so that a late copy of a refusal is noticed

Cause: all attempts of a query carry the same request id. A second, late copy of a 'not run' refusal on the same connection counted for the next attempt of the same query, which may have run (found by the model's REPLY_WITHOUT_REQUEST_ID). Ruled out: the gateway's attempt id (an owner that queues a shed attempt once more sends it twice). Change: the owner numbers its attempts at a server (Driftstage-Attempt-Id); a reply that echoes another number is for nobody. Seen red: TestLateCopyOfARefusalIsNotTakenForTheNextAttempt without the check.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/driftstage/driftstage/internal/verdict"
@@ -41,6 +43,8 @@
 	loadURI       string
 	maxReplyBytes int
 	pool          pool
+	// attempts numbers the attempts, so that replies tell them apart.
+	attempts atomic.Uint64
 }
 
 // NewClient returns a client for one server. It opens no connection yet.
@@ -91,7 +95,8 @@
 		ended()
 		return Result{Failure: connectFailure(ctx, err)}
 	}
-	exchange := exchange{client: client, conn: conn, request: request, ended: ended}
+	attempt := strconv.FormatUint(client.attempts.Add(1), 10)
+	exchange := exchange{client: client, conn: conn, request: request, attempt: attempt, ended: ended}
 	return exchange.run(ctx)
 }
 
@@ -113,6 +118,8 @@
 	client  *Client
 	conn    *connection
 	request *Request
+	// attempt is the value of HeaderAttemptID.
+	attempt string
 	ended   func()
 }
 
@@ -137,7 +144,7 @@
 	if err != nil {
 		return exchange.fail(err, complete, canceled, reply)
 	}
-	result, matches := interpret(exchange.request, reply)
+	result, matches := interpret(exchange.request, exchange.attempt, reply)
 	if matches && !canceled && !reply.ConnectionClose() {
 		exchange.client.pool.put(conn)
 		exchange.ended()
@@ -169,7 +176,7 @@
 func (exchange *exchange) write() error {
 	target := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(target)
-	writeHeader(target, exchange.client.uri, exchange.request, time.Until(exchange.request.Deadline))
+	writeHeader(target, exchange.client.uri, exchange.attempt, exchange.request, time.Until(exchange.request.Deadline))
 	target.SetBodyRaw(exchange.request.Body)
 	if err := target.Write(exchange.conn.writer); err != nil {
 		return err
--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -168,6 +168,24 @@
 	is.True(result.Failure == nil || result.Failure.Code == verdict.CodeBadReply)
 }
 
+// A late copy of the refusal of one attempt is not the refusal of the next one
+// of the same request: that one may have run.
+func TestLateCopyOfARefusalIsNotTakenForTheNextAttempt(t *testing.T) {
+	is := is.New(t)
+	refusal := "Driftstage-Request-Id: r1\r\nDriftstage-Attempt-Id: 1\r\nDriftstage-Not-Run: true\r\n"
+	late := func(conn net.Conn) bool {
+		raw(503, refusal, "")(conn)
+		return raw(200, "Driftstage-Attempt-Id: 2\r\n"+goodHeaders, goodBody)(conn)
+	}
+	address, _ := serve(t, raw(503, refusal, ""), late)
+	client := NewClient(Options{Address: address, Path: "/query", Connections: 1})
+	first := client.Do(t.Context(), request(), func() {})
+	is.Equal(first.Failure.Verdict, verdict.NotRun)
+	second := client.Do(t.Context(), request(), func() {})
+	is.Equal(second.Failure.Verdict, verdict.MayHaveRun)
+	is.Equal(second.Failure.Code, verdict.CodeBadReply)
+}
+
 func TestUnreachableIsNotRun(t *testing.T) {
 	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/backend/protocol.go
+++ b/internal/backend/protocol.go
@@ -15,6 +15,9 @@
 const (
 	// HeaderRequestID names the caller's request; replies echo it.
 	HeaderRequestID = "Driftstage-Request-Id"
+	// HeaderAttemptID tells the attempts of one owner at one server apart; servers
+	// that know it echo it, so that a late copy of an earlier reply is noticed.
+	HeaderAttemptID = "Driftstage-Attempt-Id"
 	// HeaderShards lists the shards asked or answered, such as "0,3".
 	HeaderShards = "Driftstage-Shards"
 	// HeaderPartitions is the number of shards of the map that the sender works by.
@@ -106,12 +109,13 @@
 }
 
 // writeHeader fills in everything of an HTTP request but its body.
-func writeHeader(target *fasthttp.Request, uri string, request *Request, remaining time.Duration) {
+func writeHeader(target *fasthttp.Request, uri, attempt string, request *Request, remaining time.Duration) {
 	target.SetRequestURI(uri)
 	header := &target.Header
 	header.SetMethod(fasthttp.MethodPost)
 	header.SetContentType("application/octet-stream")
 	header.Set(HeaderRequestID, request.RequestID)
+	header.Set(HeaderAttemptID, attempt)
 	header.Set(HeaderShards, formatShards(request.Shards))
 	header.Set(HeaderPartitions, strconv.Itoa(request.Partitions))
 	header.Set(HeaderSnapshot, strconv.FormatInt(request.Snapshot, 10))
--- a/internal/backend/reply.go
+++ b/internal/backend/reply.go
@@ -14,7 +14,7 @@
 // interpret turns a completely read reply into a result. The second result
 // tells whether the reply was certainly meant for this request, without which
 // its connection must not be used again.
-func interpret(request *Request, reply *fasthttp.Response) (Result, bool) {
+func interpret(request *Request, attempt string, reply *fasthttp.Response) (Result, bool) {
 	header := &reply.Header
 	result := Result{
 		Draining:      string(header.Peek(HeaderDraining)) == valueTrue,
@@ -27,6 +27,10 @@
 		result.SnapshotsHeld = nil
 		return result, false
 	}
+	if answered := string(header.Peek(HeaderAttemptID)); answered != "" && answered != attempt {
+		result.Failure = verdict.New(verdict.MayHaveRun, verdict.CodeBadReply, "reply is for attempt %q", answered)
+		return result, false
+	}
 	if reply.StatusCode() != fasthttp.StatusOK {
 		result.Failure = refusal(reply)
 		return result, matches
--- a/internal/standin/backend/handler.go
+++ b/internal/standin/backend/handler.go
@@ -34,6 +34,7 @@
 		return
 	}
 	writer.Header().Set(headerRequestID, parsed.id)
+	writer.Header().Set(headerAttemptID, request.Header.Get(headerAttemptID))
 	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, maxBodyBytes))
 	if err != nil {
 		http.Error(writer, "body is incomplete or too large", http.StatusBadRequest)
--- a/internal/standin/backend/protocol.go
+++ b/internal/standin/backend/protocol.go
@@ -13,6 +13,7 @@
 // Headers of the protocol between driftstage and a back end (docs/DESIGN.md).
 const (
 	headerRequestID     = "Driftstage-Request-Id"
+	headerAttemptID     = "Driftstage-Attempt-Id"
 	headerShards        = "Driftstage-Shards"
 	headerPartitions    = "Driftstage-Partitions"
 	headerSnapshot      = "Driftstage-Snapshot"
--- a/internal/standin/backend/reply.go
+++ b/internal/standin/backend/reply.go
@@ -99,7 +99,7 @@
 
 // sendRaw writes the reply to the connection itself and breaks it as told.
 func (server *Server) sendRaw(writer http.ResponseWriter, reply Reply, kind FaultKind) {
-	whole, err := server.rawReply(reply)
+	whole, err := server.rawReply(reply, writer.Header().Get(headerAttemptID))
 	if err != nil {
 		http.Error(writer, err.Error(), http.StatusInternalServerError)
 		return
@@ -132,12 +132,13 @@
 	_, _ = io.Copy(io.Discard, connection)
 }
 
-func (server *Server) rawReply(reply Reply) ([]byte, error) {
+func (server *Server) rawReply(reply Reply, attempt string) ([]byte, error) {
 	body, err := json.Marshal(reply)
 	if err != nil {
 		return nil, err
 	}
 	header := server.replyHeader(reply.RequestID, reply.Snapshot, reply)
+	header.Set(headerAttemptID, attempt)
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	var whole bytes.Buffer
 	fmt.Fprintf(&whole, "HTTP/1.1 200 OK\r\n")
