--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -23,6 +23,7 @@
 // sizes measured before it.
 func Run(ctx context.Context, options Options) (*Report, error) {
 	report := &Report{Options: newReportOptions(options)}
+	defer report.extrapolate(options)
 	for _, size := range options.Sizes {
 		measured, err := measureSize(ctx, size, options)
 		if err != nil {
@@ -30,7 +31,6 @@
 		}
 		report.Sizes = append(report.Sizes, *measured)
 	}
-	report.extrapolate(options)
 	return report, nil
 }
 
