--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -19,6 +19,8 @@
 // dissemination of accepted configuration. It is safe for concurrent use.
 type Node struct {
 	options Options
+	// mark tells the datagrams of this cluster.
+	mark    uint32
 	store   *config.Store
 	encoded *encodedEntries
 	caller  *caller
@@ -31,7 +33,7 @@
 	core  *membership.Core
 	// members is the newest list, rebuilt when it is asked for after a change.
 	members  atomic.Pointer[[]membership.Member]
-	machines []string
+	machines machineList
 	leaving  bool
 	// lastTick is when the core ticked last, since start.
 	lastTick atomic.Int64
@@ -50,6 +52,7 @@
 	now := time.Now()
 	node := &Node{
 		options: options,
+		mark:    clusterMark(options.Cluster),
 		store:   options.Store,
 		encoded: newEncodedEntries(),
 		caller:  newCaller(options),
@@ -222,7 +225,7 @@
 	if !node.options.Reachable(node.options.Self.GossipAddress, address) {
 		return
 	}
-	encoded, err := encodeDatagram(tag, content)
+	encoded, err := encodeDatagram(tag, node.mark, content)
 	if err != nil {
 		klog.ErrorS(err, "datagram not sent")
 		return
