Versions: servers that are never asked, and load endpoints that lag

What the gateways believed at a failure: both replicas of two shards at versions 3 to 5 back, known only from the load endpoint, which lags by a second. So nobody asked them, so no reply told anything newer: they stayed behind for as long as versions kept coming. Ruled out: the exclusion of repartitioned versions (never taken in a failing run); the stagger between servers. Change: first attempts go to a replica also when none is known to hold the pinned version (one without it refuses, and nothing has run); what a poll says never replaces newer versions that replies have told of. The property that a shard is asked when some replica may answer now counts such replicas.

--- a/internal/owner/server.go
+++ b/internal/owner/server.go
@@ -299,7 +299,16 @@
 		if !load.Draining && now.Sub(server.drainSeen) > drainHold {
 			server.drainSeen = time.Time{}
 		}
-		server.learn(now, load.Draining, load.Snapshots)
+		server.learn(now, load.Draining, server.notOlder(load.Snapshots))
 	}
 	server.updateDrain(now)
 }
+
+// notOlder returns what a poll said of the index versions, or nil when replies
+// have told of newer ones: the load endpoint lags.
+func (server *server) notOlder(polled []int64) []int64 {
+	if len(polled) == 0 || len(server.held) == 0 || slices.Max(polled) >= slices.Max(server.held) {
+		return polled
+	}
+	return nil
+}
--- a/internal/owner/server_test.go
+++ b/internal/owner/server_test.go
@@ -355,3 +355,21 @@
 	}
 	t.Fatal("versions never became known")
 }
+
+// The load endpoint lags: what it says of versions never replaces newer ones
+// that replies have told of.
+func TestLaggingPollKeepsNewerVersions(t *testing.T) {
+	is := is.New(t)
+	for _, step := range []struct {
+		held, polled, want []int64
+	}{
+		{nil, []int64{40, 41}, []int64{40, 41}},
+		{[]int64{40, 41}, []int64{41, 42}, []int64{41, 42}},
+		{[]int64{44, 45}, []int64{40, 41}, []int64{44, 45}},
+		{[]int64{44, 45}, nil, []int64{44, 45}},
+	} {
+		known := &server{held: step.held}
+		known.learn(time.Now(), false, known.notOlder(step.polled))
+		is.Equal(known.held, step.want)
+	}
+}
--- a/internal/query/choose.go
+++ b/internal/query/choose.go
@@ -27,6 +27,7 @@
 	versionUnknown
 	suspected
 	ejected
+	// versionOther: the version is not among those last reported.
 	versionOther
 	announcedDrain
 	excluded
@@ -87,6 +88,10 @@
 	avoidOwner string
 	// repeatable requests may be sent to see whether an ejected server is back.
 	repeatable bool
+	// doubtVersions asks a server for a version that it is not known to hold,
+	// for want of another. Load endpoints lag, and a server that is never asked
+	// reports nothing newer; one without the version refuses, and nothing has run.
+	doubtVersions bool
 	// chosen tells whether this step asks the server already for other shards.
 	chosen func(*Server) bool
 }
@@ -95,10 +100,7 @@
 func (choice *choice) replica(shard *Shard, tried uint64) *Server {
 	var candidates [maximumReplicas]*Server
 	count, best := choice.candidates(shard, tried, &candidates)
-	if count == 0 {
-		return nil
-	}
-	if best == versionOther {
+	if count == 0 || best == versionOther && !choice.doubtVersions {
 		return nil
 	}
 	return choice.best(candidates[:count])
--- a/internal/query/query_test.go
+++ b/internal/query/query_test.go
@@ -116,7 +116,7 @@
 		}
 		for _, shard := range world.query.shardMap.Shards {
 			for _, server := range shard.Replicas {
-				if rank := server.standing(world.now, world.params.Snapshot); rank < versionOther && !asked[shard.ID] {
+				if rank := server.standing(world.now, world.params.Snapshot); rank <= versionOther && !asked[shard.ID] {
 					t.Fatalf("shard %d was not asked though %s stands at %d", shard.ID, server.Name, rank)
 				}
 			}
@@ -284,6 +284,19 @@
 	is.Equal(done.Answer.Failure, nil)
 }
 
+// Servers that are never asked report nothing newer than their lagging load
+// endpoint: a shard that no one seems to hold is asked for all the same.
+func TestDoubtfulVersionsAreAskedFor(t *testing.T) {
+	is := is.New(t)
+	query, fleet := pairs(2, true)
+	for _, server := range []string{"s2", "s3"} {
+		fleet.Observe(start, server, Load{Window: 1, SnapshotsHeld: []int64{38, 39}})
+	}
+	sent := query.Start(start)
+	is.Equal(len(sent.Sends), 2)
+	is.Equal(sent.Sends[1].Snapshot, int64(41))
+}
+
 // No restart once a part of a request that is not repeatable may have run.
 func TestNoRestartAfterItMayHaveRun(t *testing.T) {
 	is := is.New(t)
--- a/internal/query/send.go
+++ b/internal/query/send.go
@@ -44,6 +44,8 @@
 		zone:       query.fleet.zone,
 		random:     query.parameters.Random,
 		repeatable: query.parameters.Repeatable,
+		// Retries come after a reply that told what is held.
+		doubtVersions: purpose == first || purpose == restarted,
 		chosen: func(server *Server) bool {
 			_, ok := grouped[server]
 			return ok
