--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"slices"
 	"strings"
@@ -17,7 +16,6 @@
 	"github.com/driftstage/driftstage/internal/controller"
 	"github.com/driftstage/driftstage/internal/platform"
 	standin "github.com/driftstage/driftstage/internal/standin/platform"
-	"github.com/driftstage/driftstage/internal/wire/message"
 )
 
 const (
@@ -121,21 +119,14 @@
 }
 
 // Publish reaches every member that is not cut off.
-func (node *testNode) Publish(entry message.ConfigEntry) {
-	received := config.Entry{Service: entry.Service, Revision: entry.Revision, Deleted: entry.Deleted}
-	if !entry.Deleted {
-		received.Spec = new(v1.QueryServiceSpec)
-		if err := json.Unmarshal(entry.Spec, received.Spec); err != nil {
-			node.cluster.t.Errorf("published spec: %v", err)
-		}
-	}
+func (node *testNode) Publish(entries ...config.Entry) {
 	cluster := node.cluster
 	cluster.mutex.Lock()
 	defer cluster.mutex.Unlock()
-	cluster.published = append(cluster.published, received)
+	cluster.published = append(cluster.published, entries...)
 	for _, other := range cluster.nodes {
 		if other == node || !other.cutOff {
-			other.store.Apply(received)
+			other.store.Apply(entries...)
 		}
 	}
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -10,13 +10,12 @@
 	"github.com/driftstage/driftstage/internal/config"
 	"github.com/driftstage/driftstage/internal/lease"
 	"github.com/driftstage/driftstage/internal/platform"
-	"github.com/driftstage/driftstage/internal/wire/message"
 )
 
 // Publisher spreads accepted revisions and tombstones to the members. Publish
 // may be called again with the same entry, and from several goroutines.
 type Publisher interface {
-	Publish(entry message.ConfigEntry)
+	Publish(entries ...config.Entry)
 }
 
 // Spread tells how far a revision has come among the members.
--- a/internal/controller/process_test.go
+++ b/internal/controller/process_test.go
@@ -17,7 +17,6 @@
 	"github.com/driftstage/driftstage/internal/config"
 	"github.com/driftstage/driftstage/internal/controller"
 	"github.com/driftstage/driftstage/internal/platform"
-	"github.com/driftstage/driftstage/internal/wire/message"
 )
 
 // The environment of a process that runs one controller until it is killed.
@@ -53,9 +52,11 @@
 	*config.Store
 }
 
-func (store *printingStore) Publish(entry message.ConfigEntry) {
-	store.Apply(config.Entry{Service: entry.Service, Revision: entry.Revision, Deleted: entry.Deleted})
-	_ = json.NewEncoder(os.Stdout).Encode(config.Version{Service: entry.Service, Revision: entry.Revision})
+func (store *printingStore) Publish(entries ...config.Entry) {
+	store.Apply(entries...)
+	for _, entry := range entries {
+		_ = json.NewEncoder(os.Stdout).Encode(config.Version{Service: entry.Service, Revision: entry.Revision})
+	}
 }
 
 func (store *printingStore) Applied(service string, revision int64) (total, applied int, lagging []string) {
--- a/internal/controller/reconcile.go
+++ b/internal/controller/reconcile.go
@@ -10,8 +10,8 @@
 	"k8s.io/klog/v2"
 
 	v1 "github.com/driftstage/driftstage/api/v1"
+	"github.com/driftstage/driftstage/internal/config"
 	"github.com/driftstage/driftstage/internal/platform"
-	"github.com/driftstage/driftstage/internal/wire/message"
 )
 
 // maxSteps bounds the steps for one resource before others have their turn.
@@ -79,12 +79,8 @@
 	if !isNew {
 		return
 	}
-	spec, err := json.Marshal(status.Accepted.Spec)
-	if err != nil {
-		klog.ErrorS(err, "accepted spec can not be encoded", "service", name)
-		return
-	}
-	leader.controller.options.Publisher.Publish(message.ConfigEntry{Service: name, Revision: revision, Spec: spec})
+	spec := status.Accepted.Spec
+	leader.controller.options.Publisher.Publish(config.Entry{Service: name, Revision: revision, Spec: &spec})
 }
 
 // situation gathers what a decision rests on.
@@ -184,7 +180,7 @@
 	if err != nil {
 		return err
 	}
-	leader.controller.options.Publisher.Publish(message.ConfigEntry{Service: name, Revision: revision, Deleted: true})
+	leader.controller.options.Publisher.Publish(config.Entry{Service: name, Revision: revision, Deleted: true})
 	leader.update(name, func(record *record) {
 		record.published = revision
 		record.tombstone, record.tombstoneUID = revision, uid
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -114,7 +114,7 @@
 		Name:      loaded.Name,
 		Client:    client,
 		Candidate: candidate(loaded.Name, member),
-		Publisher: publisher{member: member},
+		Publisher: member,
 		Spread:    spread{member: member},
 		Known:     store,
 		Registry:  registry,
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 	"k8s.io/klog/v2"
@@ -34,23 +33,6 @@
 	}
 }
 
-func TestLimitedLoggerCountsWhatItLeavesOut(t *testing.T) {
-	is := is.New(t)
-	var output bytes.Buffer
-	SetupLogs(&output, "node-1", 0)
-	defer klog.ClearLogger()
-	logger := NewLimitedLogger()
-	start := time.Now()
-	for range 100 {
-		logger.Error(start, errors.New("cut"), "attempt failed")
-	}
-	logger.Error(start.Add(time.Minute), errors.New("cut"), "attempt failed")
-	klog.Flush()
-	lines := strings.Split(strings.TrimSpace(output.String()), "\n")
-	is.Equal(len(lines), limitedBurst+1)
-	is.True(strings.Contains(lines[limitedBurst], `"omitted":95`))
-}
-
 func TestAdminAnswers(t *testing.T) {
 	is := is.New(t)
 	reason := "configuration not yet learned"
