controller: a reply that is read late does not undo a deletion

The reply to the controller's own status write was read after the watch had told of the deletion and put the object back into the cache, where nothing ever contradicted it: the deletion was not noticed. Change: the cache remembers the version of a deletion and takes nothing older; a service made again is no longer marked as deleted. Seen red: TestLateReplyDoesNotUndoADeletion without the check.

--- a/internal/controller/cache.go
+++ b/internal/controller/cache.go
@@ -11,10 +11,16 @@
 type cache struct {
 	mutex   sync.Mutex
 	objects map[string]*v1.QueryServiceObject
+	// deleted holds the version at which an object was deleted: a reply that was
+	// on its way meanwhile must not bring the object back.
+	deleted map[string]int64
 }
 
 func newCache() *cache {
-	return &cache{objects: make(map[string]*v1.QueryServiceObject)}
+	return &cache{
+		objects: make(map[string]*v1.QueryServiceObject),
+		deleted: make(map[string]int64),
+	}
 }
 
 func (cache *cache) get(name string) *v1.QueryServiceObject {
@@ -23,7 +29,8 @@
 	return cache.objects[name]
 }
 
-// put keeps the object unless a newer one is there already.
+// put keeps the object unless a newer one is there already, or it was deleted
+// since.
 func (cache *cache) put(object *v1.QueryServiceObject) {
 	cache.mutex.Lock()
 	defer cache.mutex.Unlock()
@@ -31,6 +38,9 @@
 	if found && version(held) > version(object) {
 		return
 	}
+	if deletedAt := cache.deleted[object.Metadata.Name]; deletedAt > 0 && version(object) <= deletedAt {
+		return
+	}
 	cache.objects[object.Metadata.Name] = object
 }
 
@@ -41,6 +51,15 @@
 	delete(cache.objects, name)
 }
 
+// delete drops an object that the Object API has deleted.
+func (cache *cache) delete(object *v1.QueryServiceObject) {
+	cache.mutex.Lock()
+	defer cache.mutex.Unlock()
+	name := object.Metadata.Name
+	cache.deleted[name] = max(cache.deleted[name], version(object))
+	delete(cache.objects, name)
+}
+
 // replace takes in a whole list; objects seen in a newer version stay.
 func (cache *cache) replace(items []v1.QueryServiceObject) {
 	listed := make(map[string]bool, len(items))
--- /dev/null
+++ b/internal/controller/cache_test.go
@@ -0,0 +1,35 @@
+package controller
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	v1 "github.com/driftstage/driftstage/api/v1"
+)
+
+func objectAt(version string) *v1.QueryServiceObject {
+	return &v1.QueryServiceObject{Metadata: v1.ObjectMeta{Name: "fleet", ResourceVersion: version}}
+}
+
+// The reply to a write may be read after the watch has told of the deletion: it
+// must not bring the object back, or the deletion would never be noticed.
+func TestLateReplyDoesNotUndoADeletion(t *testing.T) {
+	is := is.New(t)
+	cache := newCache()
+	cache.put(objectAt("5"))
+	cache.delete(objectAt("6"))
+	cache.put(objectAt("4"))
+	is.True(cache.get("fleet") == nil)
+	cache.put(objectAt("7"))
+	is.Equal(cache.get("fleet").Metadata.ResourceVersion, "7")
+}
+
+func TestVersionsThatAreNoNumbersAreKept(t *testing.T) {
+	is := is.New(t)
+	cache := newCache()
+	cache.put(objectAt("first"))
+	cache.delete(objectAt("second"))
+	cache.put(objectAt("third"))
+	is.Equal(cache.get("fleet").Metadata.ResourceVersion, "third")
+}
--- a/internal/controller/leader.go
+++ b/internal/controller/leader.go
@@ -197,10 +197,11 @@
 	}
 	name := event.Object.Metadata.Name
 	if event.Type == platform.EventDeleted {
-		leader.cache.drop(name)
+		leader.cache.delete(event.Object)
 		leader.update(name, func(record *record) { record.deleted = true })
 	} else {
 		leader.cache.put(event.Object)
+		leader.update(name, func(record *record) { record.deleted = false })
 	}
 	leader.queue.add(name)
 }
