The demo's users are the experiments'; scatter asks the member's state whether it takes work

Both stood twice: the users' sizes in the demo and in lab/experiment, and the states that may own servers in scatter and in membership. Behaviour is the same: make check, the tests of scatter and one run of the demo passed.

--- a/cmd/driftlab/demo.go
+++ b/cmd/driftlab/demo.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -15,32 +16,21 @@
 	"github.com/peterbourgon/ff/v4"
 
 	"github.com/driftstage/driftstage/internal/lab/cluster"
+	"github.com/driftstage/driftstage/internal/lab/experiment"
 )
 
 // demoTimeout bounds the whole demo.
 const demoTimeout = 2 * time.Minute
 
-// demoUser is one of the two users, at the sizes of the brief.
+// demoUser is one of the two users, at the sizes of the experiments.
 type demoUser struct {
-	service     string
-	zones       []string
-	connections string
-	query       string
+	experiment.User
+	query string
 }
 
 var demoUsers = []demoUser{
-	{
-		service:     "gzebi-renter-search",
-		zones:       []string{"tbilisi", "imereti", "adjara"},
-		connections: "75",
-		query:       `{"city":"Batumi","from":"2026-12-05","seats":5}`,
-	},
-	{
-		service:     "konferencelinjen-call-search",
-		zones:       []string{"zealand", "jutland", "funen"},
-		connections: "65",
-		query:       `{"conference":"4711","event":"dropped"}`,
-	},
+	{User: experiment.Users[0], query: `{"city":"Batumi","from":"2026-12-05","seats":5}`},
+	{User: experiment.Users[1], query: `{"conference":"4711","event":"dropped"}`},
 }
 
 func demoCommand() *ff.Command {
@@ -116,18 +106,16 @@
 func startDemo(ctx context.Context, running *cluster.Cluster) error {
 	fmt.Printf("platform stand-in: Object API at %s\n", running.Platform.Address)
 	for _, user := range demoUsers {
-		backends, err := running.StartBackends(ctx, user.service,
-			"--servers", "4", "--shards", "8", "--replicas", "2", "--slots", "5",
-			"--connections", user.connections, "--zones", strings.Join(user.zones, ","))
+		backends, err := running.StartBackends(ctx, user.Service, user.BackendArguments()...)
 		if err != nil {
 			return err
 		}
-		fmt.Printf("back-end stand-ins: %s, 4 servers, 8 shards, admin port at %s\n", user.service, backends.Admin)
+		fmt.Printf("back-end stand-ins: %s, 4 servers, 8 shards, admin port at %s\n", user.Service, backends.Admin)
 		if err := running.Create(ctx, backends.Resource); err != nil {
 			return err
 		}
 	}
-	for _, zone := range append(demoUsers[0].zones, demoUsers[1].zones...) {
+	for _, zone := range slices.Concat(demoUsers[0].Zones, demoUsers[1].Zones) {
 		node, err := running.StartNodeIn(ctx, zone)
 		if err != nil {
 			return err
@@ -138,7 +126,7 @@
 		return err
 	}
 	for _, user := range demoUsers {
-		if err := running.AwaitService(ctx, user.service); err != nil {
+		if err := running.AwaitService(ctx, user.Service); err != nil {
 			return err
 		}
 	}
@@ -159,7 +147,7 @@
 
 // askDemo sends one query and prints its answer.
 func askDemo(ctx context.Context, gateway string, user demoUser) error {
-	url := fmt.Sprintf("http://%s/v1/services/%s/query", gateway, user.service)
+	url := fmt.Sprintf("http://%s/v1/services/%s/query", gateway, user.Service)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(user.query))
 	if err != nil {
 		return err
@@ -186,7 +174,7 @@
 		fmt.Printf("  %s\n", result)
 	}
 	if response.StatusCode != http.StatusOK || answer.Coverage.Covered != answer.Coverage.Shards {
-		return errors.Newf("the answer of %s is not whole", user.service)
+		return errors.Newf("the answer of %s is not whole", user.Service)
 	}
 	return nil
 }
--- a/internal/scatter/routes.go
+++ b/internal/scatter/routes.go
@@ -67,7 +67,7 @@
 	var nodes []placement.Node
 	for index := range list {
 		member := &list[index]
-		if member.State != membership.Alive && member.State != membership.Suspect {
+		if !member.State.TakesWork() {
 			continue
 		}
 		nodes = append(nodes, placement.Node{ID: member.ID, Zone: member.Zone})
