--- a/cmd/driftstaged/main.go
+++ b/cmd/driftstaged/main.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/driftstage/driftstage/internal/node"
@@ -38,7 +37,7 @@
 		fmt.Println(request.Help)
 		return 0
 	case settings.ModeVersion:
-		fmt.Println("driftstaged", version())
+		fmt.Println("driftstaged", telemetry.Version())
 		return 0
 	case settings.ModeCheck:
 		fmt.Println("settings are right")
@@ -62,11 +61,3 @@
 	}
 	return 0
 }
-
-func version() string {
-	info, found := debug.ReadBuildInfo()
-	if !found || info.Main.Version == "" {
-		return "development"
-	}
-	return info.Main.Version
-}
--- /dev/null
+++ b/internal/catalog/catalog.go
@@ -0,0 +1,50 @@
+// Package catalog keeps the configuration and the list of servers current from a
+// store that lists, and tells what has changed since a revision.
+package catalog
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Revision orders the states of the store.
+type Revision uint64
+
+// Change is one object that was written or removed.
+type Change[T any] struct {
+	Name    string
+	Removed bool
+	Value   T
+}
+
+// Listing is the whole state of a kind of objects at a revision.
+type Listing[T any] struct {
+	Items    []T
+	Revision Revision
+}
+
+// Changes are what happened to a kind of objects up to a revision.
+type Changes[T any] struct {
+	Changes  []Change[T]
+	Revision Revision
+}
+
+// ErrHistoryGone means that the store no longer knows what happened since the
+// revision: the state has to be listed again.
+var ErrHistoryGone = errors.New("the history since this revision is gone")
+
+// Feed reads one kind of objects from a store.
+type Feed[T any] interface {
+	// List returns the whole state, not older than the call.
+	List(ctx context.Context) (Listing[T], error)
+	// Watch returns the changes after the revision, as soon as there are any, or
+	// none after the wait.
+	Watch(ctx context.Context, after Revision, wait time.Duration) (Changes[T], error)
+}
+
+// Sink takes the state that a follower learns.
+type Sink[T any] interface {
+	Replace(items []T)
+	Apply(change Change[T])
+}
--- /dev/null
+++ b/internal/catalog/follower.go
@@ -0,0 +1,109 @@
+package catalog
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"k8s.io/klog/v2"
+)
+
+const (
+	// watchWait is how long a watch rests without changes.
+	watchWait = 3 * time.Second
+	// watchTimeout is when a watch that says nothing is taken for lost.
+	watchTimeout = watchWait + 900*time.Millisecond
+	// listTimeout bounds one list with all its pages.
+	listTimeout = 2 * time.Second
+	// firstPause is the pause after a failed call; it doubles up to longestPause.
+	firstPause   = 100 * time.Millisecond
+	longestPause = 800 * time.Millisecond
+)
+
+// Follower keeps a sink current from a feed. It lists once, then watches; after
+// any doubt it lists again.
+type Follower[T any] struct {
+	name     string
+	feed     Feed[T]
+	sink     Sink[T]
+	revision Revision
+	listed   bool
+	failures int
+}
+
+// NewFollower returns a follower; the name is used in logs.
+func NewFollower[T any](name string, feed Feed[T], sink Sink[T]) *Follower[T] {
+	return &Follower[T]{name: name, feed: feed, sink: sink}
+}
+
+// Run follows the feed until ctx ends.
+func (follower *Follower[T]) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := follower.step(ctx)
+		follower.report(err)
+		if err != nil {
+			follower.pause(ctx)
+		}
+	}
+}
+
+func (follower *Follower[T]) step(ctx context.Context) error {
+	if !follower.listed {
+		return follower.list(ctx)
+	}
+	return follower.watch(ctx)
+}
+
+func (follower *Follower[T]) list(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	listing, err := follower.feed.List(ctx)
+	if err != nil {
+		return err
+	}
+	if listing.Revision < follower.revision {
+		return errors.New("the list is older than what is known")
+	}
+	follower.sink.Replace(listing.Items)
+	follower.revision, follower.listed = listing.Revision, true
+	return nil
+}
+
+func (follower *Follower[T]) watch(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	changes, err := follower.feed.Watch(ctx, follower.revision, watchWait)
+	if err != nil {
+		follower.listed = false
+		return err
+	}
+	for _, change := range changes.Changes {
+		follower.sink.Apply(change)
+	}
+	follower.revision = max(follower.revision, changes.Revision)
+	return nil
+}
+
+// report logs when the feed is lost and when it is regained.
+func (follower *Follower[T]) report(err error) {
+	switch {
+	case err == nil && follower.failures > 0:
+		klog.InfoS("store regained", "feed", follower.name, "failures", follower.failures, "revision", follower.revision)
+		follower.failures = 0
+	case err != nil:
+		if follower.failures == 0 {
+			klog.InfoS("store lost", "feed", follower.name, "cause", err.Error(), "revision", follower.revision)
+		}
+		follower.failures++
+	}
+}
+
+func (follower *Follower[T]) pause(ctx context.Context) {
+	pause := min(firstPause<<min(follower.failures-1, 10), longestPause)
+	pause = pause/2 + rand.N(pause/2)
+	select {
+	case <-ctx.Done():
+	case <-time.After(pause):
+	}
+}
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,121 @@
+// Package dispatch carries out requests: it drives the core of package exchange
+// with real attempts, real time and the node's directory of servers.
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/driftstage/driftstage/internal/endpoints"
+	"github.com/driftstage/driftstage/internal/exchange"
+	"github.com/driftstage/driftstage/internal/routing"
+	"github.com/driftstage/driftstage/internal/upstream"
+)
+
+const (
+	// firstWork is the time of work expected of a route without observations, in
+	// parts of its target.
+	firstWork = 0.12
+	// answerMargin is what an answer needs to get to the caller, and what a new
+	// connection took before the request arrived: it is kept from the target.
+	answerMargin = 9 * time.Millisecond
+	// answerShare is kept from the target besides, for the work of this node.
+	answerShare = 0.03
+	// deadlineMargin is kept from the caller's deadline.
+	deadlineMargin = 15 * time.Millisecond
+)
+
+// Request is one caller's request.
+type Request struct {
+	Route   *routing.Route
+	Message *upstream.Request
+	// Allowed is how long the caller waits; zero if it does not say.
+	Allowed time.Duration
+	// Arrived is when the request was read.
+	Arrived time.Time
+}
+
+// Dispatcher carries out requests. It is safe for concurrent use.
+type Dispatcher struct {
+	directory *endpoints.Directory
+	client    *upstream.Client
+
+	mutex     sync.Mutex
+	estimates map[string]*endpoints.Estimate
+	turns     map[string]uint64
+}
+
+// New returns a dispatcher over the directory and the client.
+func New(directory *endpoints.Directory, client *upstream.Client) *Dispatcher {
+	return &Dispatcher{
+		directory: directory,
+		client:    client,
+		estimates: make(map[string]*endpoints.Estimate),
+		turns:     make(map[string]uint64),
+	}
+}
+
+// Do carries out the request. It returns at the deadline, or soon after ctx
+// ends, at the latest; the outcome is nil if ctx ended first.
+func (dispatcher *Dispatcher) Do(ctx context.Context, request Request) *exchange.Outcome {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	plan := dispatcher.plan(request)
+	for _, service := range plan.Services {
+		dispatcher.directory.EarnRetries(service)
+	}
+	run := newRun(ctx, dispatcher, request, plan)
+	return run.loop()
+}
+
+func (dispatcher *Dispatcher) plan(request Request) exchange.Plan {
+	route := request.Route
+	plan := exchange.Plan{
+		Services:        route.Shards,
+		Gather:          route.Gathers(),
+		Repeatable:      route.Repeatable,
+		MaximumAttempts: max(route.MaximumAttempts, 1),
+		LeastShards:     1,
+		Target:          target(route),
+		Deadline:        deadline(request),
+	}
+	if plan.Gather {
+		plan.LeastShards = route.LeastShards()
+	} else {
+		plan.Services = []string{route.Choose(dispatcher.turn(route.Name))}
+	}
+	return plan
+}
+
+func target(route *routing.Route) time.Duration {
+	kept := answerMargin + time.Duration(answerShare*float64(route.Target))
+	return max(route.Target-kept, route.Target/2)
+}
+
+func deadline(request Request) time.Duration {
+	allowed := request.Route.Timeout
+	if request.Allowed > 0 {
+		allowed = min(allowed, request.Allowed)
+	}
+	return max(allowed-deadlineMargin, allowed/2)
+}
+
+func (dispatcher *Dispatcher) turn(route string) uint64 {
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	dispatcher.turns[route]++
+	return dispatcher.turns[route]
+}
+
+// estimate returns the learned time of work of the route's requests.
+func (dispatcher *Dispatcher) estimate(route *routing.Route) *endpoints.Estimate {
+	dispatcher.mutex.Lock()
+	defer dispatcher.mutex.Unlock()
+	estimate, found := dispatcher.estimates[route.Name]
+	if !found {
+		estimate = endpoints.NewEstimate(time.Duration(firstWork * float64(route.Target)))
+		dispatcher.estimates[route.Name] = estimate
+	}
+	return estimate
+}
--- /dev/null
+++ b/internal/dispatch/run.go
@@ -0,0 +1,111 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/driftstage/driftstage/internal/endpoints"
+	"github.com/driftstage/driftstage/internal/exchange"
+	"github.com/driftstage/driftstage/internal/upstream"
+)
+
+// ended is an attempt that has ended.
+type ended struct {
+	id    exchange.AttemptID
+	reply upstream.Reply
+}
+
+// run is the execution of one request.
+type run struct {
+	dispatcher *Dispatcher
+	request    Request
+	estimate   *endpoints.Estimate
+	core       *exchange.Core
+	context    context.Context
+	replies    chan ended
+	cancels    map[exchange.AttemptID]context.CancelFunc
+	deadline   time.Time
+}
+
+func newRun(ctx context.Context, dispatcher *Dispatcher, request Request, plan exchange.Plan) *run {
+	run := &run{
+		dispatcher: dispatcher,
+		request:    request,
+		estimate:   dispatcher.estimate(request.Route),
+		context:    ctx,
+		// Every attempt can leave its reply without a reader.
+		replies:  make(chan ended, len(plan.Services)*plan.MaximumAttempts),
+		cancels:  make(map[exchange.AttemptID]context.CancelFunc, len(plan.Services)),
+		deadline: request.Arrived.Add(plan.Deadline),
+	}
+	run.core = exchange.New(plan, run)
+	return run
+}
+
+// Choose implements exchange.Servers.
+func (run *run) Choose(service string, tried []*endpoints.Endpoint, extra bool) (endpoints.Choice, endpoints.Availability) {
+	return run.dispatcher.directory.Choose(service, tried, extra, run.estimate, time.Now())
+}
+
+func (run *run) since() time.Duration {
+	return time.Since(run.request.Arrived)
+}
+
+func (run *run) loop() *exchange.Outcome {
+	batch := run.core.Start(run.since())
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		run.apply(batch)
+		if batch.Outcome != nil {
+			return batch.Outcome
+		}
+		timer.Reset(max(batch.Wake-run.since(), 0))
+		select {
+		case end := <-run.replies:
+			batch = run.core.Reply(end.id, end.reply, run.since())
+		case <-timer.C:
+			batch = run.core.Tick(run.since())
+		case <-run.context.Done():
+			return nil
+		}
+	}
+}
+
+func (run *run) apply(batch exchange.Batch) {
+	for _, id := range batch.Cancels {
+		run.cancels[id]()
+	}
+	for _, send := range batch.Sends {
+		ctx, cancel := context.WithCancel(run.context)
+		run.cancels[send.ID] = cancel
+		go run.attempt(ctx, send)
+	}
+}
+
+// attempt makes one attempt and reports its end.
+func (run *run) attempt(ctx context.Context, send exchange.Send) {
+	reply := run.dispatcher.client.Do(ctx, upstream.Call{
+		Request:  run.request.Message,
+		ServerID: send.Choice.Server.ID,
+		Address:  send.Choice.Server.Address,
+		Deadline: run.deadline,
+	})
+	run.dispatcher.directory.Finish(send.Choice, run.estimate, result(reply), time.Now())
+	run.replies <- ended{id: send.ID, reply: reply}
+}
+
+func result(reply upstream.Reply) endpoints.Result {
+	switch reply.Kind {
+	case upstream.Answered:
+		return endpoints.ResultAnswered
+	case upstream.Refused:
+		return endpoints.ResultRefused
+	case upstream.Foreign:
+		return endpoints.ResultForeign
+	case upstream.Expired:
+		return endpoints.ResultAbandoned
+	default:
+		return endpoints.ResultFailed
+	}
+}
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,129 @@
+// Package edge wires the parts of driftrouter together and starts and stops them
+// in order: the query tier as one kind of process, on a platform whose store
+// holds the configuration and lists the servers.
+package edge
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/driftstage/driftstage/internal/catalog"
+	"github.com/driftstage/driftstage/internal/dispatch"
+	"github.com/driftstage/driftstage/internal/endpoints"
+	"github.com/driftstage/driftstage/internal/ingress"
+	"github.com/driftstage/driftstage/internal/retrybudget"
+	"github.com/driftstage/driftstage/internal/routing"
+	"github.com/driftstage/driftstage/internal/settings"
+	"github.com/driftstage/driftstage/internal/upstream"
+)
+
+// Store is the platform's store.
+type Store interface {
+	Tables() catalog.Feed[*routing.Table]
+	Servers() catalog.Feed[endpoints.Server]
+}
+
+const (
+	// presumedNodes is how many nodes share the retry slack and the connections
+	// of a server.
+	presumedNodes = 14
+	// retryReserve is kept from the retry ratio: nodes count in windows of their own.
+	retryReserve = 0.02
+	// sweepInterval is how often idle connections are looked at.
+	sweepInterval = time.Second
+)
+
+// Node is one process of the query tier.
+type Node struct {
+	settings  settings.Router
+	store     Store
+	state     *state
+	directory *endpoints.Directory
+	client    *upstream.Client
+	server    *ingress.Server
+	readiness *readiness
+}
+
+// New wires the parts; nothing runs yet.
+func New(loaded settings.Router, names ingress.Names, store Store) *Node {
+	topology := endpoints.Topology{
+		Own:     endpoints.Place{Zone: loaded.Zone, Region: loaded.Region},
+		Regions: loaded.Regions,
+	}
+	budget := retrybudget.Limits{
+		Ratio:    max(loaded.RetryRatio-retryReserve, 0),
+		Capacity: max(loaded.RetrySlack/presumedNodes, 1),
+	}
+	node := &Node{
+		settings:  loaded,
+		store:     store,
+		directory: endpoints.New(topology, budget, presumedNodes),
+		client:    upstream.NewClient(names.Headers),
+	}
+	node.state = &state{directory: node.directory, client: node.client}
+	node.server = ingress.New(ingress.Options{
+		Names:      names,
+		Table:      node.state.Table,
+		Dispatcher: dispatch.New(node.directory, node.client),
+	})
+	node.readiness = newReadiness(names.ReadinessPath, node.state.ready)
+	return node
+}
+
+// Run serves until ctx ends, then stops in order. It returns nil after a stop
+// that cut nothing.
+func (node *Node) Run(ctx context.Context) error {
+	callers, err := net.Listen("tcp4", node.settings.ListenAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	questions, err := net.Listen("tcp4", node.settings.ReadinessAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen for questions about readiness")
+	}
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var tasks sync.WaitGroup
+	node.follow(background, &tasks)
+	failed := make(chan error, 2)
+	go func() { failed <- node.server.Serve(callers) }()
+	go func() { failed <- node.readiness.serve(questions) }()
+	klog.InfoS("started", "zone", node.settings.Zone, "listen", node.settings.ListenAddress)
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+		klog.ErrorS(err, "a listener failed; stopping")
+	}
+	cut := node.stop(callers)
+	cancel()
+	klog.InfoS("stopped", "cut", cut)
+	klog.Flush()
+	return err
+}
+
+// follow keeps the configuration and the servers current.
+func (node *Node) follow(ctx context.Context, tasks *sync.WaitGroup) {
+	tables := catalog.NewFollower("tables", node.store.Tables(), tableSink{node.state})
+	servers := catalog.NewFollower("servers", node.store.Servers(), serverSink{node.state})
+	tasks.Go(func() { tables.Run(ctx) })
+	tasks.Go(func() { servers.Run(ctx) })
+	tasks.Go(func() { node.sweep(ctx) })
+}
+
+func (node *Node) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			node.client.Sweep(now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/edge/readiness.go
@@ -0,0 +1,39 @@
+package edge
+
+import (
+	"net"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+
+	"github.com/driftstage/driftstage/internal/telemetry"
+)
+
+// readinessTimeout bounds idle connections of those who ask.
+const readinessTimeout = 30 * time.Second
+
+// readiness answers whether the node takes new connections.
+type readiness struct {
+	server *fasthttp.Server
+}
+
+func newReadiness(path string, ready func() bool) *readiness {
+	routes := router.New()
+	routes.GET(path, func(ctx *fasthttp.RequestCtx) {
+		if !ready() {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		}
+	})
+	return &readiness{server: &fasthttp.Server{
+		Handler:               routes.Handler,
+		IdleTimeout:           readinessTimeout,
+		ReduceMemoryUsage:     true,
+		NoDefaultServerHeader: true,
+		Logger:                telemetry.SilentHTTPLogger{},
+	}}
+}
+
+func (readiness *readiness) serve(listener net.Listener) error {
+	return readiness.server.Serve(listener)
+}
--- /dev/null
+++ b/internal/edge/state.go
@@ -0,0 +1,82 @@
+package edge
+
+import (
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/driftstage/driftstage/internal/catalog"
+	"github.com/driftstage/driftstage/internal/endpoints"
+	"github.com/driftstage/driftstage/internal/routing"
+	"github.com/driftstage/driftstage/internal/upstream"
+)
+
+// state is what the node believes: the configuration and the servers.
+type state struct {
+	directory *endpoints.Directory
+	client    *upstream.Client
+	table     atomic.Pointer[routing.Table]
+	// serversKnown is set once the servers have been listed.
+	serversKnown atomic.Bool
+	stopping     atomic.Bool
+}
+
+// Table returns the configuration in force; nil if none is known yet.
+func (state *state) Table() *routing.Table { return state.table.Load() }
+
+// ready reports whether the node takes new connections.
+func (state *state) ready() bool {
+	return !state.stopping.Load() && state.table.Load() != nil && state.serversKnown.Load()
+}
+
+// adopt takes over a configuration unless a newer one is known: versions never
+// go back within a process.
+func (state *state) adopt(table *routing.Table) {
+	if known := state.table.Load(); known != nil && table.Version <= known.Version {
+		return
+	}
+	state.directory.Configure(table)
+	state.table.Store(table)
+	klog.InfoS("configuration in force", "version", table.Version, "routes", table.RouteCount())
+}
+
+// tableSink takes configurations from a follower.
+type tableSink struct{ state *state }
+
+// Replace implements catalog.Sink.
+func (sink tableSink) Replace(tables []*routing.Table) {
+	for _, table := range tables {
+		sink.state.adopt(table)
+	}
+}
+
+// Apply implements catalog.Sink. The operators' configuration is never removed;
+// a removal leaves the known one in force.
+func (sink tableSink) Apply(change catalog.Change[*routing.Table]) {
+	if !change.Removed {
+		sink.state.adopt(change.Value)
+	}
+}
+
+// serverSink takes servers from a follower.
+type serverSink struct{ state *state }
+
+// Replace implements catalog.Sink.
+func (sink serverSink) Replace(servers []endpoints.Server) {
+	for _, id := range sink.state.directory.Replace(servers, time.Now()) {
+		sink.state.client.Forget(id)
+	}
+	sink.state.serversKnown.Store(true)
+	klog.V(1).InfoS("servers listed", "count", len(servers))
+}
+
+// Apply implements catalog.Sink.
+func (sink serverSink) Apply(change catalog.Change[endpoints.Server]) {
+	if change.Removed {
+		sink.state.directory.Remove(change.Name)
+		sink.state.client.Forget(change.Name)
+		return
+	}
+	sink.state.directory.Put(change.Value, time.Now())
+}
--- /dev/null
+++ b/internal/endpoints/directory.go
@@ -0,0 +1,145 @@
+package endpoints
+
+import (
+	"sync"
+	"time"
+
+	"github.com/driftstage/driftstage/internal/retrybudget"
+	"github.com/driftstage/driftstage/internal/routing"
+)
+
+// Directory holds the endpoints of all services. It is safe for concurrent use.
+type Directory struct {
+	topology Topology
+	budget   retrybudget.Limits
+	// sharers is how many nodes share the connections of a server.
+	sharers int
+
+	mutex    sync.Mutex
+	byID     map[string]*Endpoint
+	services map[string]*service
+}
+
+// service is what the node keeps of one service.
+type service struct {
+	endpoints      []*Endpoint
+	bucket         retrybudget.Bucket
+	maxConnections int
+}
+
+// New returns an empty directory. Sharers is how many nodes share the
+// connections of a server.
+func New(topology Topology, budget retrybudget.Limits, sharers int) *Directory {
+	return &Directory{
+		topology: topology,
+		budget:   budget,
+		sharers:  max(sharers, 1),
+		byID:     make(map[string]*Endpoint),
+		services: make(map[string]*service),
+	}
+}
+
+// Put adds the server or replaces what is known of it.
+func (directory *Directory) Put(server Server, now time.Time) {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	if known, found := directory.byID[server.ID]; found {
+		known.Server = server
+		return
+	}
+	endpoint := newEndpoint(server, now)
+	directory.byID[server.ID] = endpoint
+	owner := directory.service(server.Service)
+	endpoint.connectionLimit = directory.share(owner.maxConnections)
+	owner.endpoints = append(owner.endpoints, endpoint)
+}
+
+// Remove forgets the server: it gets no new requests.
+func (directory *Directory) Remove(id string) {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	endpoint, found := directory.byID[id]
+	if !found {
+		return
+	}
+	endpoint.removed = true
+	delete(directory.byID, id)
+	owner := directory.service(endpoint.Service)
+	for index, other := range owner.endpoints {
+		if other == endpoint {
+			owner.endpoints = append(owner.endpoints[:index], owner.endpoints[index+1:]...)
+			return
+		}
+	}
+}
+
+// Replace makes the servers the whole content of the directory and returns the
+// ids of those that were removed.
+func (directory *Directory) Replace(servers []Server, now time.Time) []string {
+	listed := make(map[string]bool, len(servers))
+	for _, server := range servers {
+		listed[server.ID] = true
+		directory.Put(server, now)
+	}
+	var removed []string
+	for _, id := range directory.ids() {
+		if !listed[id] {
+			directory.Remove(id)
+			removed = append(removed, id)
+		}
+	}
+	return removed
+}
+
+func (directory *Directory) ids() []string {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	ids := make([]string, 0, len(directory.byID))
+	for id := range directory.byID {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Configure takes over the connection limits of the table's services.
+func (directory *Directory) Configure(table *routing.Table) {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	for name, configured := range table.Services {
+		owner := directory.service(name)
+		owner.maxConnections = configured.MaximumConnections
+		for _, endpoint := range owner.endpoints {
+			endpoint.connectionLimit = directory.share(configured.MaximumConnections)
+		}
+	}
+}
+
+func (directory *Directory) share(maxConnections int) int {
+	if maxConnections == 0 {
+		return 0
+	}
+	return max(maxConnections/directory.sharers, 1)
+}
+
+func (directory *Directory) service(name string) *service {
+	owner, found := directory.services[name]
+	if !found {
+		owner = &service{}
+		directory.services[name] = owner
+	}
+	return owner
+}
+
+// Count returns the number of servers.
+func (directory *Directory) Count() int {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	return len(directory.byID)
+}
+
+// EarnRetries adds the allowance of one request to the service's retry budget.
+func (directory *Directory) EarnRetries(name string) {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	directory.service(name).bucket.Earn(directory.budget)
+}
--- /dev/null
+++ b/internal/endpoints/endpoint.go
@@ -0,0 +1,131 @@
+package endpoints
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// slownessHalfLife is the time in which half of a server's learned slowness
+	// is forgotten, so that a server that was slow is tried again.
+	slownessHalfLife = 3 * time.Second
+	// maximumSlowness bounds what a single stall teaches.
+	maximumSlowness = 30.0
+	// stallFactor is how many times its expected time a request may be under way
+	// before the server is taken for stalled.
+	stallFactor = 2.5
+	// coldFactor is the slowness expected of a server that has just started.
+	coldFactor = 1.6
+	// firstBackoff is the pause after a failed connection; it doubles up to maximumBackoff.
+	firstBackoff   = 400 * time.Millisecond
+	maximumBackoff = 3 * time.Second
+	// refusalBackoff is the pause after a server refused work.
+	refusalBackoff = 100 * time.Millisecond
+)
+
+// Endpoint is a server together with what this node has learned of it. Its
+// fields are guarded by the Directory's lock.
+type Endpoint struct {
+	Server
+	connectionLimit int
+	underWay        []time.Time
+	slowness        float64
+	slownessAt      time.Time
+	coldUntil       time.Time
+	failures        int
+	backoffUntil    time.Time
+	removed         bool
+}
+
+func newEndpoint(server Server, now time.Time) *Endpoint {
+	return &Endpoint{
+		Server:     server,
+		slowness:   1,
+		slownessAt: now,
+		coldUntil:  now.Add(server.ColdRemaining),
+	}
+}
+
+// currentSlowness returns the learned slowness, forgotten in part.
+func (endpoint *Endpoint) currentSlowness(now time.Time) float64 {
+	age := now.Sub(endpoint.slownessAt)
+	kept := math.Exp2(-float64(age) / float64(slownessHalfLife))
+	slowness := 1 + (endpoint.slowness-1)*kept
+	if now.Before(endpoint.coldUntil) {
+		slowness = max(slowness, coldFactor)
+	}
+	return slowness
+}
+
+// learn moves the slowness towards one observed ratio of actual to usual time.
+func (endpoint *Endpoint) learn(ratio float64, now time.Time) {
+	ratio = min(max(ratio, 0.25), maximumSlowness)
+	current := endpoint.currentSlowness(now)
+	endpoint.slowness = current + slownessWeight*(ratio-current)
+	endpoint.slownessAt = now
+}
+
+// learnAtLeast is learn for a request that was given up: the true ratio is not
+// below the one observed.
+func (endpoint *Endpoint) learnAtLeast(ratio float64, now time.Time) {
+	if ratio > endpoint.currentSlowness(now) {
+		endpoint.learn(ratio, now)
+	}
+}
+
+// predict returns the expected time until an answer, distance left out.
+func (endpoint *Endpoint) predict(work time.Duration, now time.Time) time.Duration {
+	expected := float64(work) * endpoint.currentSlowness(now)
+	load := float64(len(endpoint.underWay)) / float64(max(endpoint.Slots, 1))
+	predicted := time.Duration(expected * (1 + load))
+	if age := endpoint.oldestAge(now); float64(age) > stallFactor*expected {
+		predicted += age
+	}
+	return predicted
+}
+
+func (endpoint *Endpoint) oldestAge(now time.Time) time.Duration {
+	oldest := time.Duration(0)
+	for _, started := range endpoint.underWay {
+		oldest = max(oldest, now.Sub(started))
+	}
+	return oldest
+}
+
+func (endpoint *Endpoint) backsOff(now time.Time) bool {
+	return now.Before(endpoint.backoffUntil)
+}
+
+func (endpoint *Endpoint) full() bool {
+	return endpoint.connectionLimit > 0 && len(endpoint.underWay) >= endpoint.connectionLimit
+}
+
+func (endpoint *Endpoint) begin(now time.Time) {
+	endpoint.underWay = append(endpoint.underWay, now)
+}
+
+func (endpoint *Endpoint) end(started time.Time) {
+	for index, other := range endpoint.underWay {
+		if other.Equal(started) {
+			last := len(endpoint.underWay) - 1
+			endpoint.underWay[index] = endpoint.underWay[last]
+			endpoint.underWay = endpoint.underWay[:last]
+			return
+		}
+	}
+}
+
+func (endpoint *Endpoint) succeeded() {
+	endpoint.failures = 0
+	endpoint.backoffUntil = time.Time{}
+}
+
+func (endpoint *Endpoint) failed(now time.Time) {
+	backoff := min(firstBackoff<<min(endpoint.failures, 8), maximumBackoff)
+	endpoint.failures++
+	endpoint.backoffUntil = now.Add(backoff)
+}
+
+func (endpoint *Endpoint) refused(now time.Time) {
+	endpoint.backoffUntil = now.Add(refusalBackoff)
+}
--- /dev/null
+++ b/internal/endpoints/estimate.go
@@ -0,0 +1,50 @@
+package endpoints
+
+import "time"
+
+// Weights of one observation in the moving averages.
+const (
+	workWeight     = 0.05
+	slownessWeight = 0.3
+	// quantileStep moves the estimated quantile by this part of itself for each
+	// observation, scaled by the quantile's complement.
+	quantileStep = 0.15
+	// hedgeQuantile is the quantile of the answer times after which a request is
+	// taken for late.
+	hedgeQuantile = 0.93
+	// firstQuantileFactor is the quantile in units of the mean before observations.
+	firstQuantileFactor = 2.0
+)
+
+// Estimate is the learned time of work of one class of requests: what a server
+// of ordinary speed takes without queueing. Distances are left out.
+type Estimate struct {
+	mean     time.Duration
+	quantile time.Duration
+}
+
+// NewEstimate returns an estimate that starts at the given mean.
+func NewEstimate(mean time.Duration) *Estimate {
+	return &Estimate{mean: mean, quantile: time.Duration(float64(mean) * firstQuantileFactor)}
+}
+
+// Mean returns the average time of work.
+func (estimate *Estimate) Mean() time.Duration { return estimate.mean }
+
+// Late returns the time of work after which a request is taken for late.
+func (estimate *Estimate) Late() time.Duration { return estimate.quantile }
+
+// observe takes one answer's time of work into account.
+func (estimate *Estimate) observe(work time.Duration) {
+	if work <= 0 {
+		return
+	}
+	estimate.mean += time.Duration(workWeight * float64(work-estimate.mean))
+	step := quantileStep * float64(estimate.quantile)
+	if work > estimate.quantile {
+		estimate.quantile += time.Duration(step * hedgeQuantile)
+	} else {
+		estimate.quantile -= time.Duration(step * (1 - hedgeQuantile))
+	}
+	estimate.quantile = max(estimate.quantile, estimate.mean)
+}
--- /dev/null
+++ b/internal/endpoints/server.go
@@ -0,0 +1,68 @@
+// Package endpoints keeps the servers of each service, what the node has learned
+// of them, and chooses a server for a request.
+package endpoints
+
+import "time"
+
+// Server is one incarnation of a server, as its registry entry tells.
+type Server struct {
+	// ID is unique among all incarnations.
+	ID      string
+	Service string
+	// Address is IP:port.
+	Address string
+	Zone    string
+	// Slots is how many requests the server works on at a time.
+	Slots int
+	// Draining servers take no new work.
+	Draining bool
+	// ColdRemaining is how much longer the server is slow after its start.
+	ColdRemaining time.Duration
+}
+
+// Place is where a node or server stands.
+type Place struct {
+	Zone   string
+	Region string
+}
+
+// Times of a round trip between two machines, before any has been measured.
+const (
+	sameZoneRoundTrip    = 200 * time.Microsecond
+	sameRegionRoundTrip  = 2 * time.Millisecond
+	otherRegionRoundTrip = 25 * time.Millisecond
+	// otherRegionCost is added to the round trip in choices: bytes between
+	// regions are dear, so a near server is preferred until it is clearly slower.
+	otherRegionCost = 35 * time.Millisecond
+)
+
+// Topology tells how far servers are from this node.
+type Topology struct {
+	Own Place
+	// Regions is the region of each zone.
+	Regions map[string]string
+}
+
+// RoundTrip returns the expected time of a round trip to the zone.
+func (topology Topology) RoundTrip(zone string) time.Duration {
+	switch {
+	case zone == topology.Own.Zone:
+		return sameZoneRoundTrip
+	case topology.sameRegion(zone):
+		return sameRegionRoundTrip
+	default:
+		return otherRegionRoundTrip
+	}
+}
+
+// cost returns what is added to the predicted time in choices.
+func (topology Topology) cost(zone string) time.Duration {
+	if topology.sameRegion(zone) {
+		return topology.RoundTrip(zone)
+	}
+	return otherRegionRoundTrip + otherRegionCost
+}
+
+func (topology Topology) sameRegion(zone string) bool {
+	return topology.Regions[zone] == topology.Own.Region
+}
--- /dev/null
+++ b/internal/exchange/shard.go
@@ -0,0 +1,70 @@
+package exchange
+
+import (
+	"time"
+
+	"github.com/driftstage/driftstage/internal/endpoints"
+	"github.com/driftstage/driftstage/internal/upstream"
+	"github.com/driftstage/driftstage/internal/verdict"
+)
+
+// attempt is one send to a server.
+type attempt struct {
+	choice   endpoints.Choice
+	sentAt   time.Duration
+	finished bool
+}
+
+// shard is the state of one shard of a request.
+type shard struct {
+	service  string
+	attempts []attempt
+	tried    []*endpoints.Endpoint
+	// answer is the reply that counts, once there is one.
+	answer *upstream.Reply
+	// fallback is a server's failure that is handed on if nothing better comes.
+	fallback *upstream.Reply
+	// lost is set when no attempt is under way and none can be made.
+	lost bool
+	// ran is what is known of the attempts that have ended.
+	ran verdict.Verdict
+	// nextAt is when the shard has to be looked at again.
+	nextAt time.Duration
+}
+
+func newShard(service string) shard {
+	return shard{service: service, ran: verdict.NotRun}
+}
+
+func (shard *shard) resolved() bool {
+	return shard.answer != nil || shard.lost
+}
+
+// underWay returns how many attempts have not ended.
+func (shard *shard) underWay() int {
+	count := 0
+	for index := range shard.attempts {
+		if !shard.attempts[index].finished {
+			count++
+		}
+	}
+	return count
+}
+
+// verdict joins what is known of ended attempts with those under way.
+func (shard *shard) verdict() verdict.Verdict {
+	if shard.underWay() > 0 {
+		return shard.ran.With(verdict.MayHaveRun)
+	}
+	return shard.ran
+}
+
+// late reports whether the newest attempt has taken longer than expected.
+func (shard *shard) late(now time.Duration) bool {
+	return now >= shard.lateAt()
+}
+
+func (shard *shard) lateAt() time.Duration {
+	newest := shard.attempts[len(shard.attempts)-1]
+	return newest.sentAt + newest.choice.LateAfter
+}
--- /dev/null
+++ b/internal/exchange/types.go
@@ -0,0 +1,124 @@
+// Package exchange decides how one caller's request is carried out: which server
+// of which shard is asked, when a second one is, and when the answer is given
+// with what has come in.
+//
+// The core does no I/O and reads no clock: events go in together with the time
+// since the request arrived, and a batch of actions comes out. A request for one
+// server is a request with a single shard whose answer is handed on unchanged.
+package exchange
+
+import (
+	"time"
+
+	"github.com/driftstage/driftstage/internal/endpoints"
+	"github.com/driftstage/driftstage/internal/upstream"
+)
+
+// Plan is what a request asks for.
+type Plan struct {
+	// Services are the shards; a request for one server has a single one.
+	Services []string
+	// Gather merges the shards' answers; else the one answer is handed on.
+	Gather bool
+	// Repeatable requests may run more than once.
+	Repeatable bool
+	// MaximumAttempts bounds the sends for each shard.
+	MaximumAttempts int
+	// LeastShards is how many shards make a success.
+	LeastShards int
+	// Target is when an answer loses most of its value.
+	Target time.Duration
+	// Deadline is when a final answer has to be given.
+	Deadline time.Duration
+}
+
+// Servers chooses servers and keeps the retry budget.
+type Servers interface {
+	// Choose reserves a server other than the ones tried. An extra send, one
+	// beyond the first, is taken off the retry budget of the service.
+	Choose(service string, tried []*endpoints.Endpoint, extra bool) (endpoints.Choice, endpoints.Availability)
+}
+
+// AttemptID names an attempt within a request.
+type AttemptID struct {
+	Shard  int
+	Number int
+}
+
+// Reason tells why an attempt is made.
+type Reason uint8
+
+const (
+	// ReasonFirst is the first attempt for a shard.
+	ReasonFirst Reason = iota
+	// ReasonHedge is a second attempt beside one that is late.
+	ReasonHedge
+	// ReasonRetry is another attempt after one that failed.
+	ReasonRetry
+)
+
+var reasonNames = [...]string{"first", "hedge", "retry"}
+
+// String returns the name used in logs and metrics.
+func (reason Reason) String() string { return reasonNames[reason] }
+
+// Send tells the driver to make an attempt.
+type Send struct {
+	ID     AttemptID
+	Reason Reason
+	Choice endpoints.Choice
+}
+
+// Batch is what the driver has to do after an event.
+type Batch struct {
+	Sends []Send
+	// Cancels are attempts that are no longer needed.
+	Cancels []AttemptID
+	// Outcome is set once the request has its final answer.
+	Outcome *Outcome
+	// Wake is when Tick has to be called at the latest.
+	Wake time.Duration
+}
+
+// Status tells how a request ended.
+type Status uint8
+
+const (
+	// StatusAnswered is an answer by servers.
+	StatusAnswered Status = iota
+	// StatusRefused is a refusal: nothing has run and nothing will.
+	StatusRefused
+	// StatusFailed is a failure after which the request may have run.
+	StatusFailed
+	// StatusExpired is a deadline that passed while the request may have run.
+	StatusExpired
+)
+
+var statusNames = [...]string{"answered", "refused", "failed", "expired"}
+
+// String returns the name used in logs and metrics.
+func (status Status) String() string { return statusNames[status] }
+
+// Outcome is the end of a request.
+type Outcome struct {
+	Status Status
+	// Replies are the answers that count, one a shard.
+	Replies []upstream.Reply
+	// Missing is the number of shards that are left out.
+	Missing int
+	// Cause says what decided the outcome.
+	Cause Cause
+}
+
+// Cause says what decided an outcome.
+type Cause string
+
+// Causes of outcomes.
+const (
+	CauseComplete     Cause = "complete"
+	CauseTarget       Cause = "target_reached"
+	CauseDeadline     Cause = "deadline_reached"
+	CauseShardsLost   Cause = "shards_lost"
+	CauseNoServers    Cause = "no_servers"
+	CauseServerFailed Cause = "server_failed"
+)
--- /dev/null
+++ b/internal/ingress/answer.go
@@ -0,0 +1,62 @@
+package ingress
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/driftstage/driftstage/internal/exchange"
+	"github.com/driftstage/driftstage/internal/records"
+	"github.com/driftstage/driftstage/internal/routing"
+)
+
+// writeOutcome writes the final answer of a request.
+func (server *Server) writeOutcome(ctx *fasthttp.RequestCtx, route *routing.Route, outcome *exchange.Outcome) {
+	switch {
+	case outcome.Status == exchange.StatusAnswered && route.Gathers():
+		server.writeMerged(ctx, route, outcome)
+	case outcome.Status == exchange.StatusAnswered:
+		writeReply(ctx, outcome)
+	case outcome.Status == exchange.StatusRefused:
+		refuse(ctx, string(outcome.Cause), retryAfter)
+	case outcome.Status == exchange.StatusExpired:
+		ctx.Error(string(outcome.Cause)+"\n", fasthttp.StatusGatewayTimeout)
+	default:
+		ctx.Error(string(outcome.Cause)+"\n", fasthttp.StatusBadGateway)
+	}
+}
+
+// retryAfter is when a refused caller may come back.
+const retryAfter = 300 * time.Millisecond
+
+// refuse promises that the request has not run and says when to come back.
+func refuse(ctx *fasthttp.RequestCtx, reason string, after time.Duration) {
+	ctx.Error(reason+"\n", fasthttp.StatusServiceUnavailable)
+	ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(after.Seconds(), 'f', -1, 64))
+}
+
+// writeReply hands on a server's answer unchanged.
+func writeReply(ctx *fasthttp.RequestCtx, outcome *exchange.Outcome) {
+	reply := &outcome.Replies[0]
+	for _, field := range reply.Fields {
+		ctx.Response.Header.Add(field.Name, field.Value)
+	}
+	ctx.SetStatusCode(reply.Status)
+	ctx.Response.SetBodyRaw(reply.Body)
+}
+
+// writeMerged writes the greatest records of all parts that are in.
+func (server *Server) writeMerged(ctx *fasthttp.RequestCtx, route *routing.Route, outcome *exchange.Outcome) {
+	seals := make([]string, len(outcome.Replies))
+	parts := make([][]byte, len(outcome.Replies))
+	for index := range outcome.Replies {
+		seals[index] = outcome.Replies[index].Seal
+		parts[index] = outcome.Replies[index].Body
+	}
+	ctx.Response.Header.Set(server.names.PartSeals, strings.Join(seals, ", "))
+	ctx.Response.Header.Set(server.names.MissingParts, strconv.Itoa(outcome.Missing))
+	ctx.SetContentType("application/octet-stream")
+	ctx.Response.SetBodyRaw(records.Greatest(parts, route.ResultCount))
+}
--- /dev/null
+++ b/internal/ingress/framing.go
@@ -0,0 +1,52 @@
+package ingress
+
+import (
+	"bytes"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+var (
+	errBareLineFeed  = errors.New("a header line ends without a carriage return")
+	errFoldedHeader  = errors.New("a header line is folded")
+	errTwoLengths    = errors.New("the request has a length and chunks")
+	errMissingID     = errors.New("the request has no attempt id")
+	errRepeatedID    = errors.New("the request has more than one attempt id")
+	errWrongDeadline = errors.New("the deadline is no positive whole number of milliseconds")
+	errRepeatedField = errors.New("a header that must be single is repeated")
+)
+
+// checkFraming rejects requests whose end another program could see elsewhere
+// than this one does, beyond what fasthttp itself rejects.
+func checkFraming(header *fasthttp.RequestHeader) error {
+	raw := header.RawHeaders()
+	for line := range bytes.Lines(raw) {
+		switch {
+		case bytes.HasSuffix(line, []byte("\n")) && !bytes.HasSuffix(line, []byte("\r\n")):
+			return errBareLineFeed
+		case line[0] == ' ' || line[0] == '\t':
+			return errFoldedHeader
+		}
+	}
+	if hasField(raw, "content-length") && hasField(raw, "transfer-encoding") {
+		return errTwoLengths
+	}
+	return nil
+}
+
+// hasField reports whether the raw headers have a field of the (lower-case) name.
+func hasField(raw []byte, name string) bool {
+	return countField(raw, name) > 0
+}
+
+func countField(raw []byte, name string) int {
+	count := 0
+	for line := range bytes.Lines(raw) {
+		field, _, found := bytes.Cut(line, []byte(":"))
+		if found && bytes.EqualFold(bytes.TrimSpace(field), []byte(name)) {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/records/records.go
@@ -0,0 +1,58 @@
+// Package records merges the fixed-width records of the shards' answers.
+package records
+
+import (
+	"bytes"
+	"container/heap"
+	"slices"
+)
+
+// Width is the size of a record in bytes. A shorter remainder at the end of a
+// part is no record.
+const Width = 16
+
+// Greatest returns the count greatest records of all parts in falling order,
+// compared byte by byte. Equal records all count.
+func Greatest(parts [][]byte, count int) []byte {
+	if count <= 0 {
+		return nil
+	}
+	kept := make(smallestFirst, 0, count)
+	for _, part := range parts {
+		for ; len(part) >= Width; part = part[Width:] {
+			kept = keep(kept, part[:Width], count)
+		}
+	}
+	slices.SortFunc(kept, func(a, b []byte) int { return bytes.Compare(b, a) })
+	return bytes.Join(kept, nil)
+}
+
+func keep(kept smallestFirst, record []byte, count int) smallestFirst {
+	if len(kept) < count {
+		heap.Push(&kept, record)
+		return kept
+	}
+	if bytes.Compare(record, kept[0]) > 0 {
+		kept[0] = record
+		heap.Fix(&kept, 0)
+	}
+	return kept
+}
+
+// smallestFirst is a heap with the smallest record at its root.
+type smallestFirst [][]byte
+
+func (records smallestFirst) Len() int           { return len(records) }
+func (records smallestFirst) Less(i, j int) bool { return bytes.Compare(records[i], records[j]) < 0 }
+func (records smallestFirst) Swap(i, j int)      { records[i], records[j] = records[j], records[i] }
+
+// Push implements heap.Interface.
+func (records *smallestFirst) Push(record any) { *records = append(*records, record.([]byte)) }
+
+// Pop implements heap.Interface.
+func (records *smallestFirst) Pop() any {
+	last := len(*records) - 1
+	record := (*records)[last]
+	*records = (*records)[:last]
+	return record
+}
--- /dev/null
+++ b/internal/retrybudget/retrybudget.go
@@ -0,0 +1,41 @@
+// Package retrybudget bounds the requests that are sent beyond the first one
+// (hedges and retries) of each service.
+//
+// A bucket gains a fixed ratio of a token with each request and loses a whole
+// token with each extra send. Its capacity bounds the extra sends of any window
+// to capacity + ratio x requests of the window, whatever the window's length.
+// With a capacity of slack / nodes, that holds for all nodes together too. A
+// bucket starts empty, so that a restarted node does not spend a second time.
+package retrybudget
+
+// Limits are the figures of all buckets of a node.
+type Limits struct {
+	// Ratio is the number of extra sends allowed for each request.
+	Ratio float64
+	// Capacity is the most tokens that a bucket saves up.
+	Capacity float64
+}
+
+// Bucket counts the allowance of one service. It is not safe for concurrent use.
+type Bucket struct {
+	tokens float64
+}
+
+// Earn adds the allowance of one request.
+func (bucket *Bucket) Earn(limits Limits) {
+	bucket.tokens = min(bucket.tokens+limits.Ratio, limits.Capacity)
+}
+
+// Take spends one token and reports whether there was one.
+func (bucket *Bucket) Take() bool {
+	if bucket.tokens < 1 {
+		return false
+	}
+	bucket.tokens--
+	return true
+}
+
+// Tokens returns the allowance that is left.
+func (bucket *Bucket) Tokens() float64 {
+	return bucket.tokens
+}
--- /dev/null
+++ b/internal/routing/routing.go
@@ -0,0 +1,189 @@
+// Package routing holds one version of the operators' routing configuration and
+// finds the route of a request.
+//
+// A Table is immutable: a request keeps the table by which it was accepted, so
+// that all of its parts come from one version.
+package routing
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Limits bound what a caller may send and how long its connection may rest.
+type Limits struct {
+	MaximumHeaderBytes int
+	MaximumBodyBytes   int
+	HeaderTimeout      time.Duration
+	IdleTimeout        time.Duration
+}
+
+// Service is a group of interchangeable servers.
+type Service struct {
+	Name string
+	// MaximumConnections is what each server accepts from all callers together.
+	MaximumConnections int
+}
+
+// WeightedService is one part of a split route.
+type WeightedService struct {
+	Service string
+	Weight  float64
+}
+
+// Route says where requests of one host and path prefix go, and how long they
+// may take.
+type Route struct {
+	Name       string
+	Host       string
+	PathPrefix string
+	// Repeatable requests may run more than once on the back ends.
+	Repeatable bool
+	// Timeout is the longest time for which a request is held.
+	Timeout time.Duration
+	// Target is the time within which an answer has its full value.
+	Target time.Duration
+	// Priority is the rank of the route; 0 is the most urgent.
+	Priority int
+	// MaximumAttempts bounds the servers asked for one request (for each shard).
+	MaximumAttempts int
+	// Split divides whole requests among services by weight. A route has either
+	// Split or Shards.
+	Split []WeightedService
+	// Shards are the services that are all asked; their answers are merged.
+	Shards []string
+	// ResultCount is how many records a merged answer holds.
+	ResultCount int
+	// LeastShare is the share of the shards below which an answer is no success.
+	LeastShare float64
+}
+
+// Gathers reports whether requests of the route are sent to all shards.
+func (route *Route) Gathers() bool {
+	return len(route.Shards) > 0
+}
+
+// LeastShards returns how many shards an answer needs to be a success; one at least.
+func (route *Route) LeastShards() int {
+	total := len(route.Shards)
+	for count := 1; count < total; count++ {
+		if float64(count)/float64(total) >= route.LeastShare {
+			return count
+		}
+	}
+	return total
+}
+
+// Services returns the names of all services that the route may reach.
+func (route *Route) Services() []string {
+	if route.Gathers() {
+		return route.Shards
+	}
+	names := make([]string, len(route.Split))
+	for index, part := range route.Split {
+		names[index] = part.Service
+	}
+	return names
+}
+
+// Table is one version of the configuration.
+type Table struct {
+	Version  uint64
+	Limits   Limits
+	Services map[string]Service
+	byHost   map[string][]*Route
+}
+
+// NewTable returns the table of the routes. The error names the first wrong route.
+func NewTable(version uint64, limits Limits, services []Service, routes []Route) (*Table, error) {
+	table := &Table{
+		Version:  version,
+		Limits:   limits,
+		Services: make(map[string]Service, len(services)),
+		byHost:   make(map[string][]*Route),
+	}
+	for _, service := range services {
+		table.Services[service.Name] = service
+	}
+	for index := range routes {
+		route := &routes[index]
+		if err := check(route); err != nil {
+			return nil, fmt.Errorf("route %q: %w", route.Name, err)
+		}
+		host := strings.ToLower(route.Host)
+		table.byHost[host] = append(table.byHost[host], route)
+	}
+	for _, ofHost := range table.byHost {
+		slices.SortStableFunc(ofHost, func(a, b *Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
+	}
+	return table, nil
+}
+
+func check(route *Route) error {
+	switch {
+	case route.Host == "":
+		return fmt.Errorf("no host")
+	case !strings.HasPrefix(route.PathPrefix, "/"):
+		return fmt.Errorf("path prefix %q: want a leading slash", route.PathPrefix)
+	case route.Gathers() == (len(route.Split) > 0):
+		return fmt.Errorf("want either services or shards")
+	case route.Gathers() && !route.Repeatable:
+		return fmt.Errorf("requests to all shards have to be repeatable")
+	case route.Timeout <= 0:
+		return fmt.Errorf("timeout %v: want a positive time", route.Timeout)
+	}
+	return nil
+}
+
+// Match returns the route of the host with the longest prefix of the path, or
+// nil. The host may carry a port.
+func (table *Table) Match(host, path string) *Route {
+	for _, route := range table.byHost[hostName(host)] {
+		if strings.HasPrefix(path, route.PathPrefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// RouteCount returns the number of routes.
+func (table *Table) RouteCount() int {
+	count := 0
+	for _, ofHost := range table.byHost {
+		count += len(ofHost)
+	}
+	return count
+}
+
+func hostName(host string) string {
+	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:colon]
+	}
+	return strings.ToLower(host)
+}
+
+// goldenRatio spreads consecutive numbers evenly over the unit interval.
+const goldenRatio = 0.6180339887498949
+
+// Choose returns the service for the given turn (a counter of the route's
+// requests). Over consecutive turns each service gets its share of the weights.
+func (route *Route) Choose(turn uint64) string {
+	if len(route.Split) == 1 {
+		return route.Split[0].Service
+	}
+	total := 0.0
+	for _, part := range route.Split {
+		total += part.Weight
+	}
+	product := float64(turn) * goldenRatio
+	point := (product - float64(uint64(product))) * total
+	for _, part := range route.Split {
+		if point < part.Weight {
+			return part.Service
+		}
+		point -= part.Weight
+	}
+	return route.Split[len(route.Split)-1].Service
+}
--- /dev/null
+++ b/internal/settings/loader.go
@@ -0,0 +1,90 @@
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/peterbourgon/ff/v4"
+	"github.com/peterbourgon/ff/v4/ffhelp"
+	"github.com/peterbourgon/ff/v4/ffyaml"
+)
+
+// Mode tells what the command line asks for.
+type Mode uint8
+
+const (
+	// ModeRun starts the daemon.
+	ModeRun Mode = iota
+	// ModeHelp prints the help.
+	ModeHelp
+	// ModeVersion prints the version.
+	ModeVersion
+	// ModeCheck checks the settings and starts nothing.
+	ModeCheck
+)
+
+// Request is what the command line asks for.
+type Request[S any] struct {
+	Mode     Mode
+	Settings S
+	// Help is the text of the help, for ModeHelp.
+	Help string
+}
+
+// program is what the loader knows of one daemon.
+type program[S any] struct {
+	name  string
+	table []entry[S]
+	// finish fills in what depends on other settings and checks them together.
+	finish func(settings *S) []error
+}
+
+// load reads the command line, the environment and the file that --config
+// names. The error joins one error for each wrong value.
+func (program program[S]) load(args []string) (Request[S], error) {
+	flags := ff.NewFlagSet(program.name)
+	flags.StringLong("config", "", "settings file (YAML, one key a line)")
+	version := flags.BoolLong("version", "print the version and exit")
+	check := flags.BoolLong("check-config", "check the settings and exit")
+	values := make([]*string, len(program.table))
+	for index, entry := range program.table {
+		values[index] = flags.StringLong(entry.key, entry.preset, entry.help)
+	}
+	err := ff.Parse(flags, args,
+		ff.WithEnvVarPrefix(EnvironmentPrefix),
+		ff.WithConfigFileFlag("config"),
+		ff.WithConfigFileParser(ffyaml.Parse),
+	)
+	switch {
+	case errors.Is(err, ff.ErrHelp):
+		return Request[S]{Mode: ModeHelp, Help: fmt.Sprint(ffhelp.Flags(flags))}, nil
+	case err != nil:
+		return Request[S]{}, err
+	case len(flags.GetArgs()) > 0:
+		return Request[S]{}, fmt.Errorf("unexpected argument %q: %s takes only flags", flags.GetArgs()[0], program.name)
+	case *version:
+		return Request[S]{Mode: ModeVersion}, nil
+	}
+	loaded, err := program.parse(values)
+	if err != nil {
+		return Request[S]{}, err
+	}
+	if *check {
+		return Request[S]{Mode: ModeCheck, Settings: loaded}, nil
+	}
+	return Request[S]{Mode: ModeRun, Settings: loaded}, nil
+}
+
+func (program program[S]) parse(values []*string) (S, error) {
+	var loaded S
+	var problems []error
+	for index, entry := range program.table {
+		value := strings.TrimSpace(*values[index])
+		if err := entry.apply(&loaded, value); err != nil {
+			problems = append(problems, fmt.Errorf("%s: %q: %w", entry.key, value, err))
+		}
+	}
+	problems = append(problems, program.finish(&loaded)...)
+	return loaded, errors.Join(problems...)
+}
--- /dev/null
+++ b/internal/settings/router.go
@@ -0,0 +1,150 @@
+package settings
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Router are the checked settings of driftrouter, the query tier on a platform
+// that keeps configuration and lists servers.
+type Router struct {
+	// Name is the node's identity, for logs.
+	Name   string
+	Zone   string
+	Region string
+	// Regions is the region of each zone.
+	Regions map[string]string
+	// ListenAddress is where callers are served (IP:port).
+	ListenAddress string
+	// ReadinessAddress is where readiness is asked for (IP:port).
+	ReadinessAddress string
+	// PeerAddress is where other nodes ask for what this one knows (IP:port); empty for none.
+	PeerAddress string
+	// MetricsAddress serves metrics (IP:port); empty for none.
+	MetricsAddress string
+	// StoreAddress is the platform's store (IP:port).
+	StoreAddress string
+	// Seeds are peer addresses of some nodes; they may be stale.
+	Seeds []string
+	// RetryRatio is the number of extra sends allowed for each request of a service.
+	RetryRatio float64
+	// RetrySlack is the number of extra sends of a service allowed besides, all
+	// nodes together.
+	RetrySlack float64
+	// StopTimeout is the time from the signal to stop to the end of the process.
+	StopTimeout time.Duration
+	// MemoryMegabytes is the memory that the process may take; 0 for unbounded.
+	MemoryMegabytes int
+	// LogVerbosity is klog's verbosity: 0 to 4.
+	LogVerbosity int
+}
+
+const (
+	keyListenAddress    = "listen-address"
+	keyReadinessAddress = "readiness-address"
+	keyPeerAddress      = "peer-address"
+	keyMetricsAddress   = "metrics-address"
+)
+
+var routerTable = []entry[Router]{
+	{"name", "", "name of this node, for logs (required)", func(s *Router, text string) error {
+		return label(&s.Name, text)
+	}},
+	{"zone", "", "zone of this machine (required)", func(s *Router, text string) error {
+		return label(&s.Zone, text)
+	}},
+	{"region", "", "region of this machine (required)", func(s *Router, text string) error {
+		return label(&s.Region, text)
+	}},
+	{"zones", "", "all zones and their regions, as ZONE=REGION with commas between", func(s *Router, text string) error {
+		return zones(&s.Regions, text)
+	}},
+	{keyListenAddress, "127.0.0.1:7080", "IP:port for callers (HTTP)", func(s *Router, text string) error {
+		return address(&s.ListenAddress, text)
+	}},
+	{keyReadinessAddress, "127.0.0.1:7083", "IP:port where readiness is asked for (HTTP)", func(s *Router, text string) error {
+		return address(&s.ReadinessAddress, text)
+	}},
+	{keyPeerAddress, "", "IP:port for other nodes (empty: none)", func(s *Router, text string) error {
+		return optional(address)(&s.PeerAddress, text)
+	}},
+	{keyMetricsAddress, "", "IP:port of metrics (empty: none)", func(s *Router, text string) error {
+		return optional(address)(&s.MetricsAddress, text)
+	}},
+	{"store-address", "", "IP:port of the platform's store (required)", func(s *Router, text string) error {
+		return peerAddress(&s.StoreAddress, text)
+	}},
+	{"seeds", "", "peer addresses (IP:port, comma-separated) of some nodes", func(s *Router, text string) error {
+		return addressList(&s.Seeds, text)
+	}},
+	{"retry-ratio", "0.1", "extra sends allowed for each request of a service, 0 to 1", func(s *Router, text string) error {
+		return number(&s.RetryRatio, text, 0, 1)
+	}},
+	{"retry-slack", "10", "extra sends of a service allowed besides, all nodes together, 0 to 100000", func(s *Router, text string) error {
+		return number(&s.RetrySlack, text, 0, 100_000)
+	}},
+	{"stop-timeout", "6s", "time from the signal to stop to the end of the process, 1s to 10m", func(s *Router, text string) error {
+		return duration(&s.StopTimeout, text, time.Second, 10*time.Minute)
+	}},
+	{"memory-megabytes", "0", "memory that the process may take, 0 (unbounded) to 1000000", func(s *Router, text string) error {
+		return integer(&s.MemoryMegabytes, text, 0, 1_000_000)
+	}},
+	{"log-verbosity", "0", "how much is logged, 0 to 4", func(s *Router, text string) error {
+		return integer(&s.LogVerbosity, text, 0, 4)
+	}},
+}
+
+// LoadRouter reads the settings of driftrouter.
+func LoadRouter(args []string) (Request[Router], error) {
+	return program[Router]{name: "driftrouter", table: routerTable, finish: finishRouter}.load(args)
+}
+
+func finishRouter(loaded *Router) []error {
+	if loaded.Regions == nil {
+		loaded.Regions = make(map[string]string)
+	}
+	loaded.Regions[loaded.Zone] = loaded.Region
+	return checkAddressesDiffer([]listener{
+		{keyListenAddress, loaded.ListenAddress},
+		{keyReadinessAddress, loaded.ReadinessAddress},
+		{keyPeerAddress, loaded.PeerAddress},
+		{keyMetricsAddress, loaded.MetricsAddress},
+	})
+}
+
+// zones reads ZONE=REGION pairs.
+func zones(field *map[string]string, text string) error {
+	*field = make(map[string]string)
+	if text == "" {
+		return nil
+	}
+	for part := range strings.SplitSeq(text, ",") {
+		zone, region, found := strings.Cut(strings.TrimSpace(part), "=")
+		if !found || zone == "" || region == "" {
+			return fmt.Errorf("%q: want ZONE=REGION", part)
+		}
+		(*field)[zone] = region
+	}
+	return nil
+}
+
+// optional accepts an empty text and leaves others to the check.
+func optional(check func(field *string, text string) error) func(field *string, text string) error {
+	return func(field *string, text string) error {
+		if text == "" {
+			return nil
+		}
+		return check(field, text)
+	}
+}
+
+func number(field *float64, text string, low, high float64) error {
+	parsed, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(parsed >= low && parsed <= high) {
+		return fmt.Errorf("want a number from %v to %v", low, high)
+	}
+	*field = parsed
+	return nil
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,15 +7,10 @@
 package settings
 
 import (
-	"errors"
 	"fmt"
 	"slices"
 	"strings"
 	"time"
-
-	"github.com/peterbourgon/ff/v4"
-	"github.com/peterbourgon/ff/v4/ffhelp"
-	"github.com/peterbourgon/ff/v4/ffyaml"
 )
 
 // EnvironmentPrefix stands before the names of environment variables.
@@ -54,94 +49,34 @@
 	LogVerbosity int
 }
 
-// Mode tells what the command line asks for.
-type Mode uint8
-
-const (
-	// ModeRun starts the daemon.
-	ModeRun Mode = iota
-	// ModeHelp prints the help.
-	ModeHelp
-	// ModeVersion prints the version.
-	ModeVersion
-	// ModeCheck checks the settings and starts nothing.
-	ModeCheck
-)
-
-// Request is what the command line asks for.
-type Request struct {
-	Mode     Mode
-	Settings Settings
-	// Help is the text of the help, for ModeHelp.
-	Help string
+// Load reads the settings of driftstaged.
+func Load(args []string) (Request[Settings], error) {
+	return program[Settings]{name: "driftstaged", table: table, finish: finish}.load(args)
 }
 
-// Load reads the command line, the environment and the file that --config
-// names. The error joins one error for each wrong value.
-func Load(args []string) (Request, error) {
-	flags := ff.NewFlagSet("driftstaged")
-	flags.StringLong("config", "", "settings file (YAML, one key a line)")
-	version := flags.BoolLong("version", "print the version and exit")
-	check := flags.BoolLong("check-config", "check the settings and exit")
-	values := make([]*string, len(table))
-	for index, entry := range table {
-		values[index] = flags.StringLong(entry.key, entry.preset, entry.help)
-	}
-	err := ff.Parse(flags, args,
-		ff.WithEnvVarPrefix(EnvironmentPrefix),
-		ff.WithConfigFileFlag("config"),
-		ff.WithConfigFileParser(ffyaml.Parse),
-	)
-	switch {
-	case errors.Is(err, ff.ErrHelp):
-		return Request{Mode: ModeHelp, Help: fmt.Sprint(ffhelp.Flags(flags))}, nil
-	case err != nil:
-		return Request{}, err
-	case len(flags.GetArgs()) > 0:
-		return Request{}, fmt.Errorf("unexpected argument %q: driftstaged takes only flags", flags.GetArgs()[0])
-	case *version:
-		return Request{Mode: ModeVersion}, nil
-	}
-	loaded, err := parse(values)
-	if err != nil {
-		return Request{}, err
-	}
-	if *check {
-		return Request{Mode: ModeCheck, Settings: loaded}, nil
-	}
-	return Request{Mode: ModeRun, Settings: loaded}, nil
-}
-
-func parse(values []*string) (Settings, error) {
-	var loaded Settings
-	var problems []error
-	for index, entry := range table {
-		value := strings.TrimSpace(*values[index])
-		if err := entry.apply(&loaded, value); err != nil {
-			problems = append(problems, fmt.Errorf("%s: %q: %w", entry.key, value, err))
-		}
-	}
-	problems = append(problems, checkAddressesDiffer(loaded)...)
+func finish(loaded *Settings) []error {
 	if loaded.Name == "" {
 		loaded.Name = loaded.WireAddress
 	}
-	return loaded, errors.Join(problems...)
-}
-
-// checkAddressesDiffer finds listeners that would take each other's port.
-func checkAddressesDiffer(loaded Settings) []error {
-	listeners := []struct{ key, address string }{
+	return checkAddressesDiffer([]listener{
 		{keyGatewayAddress, loaded.GatewayAddress},
 		{keyWireAddress, loaded.WireAddress},
 		{keyAdminAddress, loaded.AdminAddress},
-	}
+	})
+}
+
+// listener is a setting that names an address to listen on.
+type listener struct{ key, address string }
+
+// checkAddressesDiffer finds listeners that would take each other's port.
+func checkAddressesDiffer(listeners []listener) []error {
 	var problems []error
-	for index, listener := range listeners {
-		same := slices.IndexFunc(listeners[:index], func(earlier struct{ key, address string }) bool {
-			return earlier.address == listener.address && !strings.HasSuffix(listener.address, ":0")
+	for index, current := range listeners {
+		same := slices.IndexFunc(listeners[:index], func(earlier listener) bool {
+			return earlier.address == current.address && !strings.HasSuffix(current.address, ":0")
 		})
-		if same >= 0 && listener.address != "" {
-			problems = append(problems, fmt.Errorf("%s: %q: want an address other than that of %s", listener.key, listener.address, listeners[same].key))
+		if same >= 0 && current.address != "" {
+			problems = append(problems, fmt.Errorf("%s: %q: want an address other than that of %s", current.key, current.address, listeners[same].key))
 		}
 	}
 	return problems
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -17,15 +17,15 @@
 )
 
 // entry describes one setting.
-type entry struct {
+type entry[S any] struct {
 	key    string
 	preset string
 	help   string
 	// apply checks the text of the value and stores it.
-	apply func(settings *Settings, text string) error
+	apply func(settings *S, text string) error
 }
 
-var table = []entry{
+var table = []entry[Settings]{
 	{"name", "", "name of this node, unique among the live nodes (default: the wire address)", func(s *Settings, text string) error {
 		if text == "" {
 			return nil
--- /dev/null
+++ b/internal/upstream/client.go
@@ -0,0 +1,167 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/driftstage/driftstage/internal/verdict"
+)
+
+const (
+	// dialTimeout bounds the time for a connection to come up.
+	dialTimeout = time.Second
+	readerBytes = 4096
+	// largeBodyBytes is the size from which a body is written while the answer
+	// is awaited: a server may answer before it has read a long body.
+	largeBodyBytes = 4096
+)
+
+// Client sends attempts to servers. It is safe for concurrent use.
+type Client struct {
+	headers Headers
+	dialer  net.Dialer
+	pool    *pool
+	readers sync.Pool
+}
+
+// NewClient returns a client that speaks the given headers.
+func NewClient(headers Headers) *Client {
+	return &Client{
+		headers: headers,
+		dialer:  net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: ControlSocket},
+		pool:    newPool(),
+		readers: sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readerBytes) }},
+	}
+}
+
+// Forget closes the idle connections of the server.
+func (client *Client) Forget(serverID string) { client.pool.forget(serverID) }
+
+// Sweep closes connections that have rested too long.
+func (client *Client) Sweep(now time.Time) { client.pool.sweep(now) }
+
+// Do makes one attempt. It returns at the deadline, or soon after ctx ends, at
+// the latest; the connection is then closed, so that the server can stop.
+func (client *Client) Do(ctx context.Context, call Call) Reply {
+	conn, err := client.connect(ctx, call)
+	if err != nil {
+		return failure(ctx, Unreachable, verdict.NotRun, err)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	reply, reusable := client.exchange(ctx, conn, call)
+	if !stop() || !reusable {
+		_ = conn.Close()
+		return reply
+	}
+	client.pool.put(call.ServerID, conn)
+	return reply
+}
+
+func (client *Client) connect(ctx context.Context, call Call) (*connection, error) {
+	now := time.Now()
+	if conn := client.pool.take(call.ServerID, now); conn != nil {
+		return conn, conn.SetDeadline(call.Deadline)
+	}
+	dialContext, cancel := context.WithDeadline(ctx, call.Deadline)
+	defer cancel()
+	opened, err := client.dialer.DialContext(dialContext, "tcp4", call.Address)
+	if err != nil {
+		return nil, err
+	}
+	return &connection{Conn: opened}, opened.SetDeadline(call.Deadline)
+}
+
+// exchange sends the request and reads its answer. The second result tells
+// whether the connection may carry another request.
+func (client *Client) exchange(ctx context.Context, conn *connection, call Call) (Reply, bool) {
+	left := time.Until(call.Deadline)
+	if left < time.Millisecond {
+		return failure(ctx, Expired, verdict.NotRun, errors.New("no time left to send")), false
+	}
+	sent := client.send(conn, call, left)
+	if err := sent.failed(); err != nil {
+		return failure(ctx, Lost, verdict.MayHaveRun, err), false
+	}
+	reader := client.readers.Get().(*bufio.Reader)
+	reader.Reset(conn)
+	defer client.release(reader)
+	reply, framing := client.receive(reader, call, conn.used)
+	if reply.Err != nil {
+		return failure(ctx, reply.Kind, reply.Verdict, reply.Err), false
+	}
+	reusable := framing.keep && reader.Buffered() == 0 && sent.complete()
+	conn.used = true
+	conn.expires = time.Now().Add(framing.idle - idleMargin)
+	return reply, reusable
+}
+
+func (client *Client) release(reader *bufio.Reader) {
+	reader.Reset(nil)
+	client.readers.Put(reader)
+}
+
+// sending is a request that is being written.
+type sending struct {
+	done chan error
+	err  error
+}
+
+// failed returns the error of a write that has ended already.
+func (sent *sending) failed() error { return sent.err }
+
+// complete reports whether the whole request was written.
+func (sent *sending) complete() bool {
+	if sent.done == nil {
+		return sent.err == nil
+	}
+	select {
+	case err := <-sent.done:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+func (client *Client) send(conn *connection, call Call, left time.Duration) *sending {
+	message := client.serialize(call, left)
+	if len(call.Request.Body) < largeBodyBytes {
+		_, err := conn.Write(append(message, call.Request.Body...))
+		return &sending{err: err}
+	}
+	sent := &sending{done: make(chan error, 1)}
+	go func() {
+		buffers := net.Buffers{message, call.Request.Body}
+		_, err := buffers.WriteTo(conn.Conn)
+		sent.done <- err
+	}()
+	return sent
+}
+
+func (client *Client) serialize(call Call, left time.Duration) []byte {
+	message := make([]byte, 0, len(call.Request.Head)+len(call.Request.Body)+128)
+	message = append(message, call.Request.Head...)
+	message = append(message, client.headers.Deadline...)
+	message = append(message, ": "...)
+	message = strconv.AppendInt(message, left.Milliseconds(), 10)
+	message = append(message, "\r\n"...)
+	message = append(message, client.headers.ExpectedInstance...)
+	message = append(message, ": "...)
+	message = append(message, call.ServerID...)
+	return append(message, "\r\n\r\n"...)
+}
+
+// failure classifies an error: one that came from the end of ctx or of the time
+// is no fault of the server.
+func failure(ctx context.Context, kind Kind, ran verdict.Verdict, err error) Reply {
+	var timeout net.Error
+	if ctx.Err() != nil || (errors.As(err, &timeout) && timeout.Timeout() && kind != Unreachable) {
+		kind = Expired
+	}
+	return Reply{Kind: kind, Verdict: ran, Err: err}
+}
--- /dev/null
+++ b/internal/upstream/doc.go
@@ -0,0 +1,95 @@
+// Package upstream sends one request to one server over HTTP/1.1 and tells what
+// became of it.
+//
+// It keeps idle connections for each server, makes exactly one attempt a call,
+// and never returns to the pool a connection on which anything is still due:
+// an unanswered request, an unfinished body, or bytes behind an answer.
+package upstream
+
+import (
+	"time"
+
+	"github.com/driftstage/driftstage/internal/verdict"
+)
+
+// Headers are the names of the headers that are spoken with servers.
+type Headers struct {
+	// AttemptID carries the caller's id of the request; answers return it.
+	AttemptID string
+	// Deadline carries the milliseconds that are left for the server.
+	Deadline string
+	// ExpectedInstance carries the id of the server that is meant.
+	ExpectedInstance string
+	// NotExecuted marks answers to requests that the server did not run.
+	NotExecuted string
+	// Seal is the server's signature of its answer.
+	Seal string
+}
+
+// Field is one header field.
+type Field struct {
+	Name  string
+	Value string
+}
+
+// Request is a caller's request in the form in which it goes to servers.
+type Request struct {
+	ID string
+	// Head is the serialized request line and headers, without the empty line at the end.
+	Head []byte
+	Body []byte
+	// HeadOnly is set for HEAD requests, whose answers have no body.
+	HeadOnly bool
+}
+
+// Call is one attempt of a request.
+type Call struct {
+	Request *Request
+	// ServerID is the incarnation that is meant, Address its IP:port.
+	ServerID string
+	Address  string
+	// Deadline is when the caller of the request stops waiting.
+	Deadline time.Time
+}
+
+// Kind tells how an attempt ended.
+type Kind uint8
+
+const (
+	// Answered is a whole answer by the server, whatever its status.
+	Answered Kind = iota
+	// Refused is the server's word that it did not and will not run the request.
+	Refused
+	// Foreign is a refusal by another server that has the address now.
+	Foreign
+	// Unreachable is a connection that could not be made.
+	Unreachable
+	// Lost is a connection that failed after the request may have left.
+	Lost
+	// Malformed is an answer that is not whole, not HTTP, or not a server's.
+	Malformed
+	// Expired is an attempt that ran into its deadline or was canceled.
+	Expired
+)
+
+var kindNames = [...]string{"answered", "refused", "foreign", "unreachable", "lost", "malformed", "expired"}
+
+// String returns the name used in logs and metrics.
+func (kind Kind) String() string { return kindNames[kind] }
+
+// Reply is what became of an attempt.
+type Reply struct {
+	Kind    Kind
+	Verdict verdict.Verdict
+	Status  int
+	Seal    string
+	Fields  []Field
+	Body    []byte
+	// Err is the cause of a failure, for logs.
+	Err error
+}
+
+// Success reports whether the reply is a whole answer with a 2xx status.
+func (reply *Reply) Success() bool {
+	return reply.Kind == Answered && reply.Status >= 200 && reply.Status < 300
+}
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,92 @@
+package upstream
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// presumedIdleTimeout holds for servers that announce none.
+	presumedIdleTimeout = 20 * time.Second
+	// idleMargin is how long before the server's announced time a connection is
+	// no longer used.
+	idleMargin = 700 * time.Millisecond
+)
+
+// pool keeps the idle connections of all servers, the latest used first.
+type pool struct {
+	mutex sync.Mutex
+	idle  map[string][]*connection
+}
+
+func newPool() *pool {
+	return &pool{idle: make(map[string][]*connection)}
+}
+
+// take returns an idle connection to the server that still looks sound, or nil.
+func (pool *pool) take(serverID string, now time.Time) *connection {
+	for {
+		conn := pool.pop(serverID)
+		if conn == nil {
+			return nil
+		}
+		if now.Before(conn.expires) && conn.quiet() {
+			return conn
+		}
+		_ = conn.Close()
+	}
+}
+
+func (pool *pool) pop(serverID string) *connection {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	idle := pool.idle[serverID]
+	if len(idle) == 0 {
+		return nil
+	}
+	last := len(idle) - 1
+	conn := idle[last]
+	pool.idle[serverID] = idle[:last]
+	return conn
+}
+
+func (pool *pool) put(serverID string, conn *connection) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	pool.idle[serverID] = append(pool.idle[serverID], conn)
+}
+
+// forget closes the idle connections of the server.
+func (pool *pool) forget(serverID string) {
+	pool.mutex.Lock()
+	idle := pool.idle[serverID]
+	delete(pool.idle, serverID)
+	pool.mutex.Unlock()
+	for _, conn := range idle {
+		_ = conn.Close()
+	}
+}
+
+// sweep closes the connections that have rested too long.
+func (pool *pool) sweep(now time.Time) {
+	pool.mutex.Lock()
+	var expired []*connection
+	for serverID, idle := range pool.idle {
+		kept := idle[:0]
+		for _, conn := range idle {
+			if now.Before(conn.expires) {
+				kept = append(kept, conn)
+			} else {
+				expired = append(expired, conn)
+			}
+		}
+		pool.idle[serverID] = kept
+		if len(kept) == 0 {
+			delete(pool.idle, serverID)
+		}
+	}
+	pool.mutex.Unlock()
+	for _, conn := range expired {
+		_ = conn.Close()
+	}
+}
--- /dev/null
+++ b/internal/upstream/receive.go
@@ -0,0 +1,123 @@
+package upstream
+
+import (
+	"bufio"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/driftstage/driftstage/internal/verdict"
+)
+
+const (
+	// maximumForeignAnswers is how many answers to earlier requests are passed
+	// over before the connection is given up.
+	maximumForeignAnswers = 4
+	maximumAnswerBytes    = 64 << 20
+)
+
+// framing is what an answer tells of its connection.
+type framing struct {
+	keep bool
+	idle time.Duration
+}
+
+var errForeignAnswer = errors.New("only answers to other requests arrived")
+
+// receive reads answers until the one with the request's id.
+func (client *Client) receive(reader *bufio.Reader, call Call, reused bool) (Reply, framing) {
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(response)
+	for range maximumForeignAnswers {
+		response.Reset()
+		response.SkipBody = call.Request.HeadOnly
+		if err := response.ReadLimitBody(reader, maximumAnswerBytes); err != nil {
+			return broken(reader, err), framing{}
+		}
+		if client.belongs(response, call, reused) {
+			return client.interpret(response), framingOf(response)
+		}
+	}
+	return Reply{Kind: Malformed, Verdict: verdict.MayHaveRun, Err: errForeignAnswer}, framing{}
+}
+
+// broken classifies an error of reading: bytes that form no answer were sent by
+// a live server, silence or a reset may be the network's doing.
+func broken(reader *bufio.Reader, err error) Reply {
+	kind := Lost
+	if reader.Buffered() > 0 {
+		kind = Malformed
+	}
+	return Reply{Kind: kind, Verdict: verdict.MayHaveRun, Err: err}
+}
+
+// belongs reports whether the answer is to this request. A refusal may come
+// without an id; on a connection that has carried other requests it could be
+// the late copy of an earlier one and proves nothing.
+func (client *Client) belongs(response *fasthttp.Response, call Call, reused bool) bool {
+	id := response.Header.Peek(client.headers.AttemptID)
+	if len(id) == 0 {
+		return !reused || len(response.Header.Peek(client.headers.NotExecuted)) == 0
+	}
+	return string(id) == call.Request.ID
+}
+
+func (client *Client) interpret(response *fasthttp.Response) Reply {
+	reply := Reply{
+		Kind:    Answered,
+		Verdict: verdict.Ran,
+		Status:  response.StatusCode(),
+		Seal:    string(response.Header.Peek(client.headers.Seal)),
+	}
+	switch {
+	case reply.Status == fasthttp.StatusMisdirectedRequest:
+		reply.Kind, reply.Verdict = Foreign, verdict.NotRun
+	case len(response.Header.Peek(client.headers.NotExecuted)) > 0:
+		reply.Kind, reply.Verdict = Refused, verdict.NotRun
+	case len(response.Header.ContentEncoding()) > 0:
+		reply.Kind = Malformed
+		reply.Err = errors.New("the body is encoded")
+	case reply.Success() && reply.Seal == "":
+		reply.Kind = Malformed
+		reply.Err = errors.New("a success without the server's seal")
+	default:
+		reply.Body = append([]byte(nil), response.Body()...)
+		reply.Fields = endToEndFields(&response.Header)
+	}
+	return reply
+}
+
+// endToEndFields copies the headers that are meant for the caller.
+func endToEndFields(header *fasthttp.ResponseHeader) []Field {
+	var fields []Field
+	for name, value := range header.All() {
+		if !ConnectionField(string(name)) {
+			fields = append(fields, Field{Name: string(name), Value: string(value)})
+		}
+	}
+	return fields
+}
+
+// ConnectionField reports whether the header pertains to one connection only,
+// message framing included. The name may be in any case.
+func ConnectionField(name string) bool {
+	switch strings.ToLower(name) {
+	case "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "content-length":
+		return true
+	}
+	return false
+}
+
+func framingOf(response *fasthttp.Response) framing {
+	result := framing{keep: !response.ConnectionClose(), idle: presumedIdleTimeout}
+	for _, part := range strings.Split(string(response.Header.Peek("Keep-Alive")), ",") {
+		seconds, found := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if count, err := strconv.Atoi(seconds); found && err == nil {
+			result.idle = time.Duration(count) * time.Second
+		}
+	}
+	return result
+}
