--- a/cmd/driftrouter/main.go
+++ b/cmd/driftrouter/main.go
@@ -16,6 +16,7 @@
 	"github.com/driftstage/driftstage/internal/edge"
 	"github.com/driftstage/driftstage/internal/settings"
 	"github.com/driftstage/driftstage/internal/telemetry"
+	"github.com/driftstage/driftstage/internal/trace"
 	"github.com/driftstage/driftstage/platform"
 )
 
@@ -27,6 +28,9 @@
 // garbageCollectionPercent trades processor time for memory, which is dearer.
 const garbageCollectionPercent = 30
 
+// logBufferBytes bounds log lines that wait for a slow reader.
+const logBufferBytes = 256 << 10
+
 func main() {
 	os.Exit(run(os.Args[1:]))
 }
@@ -52,11 +56,17 @@
 
 func serve(loaded settings.Router) int {
 	debug.SetGCPercent(garbageCollectionPercent)
-	telemetry.SetupLogs(os.Stdout, loaded.Name, loaded.LogVerbosity)
+	output := telemetry.NewAsyncWriter(os.Stdout, logBufferBytes)
+	defer output.Close()
+	handler := telemetry.SetupLogs(output, loaded.Name, loaded.LogVerbosity)
+	recorder := trace.NewRecorder(handler, trace.Options{
+		LinesPerSecond: loaded.LogLines,
+		SampleEvery:    loaded.LogSample,
+	})
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
-	node := edge.New(loaded, platform.Names(), platform.NewStore(loaded.StoreAddress))
+	node := edge.New(loaded, platform.Names(), platform.NewStore(loaded.StoreAddress), recorder)
 	if err := node.Run(ctx); err != nil {
 		fmt.Fprintf(os.Stderr, "driftrouter: %v\n", err)
 		return exitFailure
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 	"github.com/driftstage/driftstage/internal/endpoints"
 	"github.com/driftstage/driftstage/internal/exchange"
 	"github.com/driftstage/driftstage/internal/routing"
+	"github.com/driftstage/driftstage/internal/trace"
 	"github.com/driftstage/driftstage/internal/upstream"
 )
 
@@ -30,6 +31,8 @@
 type Request struct {
 	Route   *routing.Route
 	Message *upstream.Request
+	// Version is the configuration by which the request was accepted.
+	Version uint64
 	// Allowed is how long the caller waits; zero if it does not say.
 	Allowed time.Duration
 	// Arrived is when the request was read.
@@ -40,17 +43,20 @@
 type Dispatcher struct {
 	directory *endpoints.Directory
 	client    *upstream.Client
+	recorder  *trace.Recorder
 
 	mutex     sync.Mutex
 	estimates map[string]*endpoints.Estimate
 	turns     map[string]uint64
 }
 
-// New returns a dispatcher over the directory and the client.
-func New(directory *endpoints.Directory, client *upstream.Client) *Dispatcher {
+// New returns a dispatcher over the directory and the client. A nil recorder
+// writes no traces.
+func New(directory *endpoints.Directory, client *upstream.Client, recorder *trace.Recorder) *Dispatcher {
 	return &Dispatcher{
 		directory: directory,
 		client:    client,
+		recorder:  recorder,
 		estimates: make(map[string]*endpoints.Estimate),
 		turns:     make(map[string]uint64),
 	}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -6,6 +6,7 @@
 
 	"github.com/driftstage/driftstage/internal/endpoints"
 	"github.com/driftstage/driftstage/internal/exchange"
+	"github.com/driftstage/driftstage/internal/trace"
 	"github.com/driftstage/driftstage/internal/upstream"
 )
 
@@ -25,6 +26,8 @@
 	replies    chan ended
 	cancels    map[exchange.AttemptID]context.CancelFunc
 	deadline   time.Time
+	trace      *trace.Trace
+	plan       exchange.Plan
 }
 
 func newRun(ctx context.Context, dispatcher *Dispatcher, request Request, plan exchange.Plan) *run {
@@ -37,6 +40,8 @@
 		replies:  make(chan ended, len(plan.Services)*plan.MaximumAttempts),
 		cancels:  make(map[exchange.AttemptID]context.CancelFunc, len(plan.Services)),
 		deadline: request.Arrived.Add(plan.Deadline),
+		trace:    dispatcher.recorder.Begin(request.Message.ID, request.Arrived),
+		plan:     plan,
 	}
 	run.core = exchange.New(plan, run)
 	return run
@@ -44,7 +49,18 @@
 
 // Choose implements exchange.Servers.
 func (run *run) Choose(service string, tried []*endpoints.Endpoint, extra bool) (endpoints.Choice, endpoints.Availability) {
-	return run.dispatcher.directory.Choose(service, tried, extra, run.estimate, time.Now())
+	now := time.Now()
+	choice, availability := run.dispatcher.directory.Choose(endpoints.Demand{
+		Service: service,
+		Tried:   tried,
+		Extra:   extra,
+		Work:    run.estimate,
+		Left:    run.plan.Target - now.Sub(run.request.Arrived),
+	}, now)
+	if availability != endpoints.Chosen {
+		run.recordDeferred(service, extra, availability)
+	}
+	return choice, availability
 }
 
 func (run *run) since() time.Duration {
@@ -52,21 +68,25 @@
 }
 
 func (run *run) loop() *exchange.Outcome {
+	run.recordAccepted()
 	batch := run.core.Start(run.since())
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
 		run.apply(batch)
 		if batch.Outcome != nil {
+			run.recordFinished(batch.Outcome)
 			return batch.Outcome
 		}
 		timer.Reset(max(batch.Wake-run.since(), 0))
 		select {
 		case end := <-run.replies:
+			run.recordEnded(end)
 			batch = run.core.Reply(end.id, end.reply, run.since())
 		case <-timer.C:
 			batch = run.core.Tick(run.since())
 		case <-run.context.Done():
+			run.recordHungUp()
 			return nil
 		}
 	}
@@ -75,10 +95,12 @@
 func (run *run) apply(batch exchange.Batch) {
 	for _, id := range batch.Cancels {
 		run.cancels[id]()
+		run.recordCanceled(id)
 	}
 	for _, send := range batch.Sends {
 		ctx, cancel := context.WithCancel(run.context)
 		run.cancels[send.ID] = cancel
+		run.recordSent(send)
 		go run.attempt(ctx, send)
 	}
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -16,9 +16,11 @@
 	"github.com/driftstage/driftstage/internal/dispatch"
 	"github.com/driftstage/driftstage/internal/endpoints"
 	"github.com/driftstage/driftstage/internal/ingress"
+	"github.com/driftstage/driftstage/internal/members"
 	"github.com/driftstage/driftstage/internal/retrybudget"
 	"github.com/driftstage/driftstage/internal/routing"
 	"github.com/driftstage/driftstage/internal/settings"
+	"github.com/driftstage/driftstage/internal/trace"
 	"github.com/driftstage/driftstage/internal/upstream"
 )
 
@@ -26,12 +28,15 @@
 type Store interface {
 	Tables() catalog.Feed[*routing.Table]
 	Servers() catalog.Feed[endpoints.Server]
+	members.Registry
 }
 
 const (
-	// presumedNodes is how many nodes share the retry slack and the connections
-	// of a server.
-	presumedNodes = 14
+	// presumedNodes is how many nodes are taken to share what is shared until
+	// they have been counted.
+	presumedNodes = 12
+	// spareNodes allows for nodes that have just started.
+	spareNodes = 2
 	// retryReserve is kept from the retry ratio: nodes count in windows of their own.
 	retryReserve = 0.02
 	// sweepInterval is how often idle connections are looked at.
@@ -50,26 +55,23 @@
 }
 
 // New wires the parts; nothing runs yet.
-func New(loaded settings.Router, names ingress.Names, store Store) *Node {
+func New(loaded settings.Router, names ingress.Names, store Store, recorder *trace.Recorder) *Node {
 	topology := endpoints.Topology{
 		Own:     endpoints.Place{Zone: loaded.Zone, Region: loaded.Region},
 		Regions: loaded.Regions,
 	}
-	budget := retrybudget.Limits{
-		Ratio:    max(loaded.RetryRatio-retryReserve, 0),
-		Capacity: max(loaded.RetrySlack/presumedNodes, 1),
-	}
 	node := &Node{
 		settings:  loaded,
 		store:     store,
-		directory: endpoints.New(topology, budget, presumedNodes),
+		directory: endpoints.New(topology),
 		client:    upstream.NewClient(names.Headers),
 	}
+	node.shareAmong(presumedNodes)
 	node.state = &state{directory: node.directory, client: node.client}
 	node.server = ingress.New(ingress.Options{
 		Names:      names,
 		Table:      node.state.Table,
-		Dispatcher: dispatch.New(node.directory, node.client),
+		Dispatcher: dispatch.New(node.directory, node.client, recorder),
 	})
 	node.readiness = newReadiness(names.ReadinessPath, node.state.ready)
 	return node
@@ -112,9 +114,28 @@
 	servers := catalog.NewFollower("servers", node.store.Servers(), serverSink{node.state})
 	tasks.Go(func() { tables.Run(ctx) })
 	tasks.Go(func() { servers.Run(ctx) })
+	announcer := members.NewAnnouncer(node.store, node.member(), func(count int) { node.shareAmong(count + spareNodes) })
+	tasks.Go(func() { announcer.Run(ctx) })
 	tasks.Go(func() { node.sweep(ctx) })
 }
 
+func (node *Node) member() members.Member {
+	return members.Member{
+		Name:    node.settings.Name,
+		Zone:    node.settings.Zone,
+		Address: node.settings.PeerAddress,
+	}
+}
+
+// shareAmong divides what all nodes share among so many of them.
+func (node *Node) shareAmong(nodes int) {
+	budget := retrybudget.Limits{
+		Ratio:    max(node.settings.RetryRatio-retryReserve, 0),
+		Capacity: max(node.settings.RetrySlack/float64(nodes), 1),
+	}
+	node.directory.Share(budget, nodes)
+}
+
 func (node *Node) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
--- a/internal/endpoints/choose.go
+++ b/internal/endpoints/choose.go
@@ -14,6 +14,10 @@
 	Expected time.Duration
 	// LateAfter is the time after which the answer is taken for late.
 	LateAfter time.Duration
+	// UnderWay is how many requests this node had at the server before.
+	UnderWay int
+	// BudgetLeft is what is left of the service's retry budget.
+	BudgetLeft float64
 	// Reserved is the start of the reservation, to be handed to Finish.
 	Reserved time.Time
 }
@@ -35,65 +39,137 @@
 	Chosen Availability = iota
 	// NoServer means that no other server takes requests.
 	NoServer
+	// Busy means that there are servers but this node's share of their
+	// connections is in use.
+	Busy
 	// NoBudget means that the retry budget of the service is spent.
 	NoBudget
 )
 
-// Choose reserves the server of the service with the least predicted time; the
-// ones tried before are left out. Servers that lately failed come last. An extra
-// send is taken off the retry budget. The reservation ends with Finish.
-func (directory *Directory) Choose(name string, tried []*Endpoint, extra bool, estimate *Estimate, now time.Time) (Choice, Availability) {
+var availabilityNames = [...]string{"chosen", "no_server", "busy", "no_budget"}
+
+// String returns the name used in logs and metrics.
+func (availability Availability) String() string { return availabilityNames[availability] }
+
+// Demand is what a request asks of a server.
+type Demand struct {
+	Service string
+	// Tried are the servers that are left out.
+	Tried []*Endpoint
+	// Extra sends, those beyond the first, are taken off the retry budget.
+	Extra bool
+	// Work is the learned time of work of such requests.
+	Work *Estimate
+	// Left is the time until the answer loses most of its value; it may be negative.
+	Left time.Duration
+}
+
+// Choose reserves a server: the one with the least predicted time in the node's
+// own region if that leaves time for another attempt, else the one with the
+// least predicted time anywhere. Bytes between regions are dear, and an answer
+// within the time left is not worth more for being earlier. Servers that lately
+// failed come last. The reservation ends with Finish.
+func (directory *Directory) Choose(demand Demand, now time.Time) (Choice, Availability) {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
-	best := directory.best(name, tried, estimate, now)
+	best, availability := directory.best(demand, now)
 	switch {
-	case best == nil:
-		return Choice{}, NoServer
-	case extra && !directory.service(name).bucket.Take():
+	case availability != Chosen:
+		return Choice{}, availability
+	case demand.Extra && !directory.service(demand.Service).bucket.Take():
 		return Choice{}, NoBudget
 	}
-	return directory.reserve(best, estimate, now), Chosen
+	return directory.reserve(best, demand, now), Chosen
 }
 
-func (directory *Directory) best(name string, tried []*Endpoint, estimate *Estimate, now time.Time) *Endpoint {
+// best returns the server with the least cost, or why there is none.
+func (directory *Directory) best(demand Demand, now time.Time) (*Endpoint, Availability) {
 	var best *Endpoint
 	var bestCost time.Duration
-	for _, endpoint := range directory.service(name).endpoints {
-		if endpoint.Draining || endpoint.full() || slices.Contains(tried, endpoint) {
+	availability := NoServer
+	for _, endpoint := range directory.service(demand.Service).endpoints {
+		if endpoint.Draining || slices.Contains(demand.Tried, endpoint) {
+			continue
+		}
+		if endpoint.full() {
+			availability = Busy
 			continue
 		}
-		cost := directory.cost(endpoint, estimate, now)
+		cost := directory.cost(endpoint, demand, now)
 		if best == nil || cost < bestCost {
 			best, bestCost = endpoint, cost
 		}
 	}
-	return best
+	if best != nil {
+		availability = Chosen
+	}
+	return best, availability
 }
 
-// backoffCost ranks servers that lately failed behind all others.
-const backoffCost = time.Minute
+const (
+	// backoffCost ranks servers that lately failed behind all others.
+	backoffCost = time.Minute
+	// farCost ranks servers of other regions behind near ones that are fast enough.
+	farCost = 10 * time.Second
+	// nearShare is the part of the time left within which a near server has to be
+	// expected to answer to be preferred.
+	nearShare = 0.5
+)
 
-func (directory *Directory) cost(endpoint *Endpoint, estimate *Estimate, now time.Time) time.Duration {
-	cost := endpoint.predict(estimate.Mean(), now) + directory.topology.cost(endpoint.Zone)
+func (directory *Directory) cost(endpoint *Endpoint, demand Demand, now time.Time) time.Duration {
+	cost := endpoint.predict(demand.Work.Mean(), now) + directory.topology.RoundTrip(endpoint.Zone)
+	inTime := cost <= time.Duration(nearShare*float64(demand.Left))
+	if !inTime || !directory.topology.sameRegion(endpoint.Zone) {
+		cost += farCost
+	}
 	if endpoint.backsOff(now) {
 		cost += backoffCost + endpoint.backoffUntil.Sub(now)
 	}
 	return cost
 }
 
-func (directory *Directory) reserve(endpoint *Endpoint, estimate *Estimate, now time.Time) Choice {
+func (directory *Directory) reserve(endpoint *Endpoint, demand Demand, now time.Time) Choice {
 	roundTrip := directory.topology.RoundTrip(endpoint.Zone)
 	choice := Choice{
-		Endpoint:  endpoint,
-		Server:    endpoint.Server,
-		Expected:  endpoint.predict(estimate.Mean(), now) + roundTrip,
-		LateAfter: endpoint.lateAfter(estimate, now) + roundTrip,
-		Reserved:  now,
+		Endpoint:   endpoint,
+		Server:     endpoint.Server,
+		Expected:   endpoint.predict(demand.Work.Mean(), now) + roundTrip,
+		LateAfter:  directory.lateAfter(endpoint, demand, now),
+		UnderWay:   len(endpoint.underWay),
+		BudgetLeft: directory.service(endpoint.Service).bucket.Tokens(),
+		Reserved:   now,
 	}
 	endpoint.begin(now)
 	return choice
 }
 
+const (
+	// hedgeMargin is what a hedge needs besides the times of work and travel.
+	hedgeMargin = 10 * time.Millisecond
+	// hedgeReserve is the part of the late time that is kept for a hedge's work.
+	hedgeReserve = 1.5
+)
+
+// lateAfter returns when an answer is taken for late. Where only a server of
+// another region could take over, that is as late as leaves time for it.
+func (directory *Directory) lateAfter(endpoint *Endpoint, demand Demand, now time.Time) time.Duration {
+	late := endpoint.lateAfter(demand.Work, now) + directory.topology.RoundTrip(endpoint.Zone)
+	if directory.hasNear(demand, endpoint) {
+		return late
+	}
+	needed := time.Duration(hedgeReserve*float64(demand.Work.Late())) + otherRegionRoundTrip + hedgeMargin
+	return max(late, demand.Left-needed)
+}
+
+// hasNear reports whether the own region has a server besides the one given and
+// those tried.
+func (directory *Directory) hasNear(demand Demand, except *Endpoint) bool {
+	return slices.ContainsFunc(directory.service(demand.Service).endpoints, func(other *Endpoint) bool {
+		return other != except && !other.Draining &&
+			directory.topology.sameRegion(other.Zone) && !slices.Contains(demand.Tried, other)
+	})
+}
+
 // maximumLateFactor bounds how much longer a slow server is waited for.
 const maximumLateFactor = 2.0
 
@@ -130,11 +206,14 @@
 	ratio := float64(elapsed) / float64(max(estimate.Mean(), time.Millisecond))
 	switch result {
 	case ResultAnswered:
-		endpoint.succeeded()
+		endpoint.succeeded(now)
 		endpoint.learn(ratio, now)
 		estimate.observe(elapsed)
 	case ResultAbandoned:
 		endpoint.learnAtLeast(ratio, now)
+		if endpoint.silentSince(choice.Reserved) {
+			endpoint.failed(now)
+		}
 	case ResultRefused:
 		endpoint.refused(now)
 	case ResultFailed:
--- a/internal/endpoints/directory.go
+++ b/internal/endpoints/directory.go
@@ -11,11 +11,11 @@
 // Directory holds the endpoints of all services. It is safe for concurrent use.
 type Directory struct {
 	topology Topology
-	budget   retrybudget.Limits
-	// sharers is how many nodes share the connections of a server.
-	sharers int
 
-	mutex    sync.Mutex
+	mutex  sync.Mutex
+	budget retrybudget.Limits
+	// sharers is how many nodes share the connections of a server.
+	sharers  int
 	byID     map[string]*Endpoint
 	services map[string]*service
 }
@@ -27,13 +27,11 @@
 	maxConnections int
 }
 
-// New returns an empty directory. Sharers is how many nodes share the
-// connections of a server.
-func New(topology Topology, budget retrybudget.Limits, sharers int) *Directory {
+// New returns an empty directory without retry budget.
+func New(topology Topology) *Directory {
 	return &Directory{
 		topology: topology,
-		budget:   budget,
-		sharers:  max(sharers, 1),
+		sharers:  1,
 		byID:     make(map[string]*Endpoint),
 		services: make(map[string]*service),
 	}
@@ -108,9 +106,25 @@
 	for name, configured := range table.Services {
 		owner := directory.service(name)
 		owner.maxConnections = configured.MaximumConnections
-		for _, endpoint := range owner.endpoints {
-			endpoint.connectionLimit = directory.share(configured.MaximumConnections)
-		}
+		owner.limitConnections(directory.share(configured.MaximumConnections))
+	}
+}
+
+// Share sets the retry budget of each service and the number of nodes that share
+// the connections of a server.
+func (directory *Directory) Share(budget retrybudget.Limits, sharers int) {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	directory.budget = budget
+	directory.sharers = max(sharers, 1)
+	for _, owner := range directory.services {
+		owner.limitConnections(directory.share(owner.maxConnections))
+	}
+}
+
+func (owner *service) limitConnections(limit int) {
+	for _, endpoint := range owner.endpoints {
+		endpoint.connectionLimit = limit
 	}
 }
 
--- a/internal/endpoints/endpoint.go
+++ b/internal/endpoints/endpoint.go
@@ -16,8 +16,9 @@
 	stallFactor = 2.5
 	// coldFactor is the slowness expected of a server that has just started.
 	coldFactor = 1.6
-	// firstBackoff is the pause after a failed connection; it doubles up to maximumBackoff.
-	firstBackoff   = 400 * time.Millisecond
+	// firstBackoff is the pause after a failed connection or a silence; it doubles
+	// up to maximumBackoff.
+	firstBackoff   = 250 * time.Millisecond
 	maximumBackoff = 3 * time.Second
 	// refusalBackoff is the pause after a server refused work.
 	refusalBackoff = 100 * time.Millisecond
@@ -35,6 +36,8 @@
 	failures        int
 	backoffUntil    time.Time
 	removed         bool
+	// answeredAt is when the server last answered anything.
+	answeredAt time.Time
 }
 
 func newEndpoint(server Server, now time.Time) *Endpoint {
@@ -78,18 +81,27 @@
 	expected := float64(work) * endpoint.currentSlowness(now)
 	load := float64(len(endpoint.underWay)) / float64(max(endpoint.Slots, 1))
 	predicted := time.Duration(expected * (1 + load))
-	if age := endpoint.oldestAge(now); float64(age) > stallFactor*expected {
+	if age := endpoint.silence(now); float64(age) > stallFactor*expected {
 		predicted += age
 	}
 	return predicted
 }
 
-func (endpoint *Endpoint) oldestAge(now time.Time) time.Duration {
-	oldest := time.Duration(0)
+// silence returns the age of the oldest request under way since which the server
+// has answered nothing. A request that is late beside others that were answered
+// is only a long one.
+func (endpoint *Endpoint) silence(now time.Time) time.Duration {
+	silence := time.Duration(0)
 	for _, started := range endpoint.underWay {
-		oldest = max(oldest, now.Sub(started))
+		if endpoint.silentSince(started) {
+			silence = max(silence, now.Sub(started))
+		}
 	}
-	return oldest
+	return silence
+}
+
+func (endpoint *Endpoint) silentSince(started time.Time) bool {
+	return endpoint.answeredAt.Before(started)
 }
 
 func (endpoint *Endpoint) backsOff(now time.Time) bool {
@@ -115,7 +127,8 @@
 	}
 }
 
-func (endpoint *Endpoint) succeeded() {
+func (endpoint *Endpoint) succeeded(now time.Time) {
+	endpoint.answeredAt = now
 	endpoint.failures = 0
 	endpoint.backoffUntil = time.Time{}
 }
--- a/internal/endpoints/server.go
+++ b/internal/endpoints/server.go
@@ -31,9 +31,6 @@
 	sameZoneRoundTrip    = 200 * time.Microsecond
 	sameRegionRoundTrip  = 2 * time.Millisecond
 	otherRegionRoundTrip = 25 * time.Millisecond
-	// otherRegionCost is added to the round trip in choices: bytes between
-	// regions are dear, so a near server is preferred until it is clearly slower.
-	otherRegionCost = 35 * time.Millisecond
 )
 
 // Topology tells how far servers are from this node.
@@ -55,14 +52,6 @@
 	}
 }
 
-// cost returns what is added to the predicted time in choices.
-func (topology Topology) cost(zone string) time.Duration {
-	if topology.sameRegion(zone) {
-		return topology.RoundTrip(zone)
-	}
-	return otherRegionRoundTrip + otherRegionCost
-}
-
 func (topology Topology) sameRegion(zone string) bool {
 	return topology.Regions[zone] == topology.Own.Region
 }
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -143,7 +143,7 @@
 	shard := &core.shards[index]
 	choice, availability := core.servers.Choose(shard.service, shard.tried, reason != ReasonFirst)
 	if availability != endpoints.Chosen {
-		core.wait(shard, now)
+		core.wait(shard, availability, now)
 		return
 	}
 	shard.attempts = append(shard.attempts, attempt{choice: choice, sentAt: now})
@@ -155,8 +155,8 @@
 
 // wait puts off a send for which there is no server or no budget. A shard that
 // has waited in vain for long enough, with nothing under way, is lost.
-func (core *Core) wait(shard *shard, now time.Duration) {
-	if shard.underWay() == 0 && now >= core.patience(shard) {
+func (core *Core) wait(shard *shard, availability endpoints.Availability, now time.Duration) {
+	if shard.underWay() == 0 && now >= core.patience(shard, availability) {
 		shard.lost = true
 		return
 	}
@@ -164,8 +164,8 @@
 }
 
 // patience returns until when a shard waits for a server to take its request.
-func (core *Core) patience(shard *shard) time.Duration {
-	if shard.ran == verdict.NotRun {
+func (core *Core) patience(shard *shard, availability endpoints.Availability) time.Duration {
+	if availability == endpoints.NoServer && shard.ran == verdict.NotRun {
 		return time.Duration(refusalShare * float64(core.plan.Target))
 	}
 	return core.plan.Target
--- a/internal/exchange/decide.go
+++ b/internal/exchange/decide.go
@@ -71,7 +71,7 @@
 	case cause == CauseDeadline:
 		status = StatusExpired
 	}
-	if core.sends() == 0 {
+	if core.Sends() == 0 {
 		cause = CauseNoServers
 	}
 	return &Outcome{Status: status, Cause: cause, Missing: len(core.shards)}
@@ -85,7 +85,8 @@
 	return joined
 }
 
-func (core *Core) sends() int {
+// Sends returns how many attempts have been made.
+func (core *Core) Sends() int {
 	count := 0
 	for index := range core.shards {
 		count += len(core.shards[index].attempts)
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -133,6 +133,7 @@
 	}
 	server.dispatch(ctx, dispatch.Request{
 		Route:   route,
+		Version: table.Version,
 		Message: request.message,
 		Allowed: request.allowed,
 		Arrived: arrived,
--- /dev/null
+++ b/internal/members/announcer.go
@@ -0,0 +1,113 @@
+package members
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"k8s.io/klog/v2"
+)
+
+const (
+	// announceInterval is how often a node announces itself. Calls to the
+	// registry are dear and the count may lag, so it is long.
+	announceInterval = 20 * time.Second
+	// readInterval is how often a node reads the announcements.
+	readInterval = 8 * time.Second
+	// startInterval is how long a node that has started waits before it counts.
+	startInterval = 4 * time.Second
+	// callTimeout bounds one call to the registry.
+	callTimeout = time.Second
+	// retryInterval is the pause after a call that failed.
+	retryInterval = 2 * time.Second
+	// lifetime is how long an announcement that does not change counts: two
+	// announcements may be missed.
+	lifetime = 2*announceInterval + 2*readInterval
+)
+
+// Announcer keeps the node announced and the count of nodes current.
+type Announcer struct {
+	registry Registry
+	member   Member
+	table    *Table
+	// changed is told the count whenever it changes.
+	changed func(count int)
+	count   int
+
+	announceAt time.Time
+	readAt     time.Time
+	// trustedAt is when a count may be told: nodes that start together do not
+	// see each other at first.
+	trustedAt time.Time
+}
+
+// NewAnnouncer returns an announcer for the node.
+func NewAnnouncer(registry Registry, member Member, changed func(count int)) *Announcer {
+	return &Announcer{
+		registry: registry,
+		member:   member,
+		table:    NewTable(member.Name, lifetime),
+		changed:  changed,
+	}
+}
+
+// Run announces and reads until ctx ends.
+func (announcer *Announcer) Run(ctx context.Context) {
+	// A restarted node's announcements differ from those of its earlier process.
+	announcer.member.Sequence = rand.Uint64() >> 12
+	announcer.trustedAt = time.Now().Add(startInterval)
+	for ctx.Err() == nil {
+		announcer.step(time.Now())
+		next := announcer.announceAt
+		if announcer.readAt.Before(next) {
+			next = announcer.readAt
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Until(next)):
+		}
+	}
+}
+
+func (announcer *Announcer) step(now time.Time) {
+	if !now.Before(announcer.announceAt) {
+		announcer.announce(now)
+	}
+	if !now.Before(announcer.readAt) {
+		announcer.read(now)
+	}
+}
+
+func (announcer *Announcer) announce(now time.Time) {
+	announcer.member.Sequence++
+	if err := announcer.registry.Announce(announcer.member, now.Add(callTimeout)); err != nil {
+		announcer.announceAt = now.Add(retryInterval)
+		return
+	}
+	announcer.announceAt = now.Add(jittered(announceInterval))
+}
+
+func (announcer *Announcer) read(now time.Time) {
+	listing, err := announcer.registry.Members(now.Add(callTimeout))
+	if err != nil {
+		announcer.readAt = now.Add(retryInterval)
+		return
+	}
+	announcer.table.Observe(listing.Items, time.Now())
+	if now.Before(announcer.trustedAt) {
+		announcer.readAt = announcer.trustedAt
+		return
+	}
+	announcer.readAt = now.Add(jittered(readInterval))
+	count := announcer.table.Count(time.Now())
+	if count != announcer.count {
+		klog.InfoS("members counted", "count", count, "before", announcer.count)
+		announcer.count = count
+		announcer.changed(count)
+	}
+}
+
+// jittered spreads the calls of nodes that started together.
+func jittered(interval time.Duration) time.Duration {
+	return interval - rand.N(interval/8)
+}
--- /dev/null
+++ b/internal/members/members.go
@@ -0,0 +1,75 @@
+// Package members counts the nodes of the query tier: each announces itself in a
+// registry from time to time and reads who else did. The count divides what all
+// nodes share: the connections of a server and the slack of the retry budget.
+package members
+
+import (
+	"time"
+
+	"github.com/driftstage/driftstage/internal/catalog"
+)
+
+// Member is one node's announcement.
+type Member struct {
+	Name string
+	Zone string
+	// Sequence rises with each announcement of the node.
+	Sequence uint64
+	// Address is where the node answers its peers (IP:port); empty for nowhere.
+	Address string
+}
+
+// Registry keeps the announcements of all nodes.
+type Registry interface {
+	// Announce writes or replaces the node's announcement.
+	Announce(member Member, deadline time.Time) error
+	// Members returns all announcements; the list may be seconds old.
+	Members(deadline time.Time) (catalog.Listing[Member], error)
+}
+
+// sighting is when an announcement was last seen to change.
+type sighting struct {
+	member Member
+	seen   time.Time
+}
+
+// Table is what a node knows of the others. It does no I/O and reads no clock.
+type Table struct {
+	own string
+	// lifetime is how long an announcement that does not change counts.
+	lifetime  time.Duration
+	sightings map[string]sighting
+}
+
+// NewTable returns a table that knows only the node itself.
+func NewTable(own string, lifetime time.Duration) *Table {
+	return &Table{own: own, lifetime: lifetime, sightings: make(map[string]sighting)}
+}
+
+// Observe takes a list of all announcements into account.
+func (table *Table) Observe(members []Member, now time.Time) {
+	listed := make(map[string]bool, len(members))
+	for _, member := range members {
+		listed[member.Name] = true
+		known, found := table.sightings[member.Name]
+		if !found || known.member.Sequence != member.Sequence {
+			table.sightings[member.Name] = sighting{member: member, seen: now}
+		}
+	}
+	for name := range table.sightings {
+		if !listed[name] {
+			delete(table.sightings, name)
+		}
+	}
+}
+
+// Count returns the number of live nodes, this one included.
+func (table *Table) Count(now time.Time) int {
+	count := 1
+	for name, sighting := range table.sightings {
+		if name != table.own && now.Sub(sighting.seen) < table.lifetime {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -39,6 +39,10 @@
 	MemoryMegabytes int
 	// LogVerbosity is klog's verbosity: 0 to 4.
 	LogVerbosity int
+	// LogLines bounds the log lines of requests a second.
+	LogLines int
+	// LogSample is the number of ordinary requests of which one is logged; 0 for none.
+	LogSample int
 }
 
 const (
@@ -94,6 +98,12 @@
 	{"log-verbosity", "0", "how much is logged, 0 to 4", func(s *Router, text string) error {
 		return integer(&s.LogVerbosity, text, 0, 4)
 	}},
+	{"log-lines", "200", "most log lines of requests a second, 1 to 100000", func(s *Router, text string) error {
+		return integer(&s.LogLines, text, 1, 100_000)
+	}},
+	{"log-sample", "100", "ordinary requests of which one is logged, 0 (none) to 1000000", func(s *Router, text string) error {
+		return integer(&s.LogSample, text, 0, 1_000_000)
+	}},
 }
 
 // LoadRouter reads the settings of driftrouter.
--- a/internal/telemetry/logs.go
+++ b/internal/telemetry/logs.go
@@ -11,11 +11,14 @@
 
 // SetupLogs points klog at slog's JSON handler: one JSON object a line. Each
 // line carries the node's name. Verbosity is klog's, 0 to 4.
-func SetupLogs(output io.Writer, node string, verbosity int) {
+// It returns the handler for lines that do not go through klog.
+func SetupLogs(output io.Writer, node string, verbosity int) slog.Handler {
 	// klog's verbosity V(n) becomes slog level -n.
 	handler := slog.NewJSONHandler(output, &slog.HandlerOptions{Level: slog.Level(-verbosity)})
-	klog.SetSlogLogger(slog.New(handler).With("node", node))
+	named := handler.WithAttrs([]slog.Attr{slog.String("node", node)})
+	klog.SetSlogLogger(slog.New(named))
 	// Set changes the verbosity of all of klog, not only of this variable.
 	var level klog.Level
 	_ = level.Set(strconv.Itoa(verbosity))
+	return named
 }
