--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -30,6 +30,15 @@
 	Revision Revision
 }
 
+// WatchRequest asks for the changes after a revision.
+type WatchRequest struct {
+	After Revision
+	// Wait is how long the store waits for a change.
+	Wait time.Duration
+	// Stale allows an answer that lags behind the store; it is cheaper.
+	Stale bool
+}
+
 // ErrHistoryGone means that the store no longer knows what happened since the
 // revision: the state has to be listed again.
 var ErrHistoryGone = errors.New("the history since this revision is gone")
@@ -38,9 +47,9 @@
 type Feed[T any] interface {
 	// List returns the whole state, not older than the call.
 	List(ctx context.Context) (Listing[T], error)
-	// Watch returns the changes after the revision, as soon as there are any, or
+	// Watch returns the changes after a revision, as soon as there are any, or
 	// none after the wait.
-	Watch(ctx context.Context, after Revision, wait time.Duration) (Changes[T], error)
+	Watch(ctx context.Context, request WatchRequest) (Changes[T], error)
 }
 
 // Sink takes the state that a follower learns.
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -14,6 +14,10 @@
 	watchWait = 3 * time.Second
 	// watchTimeout is when a watch that says nothing is taken for lost.
 	watchTimeout = watchWait + 900*time.Millisecond
+	// freshInterval is how often a watch may not lag behind the store. The others
+	// may, which costs a tenth: the store's lag is small unless it is disturbed,
+	// and this bounds what a larger one does.
+	freshInterval = 14 * time.Second
 	// listTimeout bounds one list with all its pages.
 	listTimeout = 2 * time.Second
 	// firstPause is the pause after a failed call; it doubles up to longestPause.
@@ -30,6 +34,8 @@
 	revision Revision
 	listed   bool
 	failures int
+	// freshAt is when the state was last known not to lag.
+	freshAt time.Time
 }
 
 // NewFollower returns a follower; the name is used in logs.
@@ -67,13 +73,19 @@
 	}
 	follower.sink.Replace(listing.Items)
 	follower.revision, follower.listed = listing.Revision, true
+	follower.freshAt = time.Now()
 	return nil
 }
 
 func (follower *Follower[T]) watch(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
-	changes, err := follower.feed.Watch(ctx, follower.revision, watchWait)
+	request := WatchRequest{
+		After: follower.revision,
+		Wait:  watchWait,
+		Stale: time.Since(follower.freshAt) < freshInterval,
+	}
+	changes, err := follower.feed.Watch(ctx, request)
 	if err != nil {
 		follower.listed = false
 		return err
@@ -82,6 +94,9 @@
 		follower.sink.Apply(change)
 	}
 	follower.revision = max(follower.revision, changes.Revision)
+	if !request.Stale {
+		follower.freshAt = time.Now()
+	}
 	return nil
 }
 
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -108,10 +108,11 @@
 // attempt makes one attempt and reports its end.
 func (run *run) attempt(ctx context.Context, send exchange.Send) {
 	reply := run.dispatcher.client.Do(ctx, upstream.Call{
-		Request:  run.request.Message,
-		ServerID: send.Choice.Server.ID,
-		Address:  send.Choice.Server.Address,
-		Deadline: run.deadline,
+		Request:   run.request.Message,
+		ServerID:  send.Choice.Server.ID,
+		Address:   send.Choice.Server.Address,
+		Deadline:  run.deadline,
+		IdleLimit: run.dispatcher.directory.IdleLimit(send.Choice.Server.Service),
 	})
 	run.dispatcher.directory.Finish(send.Choice, run.estimate, result(reply), time.Now())
 	run.replies <- ended{id: send.ID, reply: reply}
@@ -125,6 +126,8 @@
 		return endpoints.ResultRefused
 	case upstream.Foreign:
 		return endpoints.ResultForeign
+	case upstream.Reset:
+		return endpoints.ResultReset
 	case upstream.Expired:
 		return endpoints.ResultAbandoned
 	default:
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -133,7 +133,7 @@
 		Ratio:    max(node.settings.RetryRatio-retryReserve, 0),
 		Capacity: max(node.settings.RetrySlack/float64(nodes), 1),
 	}
-	node.directory.Share(budget, nodes)
+	node.directory.Share(budget, nodes, time.Now())
 }
 
 func (node *Node) sweep(ctx context.Context) {
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -36,7 +36,7 @@
 	if known := state.table.Load(); known != nil && table.Version <= known.Version {
 		return
 	}
-	state.directory.Configure(table)
+	state.directory.Configure(table, time.Now())
 	state.table.Store(table)
 	klog.InfoS("configuration in force", "version", table.Version, "routes", table.RouteCount())
 }
--- a/internal/endpoints/choose.go
+++ b/internal/endpoints/choose.go
@@ -91,7 +91,7 @@
 		if endpoint.Draining || slices.Contains(demand.Tried, endpoint) {
 			continue
 		}
-		if endpoint.full() {
+		if endpoint.full(now) {
 			availability = Busy
 			continue
 		}
@@ -188,6 +188,8 @@
 	ResultRefused
 	// ResultFailed is a connection that failed or bytes that are no answer.
 	ResultFailed
+	// ResultReset is a new connection that the server reset.
+	ResultReset
 	// ResultAbandoned is a request that was given up while under way.
 	ResultAbandoned
 	// ResultForeign is an address that belongs to another server by now.
@@ -216,6 +218,8 @@
 		}
 	case ResultRefused:
 		endpoint.refused(now)
+	case ResultReset:
+		endpoint.crowded(now)
 	case ResultFailed:
 		endpoint.failed(now)
 	case ResultForeign:
--- a/internal/endpoints/directory.go
+++ b/internal/endpoints/directory.go
@@ -48,7 +48,7 @@
 	endpoint := newEndpoint(server, now)
 	directory.byID[server.ID] = endpoint
 	owner := directory.service(server.Service)
-	endpoint.connectionLimit = directory.share(owner.maxConnections)
+	endpoint.setCeiling(directory.ceiling(owner.maxConnections), now)
 	owner.endpoints = append(owner.endpoints, endpoint)
 }
 
@@ -100,34 +100,54 @@
 }
 
 // Configure takes over the connection limits of the table's services.
-func (directory *Directory) Configure(table *routing.Table) {
+func (directory *Directory) Configure(table *routing.Table, now time.Time) {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
 	for name, configured := range table.Services {
 		owner := directory.service(name)
 		owner.maxConnections = configured.MaximumConnections
-		owner.limitConnections(directory.share(configured.MaximumConnections))
+		owner.setCeiling(directory.ceiling(configured.MaximumConnections), now)
 	}
 }
 
 // Share sets the retry budget of each service and the number of nodes that share
 // the connections of a server.
-func (directory *Directory) Share(budget retrybudget.Limits, sharers int) {
+func (directory *Directory) Share(budget retrybudget.Limits, sharers int, now time.Time) {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
 	directory.budget = budget
 	directory.sharers = max(sharers, 1)
 	for _, owner := range directory.services {
-		owner.limitConnections(directory.share(owner.maxConnections))
+		owner.setCeiling(directory.ceiling(owner.maxConnections), now)
 	}
 }
 
-func (owner *service) limitConnections(limit int) {
+func (owner *service) setCeiling(ceiling float64, now time.Time) {
 	for _, endpoint := range owner.endpoints {
-		endpoint.connectionLimit = limit
+		endpoint.setCeiling(ceiling, now)
 	}
 }
 
+// busyShare is the part of a server's connections that a single node may use at
+// a time. Nodes are not equally busy, and servers queue fewer requests than they
+// accept connections; where it is too much, servers reset connections and the
+// limit of the endpoint is cut.
+const busyShare = 0.4
+
+// ceiling returns how many requests the node may have at a server.
+func (directory *Directory) ceiling(maxConnections int) float64 {
+	return max(busyShare*float64(maxConnections), float64(directory.share(maxConnections)))
+}
+
+// IdleLimit returns how many idle connections the node may keep to a server.
+func (directory *Directory) IdleLimit(name string) int {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	return directory.share(directory.service(name).maxConnections)
+}
+
+// share returns the node's equal share of a server's connections; 0 if they are
+// not bounded.
 func (directory *Directory) share(maxConnections int) int {
 	if maxConnections == 0 {
 		return 0
--- a/internal/endpoints/endpoint.go
+++ b/internal/endpoints/endpoint.go
@@ -20,6 +20,11 @@
 	// up to maximumBackoff.
 	firstBackoff   = 250 * time.Millisecond
 	maximumBackoff = 3 * time.Second
+	// limitCut is the part of the requests under way that stays allowed after a
+	// server reset a new connection; limitGrowth is how many more are allowed for
+	// each second after that.
+	limitCut    = 0.5
+	limitGrowth = 2.0
 	// refusalBackoff is the pause after a server refused work.
 	refusalBackoff = 100 * time.Millisecond
 )
@@ -28,14 +33,18 @@
 // fields are guarded by the Directory's lock.
 type Endpoint struct {
 	Server
-	connectionLimit int
-	underWay        []time.Time
-	slowness        float64
-	slownessAt      time.Time
-	coldUntil       time.Time
-	failures        int
-	backoffUntil    time.Time
-	removed         bool
+	// limit bounds the requests under way; 0 for unbounded.
+	limit float64
+	// ceiling is the limit while the server resets no new connections.
+	ceiling      float64
+	limitAt      time.Time
+	underWay     []time.Time
+	slowness     float64
+	slownessAt   time.Time
+	coldUntil    time.Time
+	failures     int
+	backoffUntil time.Time
+	removed      bool
 	// answeredAt is when the server last answered anything.
 	answeredAt time.Time
 }
@@ -108,8 +117,32 @@
 	return now.Before(endpoint.backoffUntil)
 }
 
-func (endpoint *Endpoint) full() bool {
-	return endpoint.connectionLimit > 0 && len(endpoint.underWay) >= endpoint.connectionLimit
+// full reports whether the node has as many requests at the server as it may.
+func (endpoint *Endpoint) full(now time.Time) bool {
+	return endpoint.ceiling > 0 && float64(len(endpoint.underWay)) >= endpoint.currentLimit(now)
+}
+
+// currentLimit returns the limit, grown since it was cut.
+func (endpoint *Endpoint) currentLimit(now time.Time) float64 {
+	grown := endpoint.limit + limitGrowth*now.Sub(endpoint.limitAt).Seconds()
+	return min(max(grown, 1), endpoint.ceiling)
+}
+
+// crowded cuts the limit: the server has reset a new connection, as it does when
+// all callers together have too many.
+func (endpoint *Endpoint) crowded(now time.Time) {
+	endpoint.limit = max(float64(len(endpoint.underWay))*limitCut, 1)
+	endpoint.limitAt = now
+	endpoint.backoffUntil = now.Add(refusalBackoff)
+}
+
+func (endpoint *Endpoint) setCeiling(ceiling float64, now time.Time) {
+	if endpoint.ceiling == ceiling {
+		return
+	}
+	endpoint.ceiling = ceiling
+	endpoint.limit = ceiling
+	endpoint.limitAt = now
 }
 
 func (endpoint *Endpoint) begin(now time.Time) {
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -168,7 +168,7 @@
 	if availability == endpoints.NoServer && shard.ran == verdict.NotRun {
 		return time.Duration(refusalShare * float64(core.plan.Target))
 	}
-	return core.plan.Target
+	return core.plan.Deadline
 }
 
 // cancelRest cancels the attempts of a shard that has its answer.
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/driftstage/driftstage/internal/verdict"
 )
@@ -59,7 +60,7 @@
 		_ = conn.Close()
 		return reply
 	}
-	client.pool.put(call.ServerID, conn)
+	client.pool.put(call.ServerID, conn, call.IdleLimit)
 	return reply
 }
 
@@ -86,13 +87,16 @@
 	}
 	sent := client.send(conn, call, left)
 	if err := sent.failed(); err != nil {
-		return failure(ctx, Lost, verdict.MayHaveRun, err), false
+		return failure(ctx, lostKind(conn, err), verdict.MayHaveRun, err), false
 	}
 	reader := client.readers.Get().(*bufio.Reader)
 	reader.Reset(conn)
 	defer client.release(reader)
 	reply, framing := client.receive(reader, call, conn.used)
 	if reply.Err != nil {
+		if reply.Kind == Lost {
+			reply.Kind = lostKind(conn, reply.Err)
+		}
 		return failure(ctx, reply.Kind, reply.Verdict, reply.Err), false
 	}
 	reusable := framing.keep && reader.Buffered() == 0 && sent.complete()
@@ -101,6 +105,14 @@
 	return reply, reusable
 }
 
+// lostKind tells a reset of a new connection from other losses.
+func lostKind(conn *connection, err error) Kind {
+	if !conn.used && (errors.Is(err, unix.ECONNRESET) || errors.Is(err, unix.EPIPE)) {
+		return Reset
+	}
+	return Lost
+}
+
 func (client *Client) release(reader *bufio.Reader) {
 	reader.Reset(nil)
 	client.readers.Put(reader)
--- a/internal/upstream/doc.go
+++ b/internal/upstream/doc.go
@@ -50,6 +50,8 @@
 	Address  string
 	// Deadline is when the caller of the request stops waiting.
 	Deadline time.Time
+	// IdleLimit bounds the idle connections kept to the server; 0 for no bound.
+	IdleLimit int
 }
 
 // Kind tells how an attempt ended.
@@ -62,6 +64,9 @@
 	Refused
 	// Foreign is a refusal by another server that has the address now.
 	Foreign
+	// Reset is a new connection that the server reset, as it does beyond its limit
+	// of connections. The request may have left all the same.
+	Reset
 	// Unreachable is a connection that could not be made.
 	Unreachable
 	// Lost is a connection that failed after the request may have left.
@@ -72,7 +77,7 @@
 	Expired
 )
 
-var kindNames = [...]string{"answered", "refused", "foreign", "unreachable", "lost", "malformed", "expired"}
+var kindNames = [...]string{"answered", "refused", "foreign", "reset", "unreachable", "lost", "malformed", "expired"}
 
 // String returns the name used in logs and metrics.
 func (kind Kind) String() string { return kindNames[kind] }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -50,10 +50,22 @@
 	return conn
 }
 
-func (pool *pool) put(serverID string, conn *connection) {
+// put keeps an idle connection, or closes it if there are enough; 0 is no limit.
+func (pool *pool) put(serverID string, conn *connection, limit int) {
+	if !pool.keep(serverID, conn, limit) {
+		_ = conn.Close()
+	}
+}
+
+func (pool *pool) keep(serverID string, conn *connection, limit int) bool {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	pool.idle[serverID] = append(pool.idle[serverID], conn)
+	idle := pool.idle[serverID]
+	if limit > 0 && len(idle) >= limit {
+		return false
+	}
+	pool.idle[serverID] = append(idle, conn)
+	return true
 }
 
 // forget closes the idle connections of the server.
