--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -69,7 +69,7 @@
 	defer cancel()
 	plan := dispatcher.plan(request)
 	for _, service := range plan.Services {
-		dispatcher.directory.EarnRetries(service)
+		dispatcher.directory.EarnRetries(service, request.Arrived)
 	}
 	run := newRun(ctx, dispatcher, request, plan)
 	return run.loop()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -46,6 +46,7 @@
 // Node is one process of the query tier.
 type Node struct {
 	settings  settings.Router
+	started   time.Time
 	store     Store
 	state     *state
 	directory *endpoints.Directory
@@ -62,6 +63,7 @@
 	}
 	node := &Node{
 		settings:  loaded,
+		started:   time.Now(),
 		store:     store,
 		directory: endpoints.New(topology),
 		client:    upstream.NewClient(names.Headers),
@@ -132,6 +134,7 @@
 	budget := retrybudget.Limits{
 		Ratio:    max(node.settings.RetryRatio-retryReserve, 0),
 		Capacity: max(node.settings.RetrySlack/float64(nodes), 1),
+		FillAt:   node.started.Add(node.settings.RetryWindow),
 	}
 	node.directory.Share(budget, nodes, time.Now())
 }
--- a/internal/endpoints/directory.go
+++ b/internal/endpoints/directory.go
@@ -172,8 +172,8 @@
 }
 
 // EarnRetries adds the allowance of one request to the service's retry budget.
-func (directory *Directory) EarnRetries(name string) {
+func (directory *Directory) EarnRetries(name string, now time.Time) {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
-	directory.service(name).bucket.Earn(directory.budget)
+	directory.service(name).bucket.Earn(directory.budget, now)
 }
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -5,24 +5,34 @@
 // token with each extra send. Its capacity bounds the extra sends of any window
 // to capacity + ratio x requests of the window, whatever the window's length.
 // With a capacity of slack / nodes, that holds for all nodes together too. A
-// bucket starts empty, so that a restarted node does not spend a second time.
+// bucket starts empty, so that a restarted node does not spend a second time; it
+// is filled once the process is older than the window in which sends are counted.
 package retrybudget
 
+import "time"
+
 // Limits are the figures of all buckets of a node.
 type Limits struct {
 	// Ratio is the number of extra sends allowed for each request.
 	Ratio float64
 	// Capacity is the most tokens that a bucket saves up.
 	Capacity float64
+	// FillAt is when buckets that started empty are filled.
+	FillAt time.Time
 }
 
 // Bucket counts the allowance of one service. It is not safe for concurrent use.
 type Bucket struct {
 	tokens float64
+	filled bool
 }
 
 // Earn adds the allowance of one request.
-func (bucket *Bucket) Earn(limits Limits) {
+func (bucket *Bucket) Earn(limits Limits, now time.Time) {
+	if !bucket.filled && !now.Before(limits.FillAt) {
+		bucket.filled = true
+		bucket.tokens = limits.Capacity
+	}
 	bucket.tokens = min(bucket.tokens+limits.Ratio, limits.Capacity)
 }
 
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -33,6 +33,8 @@
 	// RetrySlack is the number of extra sends of a service allowed besides, all
 	// nodes together.
 	RetrySlack float64
+	// RetryWindow is the time over which the extra sends are counted.
+	RetryWindow time.Duration
 	// StopTimeout is the time from the signal to stop to the end of the process.
 	StopTimeout time.Duration
 	// MemoryMegabytes is the memory that the process may take; 0 for unbounded.
@@ -89,6 +91,9 @@
 	{"retry-slack", "10", "extra sends of a service allowed besides, all nodes together, 0 to 100000", func(s *Router, text string) error {
 		return number(&s.RetrySlack, text, 0, 100_000)
 	}},
+	{"retry-window", "10s", "time over which extra sends are counted, 1s to 10m", func(s *Router, text string) error {
+		return duration(&s.RetryWindow, text, time.Second, 10*time.Minute)
+	}},
 	{"stop-timeout", "6s", "time from the signal to stop to the end of the process, 1s to 10m", func(s *Router, text string) error {
 		return duration(&s.StopTimeout, text, time.Second, 10*time.Minute)
 	}},
