Tests and stand-ins for routing, retry budget, servers, exchange, catalog, upstream, members, traces

Found by them and mended: a shard whose only server had failed was waited for until the deadline; a reset of a new connection was taken for a close, and a deadline for a loss (fasthttp hides errors before the first byte).

--- /dev/null
+++ b/internal/catalog/follower_test.go
@@ -0,0 +1,238 @@
+package catalog
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// memoryFeed is a feed in memory with the faults of a store.
+type memoryFeed struct {
+	mutex    sync.Mutex
+	changed  chan struct{}
+	revision Revision
+	items    map[string]string
+	changes  []Change[string]
+	// first is the revision of the first change kept.
+	first Revision
+	// hang makes calls wait for their deadline, fail makes them fail.
+	hang, fail bool
+	// staleBehind is how many revisions stale watches do not see.
+	staleBehind Revision
+	lists       int
+	fresh       int
+	stale       int
+}
+
+func newMemoryFeed() *memoryFeed {
+	return &memoryFeed{changed: make(chan struct{}), items: make(map[string]string), first: 1}
+}
+
+func (feed *memoryFeed) set(name, value string) {
+	feed.mutex.Lock()
+	defer feed.mutex.Unlock()
+	feed.revision++
+	feed.items[name] = value
+	feed.changes = append(feed.changes, Change[string]{Name: name, Value: value})
+	close(feed.changed)
+	feed.changed = make(chan struct{})
+}
+
+func (feed *memoryFeed) forget() {
+	feed.mutex.Lock()
+	defer feed.mutex.Unlock()
+	feed.changes = nil
+	feed.first = feed.revision + 1
+}
+
+func (feed *memoryFeed) configure(change func()) {
+	feed.mutex.Lock()
+	defer feed.mutex.Unlock()
+	change()
+}
+
+var errStore = errors.New("the store is away")
+
+func (feed *memoryFeed) trouble(ctx context.Context) error {
+	feed.mutex.Lock()
+	hang, fail := feed.hang, feed.fail
+	feed.mutex.Unlock()
+	if hang {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if fail {
+		return errStore
+	}
+	return nil
+}
+
+func (feed *memoryFeed) List(ctx context.Context) (Listing[string], error) {
+	if err := feed.trouble(ctx); err != nil {
+		return Listing[string]{}, err
+	}
+	feed.mutex.Lock()
+	defer feed.mutex.Unlock()
+	feed.lists++
+	listing := Listing[string]{Revision: feed.revision}
+	for _, value := range feed.items {
+		listing.Items = append(listing.Items, value)
+	}
+	return listing, nil
+}
+
+func (feed *memoryFeed) Watch(ctx context.Context, request WatchRequest) (Changes[string], error) {
+	feed.count(request.Stale)
+	expired := time.After(request.Wait)
+	for {
+		if err := feed.trouble(ctx); err != nil {
+			return Changes[string]{}, err
+		}
+		changes, changed, err := feed.since(request)
+		if err != nil || len(changes.Changes) > 0 {
+			return changes, err
+		}
+		select {
+		case <-changed:
+		case <-expired:
+			return Changes[string]{Revision: request.After}, nil
+		case <-ctx.Done():
+			return Changes[string]{}, ctx.Err()
+		}
+	}
+}
+
+func (feed *memoryFeed) count(stale bool) {
+	feed.mutex.Lock()
+	defer feed.mutex.Unlock()
+	if stale {
+		feed.stale++
+	} else {
+		feed.fresh++
+	}
+}
+
+func (feed *memoryFeed) since(request WatchRequest) (Changes[string], chan struct{}, error) {
+	feed.mutex.Lock()
+	defer feed.mutex.Unlock()
+	if request.After+1 < feed.first {
+		return Changes[string]{}, nil, ErrHistoryGone
+	}
+	last := feed.revision
+	if request.Stale {
+		last = max(last, feed.staleBehind) - feed.staleBehind
+	}
+	changes := Changes[string]{Revision: max(last, request.After)}
+	for revision := request.After + 1; revision <= last; revision++ {
+		changes.Changes = append(changes.Changes, feed.changes[revision-feed.first])
+	}
+	return changes, feed.changed, nil
+}
+
+// memorySink keeps the values that it was told last.
+type memorySink struct {
+	mutex    sync.Mutex
+	last     string
+	replaced int
+}
+
+func (sink *memorySink) Replace(items []string) {
+	sink.mutex.Lock()
+	defer sink.mutex.Unlock()
+	sink.replaced++
+	if len(items) > 0 {
+		sink.last = items[0]
+	}
+}
+
+func (sink *memorySink) Apply(change Change[string]) {
+	sink.mutex.Lock()
+	defer sink.mutex.Unlock()
+	sink.last = change.Value
+}
+
+func (sink *memorySink) get() string {
+	sink.mutex.Lock()
+	defer sink.mutex.Unlock()
+	return sink.last
+}
+
+func follow(t *testing.T, test func(is *is.I, feed *memoryFeed, sink *memorySink)) {
+	synctest.Test(t, func(t *testing.T) {
+		feed, sink := newMemoryFeed(), &memorySink{}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		feed.set("main", "one")
+		go NewFollower("test", feed, sink).Run(ctx)
+		synctest.Wait()
+		test(is.New(t), feed, sink)
+	})
+}
+
+func TestChangesAreTakenAtOnce(t *testing.T) {
+	follow(t, func(is *is.I, feed *memoryFeed, sink *memorySink) {
+		is.Equal(sink.get(), "one")
+		feed.set("main", "two")
+		synctest.Wait()
+		is.Equal(sink.get(), "two")
+		feed.configure(func() { is.Equal(feed.lists, 1) })
+	})
+}
+
+func TestForgottenHistoryIsListedAgain(t *testing.T) {
+	follow(t, func(is *is.I, feed *memoryFeed, sink *memorySink) {
+		feed.configure(func() { feed.fail = true })
+		time.Sleep(2 * watchWait)
+		feed.set("main", "two")
+		feed.forget()
+		feed.configure(func() { feed.fail = false })
+		time.Sleep(2 * longestPause)
+		is.Equal(sink.get(), "two")
+	})
+}
+
+// A call that hangs is given up soon enough that the configuration is in force
+// five seconds after the trouble has ended.
+func TestHangingStoreIsCalledAgainInTime(t *testing.T) {
+	const contact = 5 * time.Second
+	for delay := time.Duration(0); delay < 6*time.Second; delay += 250 * time.Millisecond {
+		follow(t, func(is *is.I, feed *memoryFeed, sink *memorySink) {
+			time.Sleep(delay)
+			feed.configure(func() { feed.hang = true })
+			time.Sleep(4500 * time.Millisecond)
+			feed.set("main", "two")
+			feed.configure(func() { feed.hang = false })
+			time.Sleep(contact)
+			is.Equal(sink.get(), "two")
+		})
+	}
+}
+
+func TestFreshWatchesBoundTheLagOfStaleOnes(t *testing.T) {
+	follow(t, func(is *is.I, feed *memoryFeed, sink *memorySink) {
+		feed.configure(func() { feed.staleBehind = 1 })
+		time.Sleep(time.Minute)
+		feed.set("main", "two")
+		time.Sleep(freshInterval + watchWait)
+		is.Equal(sink.get(), "two")
+		feed.configure(func() {
+			is.True(feed.stale > 3*feed.fresh) // most calls are the cheap ones
+		})
+	})
+}
+
+func TestOlderListIsNotTaken(t *testing.T) {
+	is := is.New(t)
+	feed, sink := newMemoryFeed(), &memorySink{}
+	follower := NewFollower("test", feed, sink)
+	feed.set("main", "new")
+	is.NoErr(follower.list(t.Context()))
+	feed.configure(func() { feed.revision, feed.items["main"] = 0, "old" })
+	is.True(follower.list(t.Context()) != nil)
+	is.Equal(sink.get(), "new")
+}
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -14,6 +14,7 @@
 		slog.String("route", run.request.Route.Name),
 		slog.Uint64("version", run.request.Version),
 		slog.Int("shards", len(run.plan.Services)),
+		slog.Bool("repeatable", run.plan.Repeatable),
 		slog.Int("least_shards", run.plan.LeastShards),
 		slog.Float64("target_ms", trace.Milliseconds(run.plan.Target)),
 		slog.Float64("deadline_ms", trace.Milliseconds(run.plan.Deadline)))
--- /dev/null
+++ b/internal/endpoints/directory_test.go
@@ -0,0 +1,205 @@
+package endpoints
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/driftstage/driftstage/internal/retrybudget"
+	"github.com/driftstage/driftstage/internal/routing"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func testTopology() Topology {
+	return Topology{
+		Own:     Place{Zone: "near-1", Region: "near"},
+		Regions: map[string]string{"near-1": "near", "near-2": "near", "far-1": "far"},
+	}
+}
+
+func server(id, zone string) Server {
+	return Server{ID: id, Service: "s", Address: "127.0.0.1:1", Zone: zone, Slots: 2}
+}
+
+func directoryOf(servers ...Server) *Directory {
+	directory := New(testTopology())
+	directory.Share(retrybudget.Limits{Ratio: 1, Capacity: 10}, 1, epoch)
+	for _, server := range servers {
+		directory.Put(server, epoch)
+	}
+	return directory
+}
+
+func demand(work *Estimate, tried ...*Endpoint) Demand {
+	return Demand{Service: "s", Work: work, Tried: tried, Left: 200 * time.Millisecond}
+}
+
+func choose(t *testing.T, directory *Directory, request Demand, now time.Time) Choice {
+	t.Helper()
+	choice, availability := directory.Choose(request, now)
+	is.New(t).Equal(availability, Chosen)
+	return choice
+}
+
+func TestNearestServerIsChosenFirst(t *testing.T) {
+	is := is.New(t)
+	directory := directoryOf(server("far", "far-1"), server("mid", "near-2"), server("near", "near-1"))
+	work := NewEstimate(20 * time.Millisecond)
+	first := choose(t, directory, demand(work), epoch)
+	is.Equal(first.Server.ID, "near")
+	second := choose(t, directory, demand(work, first.Endpoint), epoch)
+	is.Equal(second.Server.ID, "mid")
+	third := choose(t, directory, demand(work, first.Endpoint, second.Endpoint), epoch)
+	is.Equal(third.Server.ID, "far")
+	_, availability := directory.Choose(demand(work, first.Endpoint, second.Endpoint, third.Endpoint), epoch)
+	is.Equal(availability, NoServer)
+}
+
+func TestSlowNearServerYieldsToAFarOne(t *testing.T) {
+	is := is.New(t)
+	directory := directoryOf(server("near", "near-1"), server("far", "far-1"))
+	work := NewEstimate(20 * time.Millisecond)
+	now := epoch
+	for range 10 {
+		choice := choose(t, directory, Demand{Service: "s", Work: NewEstimate(20 * time.Millisecond), Left: time.Hour}, now)
+		is.Equal(choice.Server.ID, "near")
+		now = now.Add(300 * time.Millisecond)
+		directory.Finish(choice, NewEstimate(20*time.Millisecond), ResultAnswered, now)
+	}
+	is.Equal(choose(t, directory, demand(work), now).Server.ID, "far")
+	later := now.Add(10 * slownessHalfLife)
+	is.Equal(choose(t, directory, demand(work), later).Server.ID, "near") // tried again after a while
+}
+
+func TestSilentServerIsAvoided(t *testing.T) {
+	is := is.New(t)
+	directory := directoryOf(server("near", "near-1"), server("far", "far-1"))
+	work := NewEstimate(20 * time.Millisecond)
+	stuck := choose(t, directory, demand(work), epoch)
+	later := epoch.Add(150 * time.Millisecond)
+	is.Equal(choose(t, directory, demand(work), later).Server.ID, "far")
+	directory.Finish(stuck, work, ResultAbandoned, later)
+	is.Equal(choose(t, directory, demand(work), later).Server.ID, "far") // still after it was given up
+	is.Equal(choose(t, directory, demand(work), later.Add(time.Minute)).Server.ID, "near")
+}
+
+func TestOneLongRequestIsNoSilence(t *testing.T) {
+	is := is.New(t)
+	directory := directoryOf(server("near", "near-1"), server("far", "far-1"))
+	work := NewEstimate(20 * time.Millisecond)
+	choose(t, directory, demand(work), epoch) // takes long
+	other := choose(t, directory, demand(work), epoch.Add(time.Millisecond))
+	is.Equal(other.Server.ID, "near")
+	answeredAt := epoch.Add(21 * time.Millisecond)
+	directory.Finish(other, work, ResultAnswered, answeredAt)
+	is.Equal(choose(t, directory, demand(work), epoch.Add(100*time.Millisecond)).Server.ID, "near")
+}
+
+func TestResultsThatPutAServerBehind(t *testing.T) {
+	for _, result := range []Result{ResultFailed, ResultRefused, ResultForeign, ResultReset} {
+		is := is.New(t)
+		directory := directoryOf(server("near", "near-1"), server("far", "far-1"))
+		work := NewEstimate(20 * time.Millisecond)
+		choice := choose(t, directory, demand(work), epoch)
+		directory.Finish(choice, work, result, epoch)
+		is.Equal(choose(t, directory, demand(work), epoch.Add(time.Millisecond)).Server.ID, "far")
+		is.Equal(choose(t, directory, demand(work), epoch.Add(time.Minute)).Server.ID, "near")
+	}
+}
+
+func TestServerThatFailedIsStillTheLastResort(t *testing.T) {
+	is := is.New(t)
+	directory := directoryOf(server("only", "near-1"))
+	work := NewEstimate(20 * time.Millisecond)
+	directory.Finish(choose(t, directory, demand(work), epoch), work, ResultFailed, epoch)
+	is.Equal(choose(t, directory, demand(work), epoch).Server.ID, "only")
+}
+
+func TestDrainingAndRemovedServersGetNothing(t *testing.T) {
+	is := is.New(t)
+	directory := directoryOf(server("a", "near-1"), server("b", "near-1"))
+	work := NewEstimate(20 * time.Millisecond)
+	draining := server("a", "near-1")
+	draining.Draining = true
+	directory.Put(draining, epoch)
+	is.Equal(choose(t, directory, demand(work), epoch).Server.ID, "b")
+	directory.Remove("b")
+	_, availability := directory.Choose(demand(work), epoch)
+	is.Equal(availability, NoServer)
+}
+
+func TestReplaceForgetsWhatIsNotListed(t *testing.T) {
+	is := is.New(t)
+	directory := directoryOf(server("a", "near-1"), server("b", "near-1"))
+	removed := directory.Replace([]Server{server("b", "near-1"), server("c", "near-1")}, epoch)
+	is.Equal(removed, []string{"a"})
+	is.Equal(directory.Count(), 2)
+}
+
+func TestLimitOfRequestsAtAServer(t *testing.T) {
+	is := is.New(t)
+	directory := directoryOf(server("only", "near-1"))
+	table, err := routing.NewTable(1, routing.Limits{}, []routing.Service{{Name: "s", MaximumConnections: 10}}, nil)
+	is.NoErr(err)
+	directory.Configure(table, epoch)
+	directory.Share(retrybudget.Limits{}, 5, epoch)
+	is.Equal(directory.IdleLimit("s"), 2) // an equal share
+	work := NewEstimate(20 * time.Millisecond)
+	var choices []Choice
+	for range 4 { // two fifths of ten
+		choices = append(choices, choose(t, directory, demand(work), epoch))
+	}
+	_, availability := directory.Choose(demand(work), epoch)
+	is.Equal(availability, Busy)
+	directory.Finish(choices[0], work, ResultReset, epoch)
+	_, availability = directory.Choose(demand(work), epoch)
+	is.Equal(availability, Busy) // the limit was cut
+	for _, choice := range choices[1:] {
+		directory.Finish(choice, work, ResultAnswered, epoch)
+	}
+	later := epoch.Add(10 * time.Second)
+	for range 4 {
+		choose(t, directory, demand(work), later) // it has grown again
+	}
+}
+
+func TestRetryBudgetOfAService(t *testing.T) {
+	is := is.New(t)
+	directory := directoryOf(server("a", "near-1"))
+	directory.Share(retrybudget.Limits{Ratio: 0.5, Capacity: 1, FillAt: epoch.Add(time.Hour)}, 1, epoch)
+	work := NewEstimate(20 * time.Millisecond)
+	extra := demand(work)
+	extra.Extra = true
+	_, availability := directory.Choose(extra, epoch)
+	is.Equal(availability, NoBudget)
+	directory.EarnRetries("s", epoch)
+	directory.EarnRetries("s", epoch)
+	choose(t, directory, extra, epoch)
+	_, availability = directory.Choose(extra, epoch)
+	is.Equal(availability, NoBudget)
+}
+
+func TestHedgeToAnotherRegionWaitsAsLongAsItCan(t *testing.T) {
+	is := is.New(t)
+	work := NewEstimate(20 * time.Millisecond)
+	alone := choose(t, directoryOf(server("near", "near-1"), server("far", "far-1")), demand(work), epoch)
+	company := choose(t, directoryOf(server("near", "near-1"), server("mid", "near-2")), demand(work), epoch)
+	is.True(alone.LateAfter > company.LateAfter)
+	is.True(alone.LateAfter < 150*time.Millisecond) // time for the other one is left
+}
+
+func TestEstimateFollowsTheWork(t *testing.T) {
+	is := is.New(t)
+	estimate := NewEstimate(100 * time.Millisecond)
+	for index := range 2000 {
+		work := 10 * time.Millisecond
+		if index%50 == 0 { // two in a hundred
+			work = 80 * time.Millisecond
+		}
+		estimate.observe(work)
+	}
+	is.True(estimate.Mean() > 8*time.Millisecond && estimate.Mean() < 18*time.Millisecond)
+	is.True(estimate.Late() >= estimate.Mean() && estimate.Late() < 40*time.Millisecond)
+}
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -153,8 +153,8 @@
 	batch.Sends = append(batch.Sends, Send{ID: id, Reason: reason, Choice: choice})
 }
 
-// wait puts off a send for which there is no server or no budget. A shard that
-// has waited in vain for long enough, with nothing under way, is lost.
+// wait puts off a send for which there is no server or no budget. A shard with
+// nothing under way that has waited in vain for long enough is lost.
 func (core *Core) wait(shard *shard, availability endpoints.Availability, now time.Duration) {
 	if shard.underWay() == 0 && now >= core.patience(shard, availability) {
 		shard.lost = true
@@ -163,12 +163,17 @@
 	shard.nextAt = now + retryPause
 }
 
-// patience returns until when a shard waits for a server to take its request.
+// patience returns until when a shard waits for a server to take its request. A
+// service without servers may get one soon; one whose servers have all been tried
+// has nothing to wait for.
 func (core *Core) patience(shard *shard, availability endpoints.Availability) time.Duration {
-	if availability == endpoints.NoServer && shard.ran == verdict.NotRun {
-		return time.Duration(refusalShare * float64(core.plan.Target))
+	switch {
+	case availability != endpoints.NoServer:
+		return core.plan.Deadline
+	case len(shard.attempts) > 0:
+		return 0
 	}
-	return core.plan.Deadline
+	return time.Duration(refusalShare * float64(core.plan.Target))
 }
 
 // cancelRest cancels the attempts of a shard that has its answer.
--- /dev/null
+++ b/internal/exchange/core_test.go
@@ -0,0 +1,223 @@
+package exchange
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/driftstage/driftstage/internal/upstream"
+)
+
+const ms = time.Millisecond
+
+func ids(batch Batch) []AttemptID {
+	var ids []AttemptID
+	for _, send := range batch.Sends {
+		ids = append(ids, send.ID)
+	}
+	return ids
+}
+
+func TestAllShardsAreAskedAtOnceAndMerged(t *testing.T) {
+	is := is.New(t)
+	core := New(gatherPlan("a", "b"), &fleet{servers: map[string]int{"a": 2, "b": 2}})
+	is.Equal(ids(core.Start(0)), []AttemptID{{0, 0}, {1, 0}})
+	is.True(core.Reply(AttemptID{0, 0}, answered(200), 10*ms).Outcome == nil)
+	outcome := core.Reply(AttemptID{1, 0}, answered(200), 20*ms).Outcome
+	is.Equal(outcome.Status, StatusAnswered)
+	is.Equal(outcome.Cause, CauseComplete)
+	is.Equal(len(outcome.Replies), 2)
+	is.Equal(outcome.Missing, 0)
+}
+
+func TestLateShardIsHedgedOnce(t *testing.T) {
+	is := is.New(t)
+	servers := &fleet{servers: map[string]int{"a": 3}, budget: 5}
+	core := New(gatherPlan("a"), servers)
+	batch := core.Start(0)
+	is.Equal(batch.Wake, testLateAfter)
+	is.Equal(len(core.Tick(testLateAfter-ms).Sends), 0)
+	batch = core.Tick(testLateAfter)
+	is.Equal(ids(batch), []AttemptID{{0, 1}})
+	is.Equal(batch.Sends[0].Reason, ReasonHedge)
+	is.Equal(len(core.Tick(150*ms).Sends), 0) // two attempts are the most
+	is.Equal(servers.extra, 1)
+	outcome := core.Reply(AttemptID{0, 1}, answered(200), 160*ms).Outcome
+	is.Equal(outcome.Status, StatusAnswered)
+}
+
+func TestAnsweredShardCancelsItsOtherAttempt(t *testing.T) {
+	is := is.New(t)
+	core := New(gatherPlan("a", "b"), &fleet{servers: map[string]int{"a": 2, "b": 2}, budget: 5})
+	core.Start(0)
+	core.Tick(testLateAfter)
+	batch := core.Reply(AttemptID{0, 1}, answered(200), 60*ms)
+	is.Equal(batch.Cancels, []AttemptID{{0, 0}})
+}
+
+func TestFailedAttemptIsRetriedWithinTheBudget(t *testing.T) {
+	is := is.New(t)
+	core := New(gatherPlan("a"), &fleet{servers: map[string]int{"a": 2}, budget: 1})
+	core.Start(0)
+	batch := core.Reply(AttemptID{0, 0}, lost, 5*ms)
+	is.Equal(batch.Sends[0].Reason, ReasonRetry)
+	outcome := core.Reply(AttemptID{0, 1}, lost, 10*ms).Outcome
+	is.Equal(outcome.Status, StatusFailed)
+	is.Equal(outcome.Cause, CauseShardsLost)
+}
+
+func TestSpentBudgetWaitsAndSendsLater(t *testing.T) {
+	is := is.New(t)
+	servers := &fleet{servers: map[string]int{"a": 2}}
+	core := New(gatherPlan("a"), servers)
+	core.Start(0)
+	batch := core.Reply(AttemptID{0, 0}, lost, 5*ms)
+	is.Equal(len(batch.Sends), 0)
+	is.True(batch.Outcome == nil)
+	is.Equal(batch.Wake, 5*ms+retryPause)
+	servers.budget = 1
+	is.Equal(ids(core.Tick(5*ms+retryPause)), []AttemptID{{0, 1}})
+}
+
+func TestPartialAnswerAtTheTarget(t *testing.T) {
+	is := is.New(t)
+	plan := gatherPlan("a", "b", "c")
+	plan.LeastShards = 2
+	core := New(plan, &fleet{servers: map[string]int{"a": 1, "b": 1, "c": 1}})
+	core.Start(0)
+	core.Reply(AttemptID{0, 0}, answered(200), 10*ms)
+	is.True(core.Tick(testTarget).Outcome == nil) // one of three is too few
+	outcome := core.Reply(AttemptID{1, 0}, answered(200), testTarget+30*ms).Outcome
+	is.Equal(outcome.Status, StatusAnswered)
+	is.Equal(outcome.Cause, CauseTarget)
+	is.Equal(outcome.Missing, 1)
+}
+
+func TestPartialAnswerIsNotGivenBeforeTheTarget(t *testing.T) {
+	is := is.New(t)
+	plan := gatherPlan("a", "b")
+	plan.LeastShards = 1
+	core := New(plan, &fleet{servers: map[string]int{"a": 1, "b": 1}})
+	core.Start(0)
+	batch := core.Reply(AttemptID{0, 0}, answered(200), 10*ms)
+	is.True(batch.Outcome == nil)
+	is.True(batch.Wake <= testTarget)
+	is.True(core.Tick(testTarget).Outcome != nil)
+}
+
+func TestUnrepeatableRequest(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		reply upstream.Reply
+		// retried tells whether another attempt is made.
+		retried bool
+		status  Status
+	}{
+		{"refused", refused, true, StatusRefused},
+		{"unreachable", upstream.Reply{Kind: upstream.Unreachable, Verdict: refused.Verdict}, true, StatusRefused},
+		{"foreign", upstream.Reply{Kind: upstream.Foreign, Verdict: refused.Verdict}, true, StatusRefused},
+		{"lost", lost, false, StatusFailed},
+		{"reset", upstream.Reply{Kind: upstream.Reset, Verdict: lost.Verdict}, false, StatusFailed},
+		{"malformed", upstream.Reply{Kind: upstream.Malformed, Verdict: lost.Verdict}, false, StatusFailed},
+		{"failed by the server", answered(500), false, StatusAnswered},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			core := New(singlePlan(false), &fleet{servers: map[string]int{"a": 9}, budget: 9})
+			core.Start(0)
+			is.Equal(len(core.Tick(10*testLateAfter).Sends), 0) // never hedged
+			batch := core.Reply(AttemptID{0, 0}, test.reply, 510*ms)
+			is.Equal(len(batch.Sends) == 1, test.retried)
+			if test.retried {
+				batch = core.Reply(AttemptID{0, 1}, test.reply, 520*ms)
+			}
+			is.Equal(batch.Outcome.Status, test.status)
+		})
+	}
+}
+
+func TestRefusalIsNeverPromisedOnceSomethingMayHaveRun(t *testing.T) {
+	is := is.New(t)
+	core := New(singlePlan(true), &fleet{servers: map[string]int{"a": 2}, budget: 9})
+	core.Start(0)
+	core.Tick(testLateAfter)
+	core.Reply(AttemptID{0, 1}, refused, 60*ms)
+	outcome := core.Reply(AttemptID{0, 0}, lost, 70*ms).Outcome
+	is.Equal(outcome.Status, StatusFailed)
+}
+
+func TestRefusalComesEarlyWithoutServers(t *testing.T) {
+	is := is.New(t)
+	core := New(singlePlan(false), &fleet{})
+	batch := core.Start(0)
+	for batch.Outcome == nil {
+		batch = core.Tick(batch.Wake)
+		is.True(batch.Wake <= testTarget/4) // a quarter of the target is early
+	}
+	is.Equal(batch.Outcome.Status, StatusRefused)
+	is.Equal(batch.Outcome.Cause, CauseNoServers)
+}
+
+func TestBusyServersAreWaitedFor(t *testing.T) {
+	is := is.New(t)
+	servers := &fleet{servers: map[string]int{"a": 1}, busy: map[string]bool{"a": true}}
+	core := New(singlePlan(true), servers)
+	core.Start(0)
+	is.True(core.Tick(testTarget+ms).Outcome == nil)
+	servers.busy["a"] = false
+	is.Equal(len(core.Tick(testTarget+100*ms).Sends), 1)
+}
+
+func TestDeadlineEndsTheRequest(t *testing.T) {
+	is := is.New(t)
+	core := New(singlePlan(true), &fleet{servers: map[string]int{"a": 1}})
+	core.Start(0)
+	outcome := core.Tick(testDeadline).Outcome
+	is.Equal(outcome.Status, StatusExpired)
+	is.Equal(outcome.Cause, CauseDeadline)
+}
+
+func TestServersOwnFailure(t *testing.T) {
+	is := is.New(t)
+	core := New(singlePlan(true), &fleet{servers: map[string]int{"a": 2}, budget: 9})
+	core.Start(0)
+	batch := core.Reply(AttemptID{0, 0}, answered(500), 10*ms)
+	is.Equal(len(batch.Sends), 1) // a repeatable request is tried again
+	outcome := core.Reply(AttemptID{0, 1}, lost, 20*ms).Outcome
+	is.Equal(outcome.Status, StatusAnswered)
+	is.Equal(outcome.Replies[0].Status, 500) // the failure is handed on unchanged
+	is.Equal(outcome.Cause, CauseServerFailed)
+}
+
+func TestCallersOwnFaultIsFinal(t *testing.T) {
+	is := is.New(t)
+	core := New(singlePlan(true), &fleet{servers: map[string]int{"a": 2}, budget: 9})
+	core.Start(0)
+	outcome := core.Reply(AttemptID{0, 0}, answered(404), 10*ms).Outcome
+	is.Equal(outcome.Replies[0].Status, 404)
+}
+
+func TestFailedPartIsNoPart(t *testing.T) {
+	is := is.New(t)
+	core := New(gatherPlan("a"), &fleet{servers: map[string]int{"a": 1}})
+	core.Start(0)
+	batch := core.Reply(AttemptID{0, 0}, answered(500), 10*ms)
+	for batch.Outcome == nil {
+		batch = core.Tick(batch.Wake)
+	}
+	is.Equal(batch.Outcome.Status, StatusFailed)
+}
+
+func TestNothingIsDoneAfterTheOutcome(t *testing.T) {
+	is := is.New(t)
+	core := New(singlePlan(true), &fleet{servers: map[string]int{"a": 2}, budget: 9})
+	core.Start(0)
+	core.Tick(testLateAfter)
+	is.True(core.Reply(AttemptID{0, 0}, answered(200), 60*ms).Outcome != nil)
+	late := core.Reply(AttemptID{0, 1}, answered(200), 70*ms)
+	is.Equal(late.Outcome, (*Outcome)(nil))
+	is.Equal(len(late.Sends), 0)
+}
+
+var _ Servers = (*fleet)(nil)
--- /dev/null
+++ b/internal/exchange/property_test.go
@@ -0,0 +1,156 @@
+package exchange
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/driftstage/driftstage/internal/upstream"
+	"github.com/driftstage/driftstage/internal/verdict"
+)
+
+// history is what an observer of all sends and replies knows of a request.
+type history struct {
+	sends    map[int]int
+	open     []AttemptID
+	started  map[AttemptID]bool
+	ended    map[AttemptID]upstream.Reply
+	answers  int
+	outcomes []*Outcome
+}
+
+// TestRequestsKeepTheirPromises drives the core with random replies at random
+// times and checks what must hold of every request.
+func TestRequestsKeepTheirPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		plan := drawPlan(t)
+		servers := &fleet{servers: make(map[string]int), budget: rapid.IntRange(0, 6).Draw(t, "budget"), busy: make(map[string]bool)}
+		for _, service := range plan.Services {
+			servers.servers[service] = rapid.IntRange(0, 3).Draw(t, "servers")
+		}
+		seen := &history{sends: make(map[int]int), started: make(map[AttemptID]bool), ended: make(map[AttemptID]upstream.Reply)}
+		core := New(plan, servers)
+		now := time.Duration(0)
+		batch := core.Start(now)
+		for step := 0; len(seen.outcomes) == 0; step++ {
+			seen.take(batch)
+			if len(seen.outcomes) > 0 {
+				break
+			}
+			if step > 500 {
+				t.Fatalf("no outcome after %v", now)
+			}
+			if batch.Wake > plan.Deadline {
+				t.Fatalf("wake at %v, after the deadline", batch.Wake)
+			}
+			batch, now = seen.advance(t, core, batch, now)
+		}
+		seen.check(t, plan, servers, now)
+	})
+}
+
+func drawPlan(t *rapid.T) Plan {
+	if rapid.Bool().Draw(t, "gather") {
+		plan := gatherPlan([]string{"a", "b", "c", "d"}[:rapid.IntRange(1, 4).Draw(t, "shards")]...)
+		plan.LeastShards = rapid.IntRange(1, len(plan.Services)).Draw(t, "least")
+		plan.MaximumAttempts = rapid.IntRange(1, 3).Draw(t, "attempts")
+		return plan
+	}
+	plan := singlePlan(rapid.Bool().Draw(t, "repeatable"))
+	plan.MaximumAttempts = rapid.IntRange(1, 3).Draw(t, "attempts")
+	return plan
+}
+
+func (seen *history) take(batch Batch) {
+	for _, send := range batch.Sends {
+		seen.sends[send.ID.Shard]++
+		seen.open = append(seen.open, send.ID)
+		seen.started[send.ID] = true
+	}
+	for _, id := range batch.Cancels {
+		seen.close(id)
+	}
+	if batch.Outcome != nil {
+		seen.outcomes = append(seen.outcomes, batch.Outcome)
+	}
+}
+
+func (seen *history) close(id AttemptID) {
+	for index, other := range seen.open {
+		if other == id {
+			seen.open = append(seen.open[:index], seen.open[index+1:]...)
+			return
+		}
+	}
+}
+
+var replies = []upstream.Reply{answered(200), answered(500), answered(404), refused, lost,
+	{Kind: upstream.Unreachable, Verdict: verdict.NotRun}, {Kind: upstream.Foreign, Verdict: verdict.NotRun},
+	{Kind: upstream.Malformed, Verdict: verdict.MayHaveRun}}
+
+// advance ends a random attempt or lets time pass.
+func (seen *history) advance(t *rapid.T, core *Core, batch Batch, now time.Duration) (Batch, time.Duration) {
+	if len(seen.open) > 0 && rapid.IntRange(0, 2).Draw(t, "reply now") > 0 {
+		id := rapid.SampledFrom(seen.open).Draw(t, "attempt")
+		reply := rapid.SampledFrom(replies).Draw(t, "reply")
+		now += time.Duration(rapid.IntRange(0, 30).Draw(t, "after")) * ms
+		seen.close(id)
+		seen.ended[id] = reply
+		return core.Reply(id, reply, now), now
+	}
+	now = max(now, batch.Wake)
+	return core.Tick(now), now
+}
+
+func (seen *history) check(t *rapid.T, plan Plan, servers *fleet, now time.Duration) {
+	outcome := seen.outcomes[0]
+	firsts := 0
+	for shard, count := range seen.sends {
+		firsts++
+		if count > plan.MaximumAttempts {
+			t.Fatalf("shard %d was sent to %d servers", shard, count)
+		}
+	}
+	if sends := len(seen.started); sends-firsts > servers.extra {
+		t.Fatalf("%d extra sends, %d taken off the budget", sends-firsts, servers.extra)
+	}
+	seen.checkPromise(t, outcome)
+	if plan.Gather && outcome.Status == StatusAnswered && len(outcome.Replies) < plan.LeastShards {
+		t.Fatalf("%d of at least %d shards", len(outcome.Replies), plan.LeastShards)
+	}
+	if plan.Gather && outcome.Status == StatusAnswered && outcome.Missing+len(outcome.Replies) != len(plan.Services) {
+		t.Fatalf("%d missing and %d in of %d", outcome.Missing, len(outcome.Replies), len(plan.Services))
+	}
+	if !plan.Repeatable {
+		seen.checkOnce(t)
+	}
+	if now > plan.Deadline+time.Second {
+		t.Fatalf("outcome at %v", now)
+	}
+}
+
+// checkPromise: a refusal means that every attempt is known not to have run.
+func (seen *history) checkPromise(t *rapid.T, outcome *Outcome) {
+	if outcome.Status != StatusRefused {
+		return
+	}
+	for id := range seen.started {
+		if reply, ended := seen.ended[id]; !ended || reply.Verdict != verdict.NotRun {
+			t.Fatalf("refused although attempt %v may have run", id)
+		}
+	}
+}
+
+// checkOnce: all but the last attempt are known not to have run.
+func (seen *history) checkOnce(t *rapid.T) {
+	mayHaveRun := 0
+	for id := range seen.started {
+		if reply, ended := seen.ended[id]; !ended || reply.Verdict != verdict.NotRun {
+			mayHaveRun++
+		}
+	}
+	if mayHaveRun > 1 {
+		t.Fatalf("%d attempts may have run", mayHaveRun)
+	}
+}
--- /dev/null
+++ b/internal/exchange/world_test.go
@@ -0,0 +1,72 @@
+package exchange
+
+import (
+	"time"
+
+	"github.com/driftstage/driftstage/internal/endpoints"
+	"github.com/driftstage/driftstage/internal/upstream"
+	"github.com/driftstage/driftstage/internal/verdict"
+)
+
+const (
+	testTarget    = 200 * time.Millisecond
+	testDeadline  = 2 * time.Second
+	testLateAfter = 50 * time.Millisecond
+)
+
+// fleet hands out fresh servers while there are any.
+type fleet struct {
+	// servers is how many servers each service has.
+	servers map[string]int
+	budget  int
+	// busy services have servers that take nothing now.
+	busy  map[string]bool
+	extra int
+}
+
+func (fleet *fleet) Choose(service string, tried []*endpoints.Endpoint, extra bool) (endpoints.Choice, endpoints.Availability) {
+	switch {
+	case fleet.busy[service]:
+		return endpoints.Choice{}, endpoints.Busy
+	case len(tried) >= fleet.servers[service]:
+		return endpoints.Choice{}, endpoints.NoServer
+	case extra && fleet.budget == 0:
+		return endpoints.Choice{}, endpoints.NoBudget
+	case extra:
+		fleet.budget--
+		fleet.extra++
+	}
+	return endpoints.Choice{Endpoint: &endpoints.Endpoint{}, LateAfter: testLateAfter}, endpoints.Chosen
+}
+
+func gatherPlan(services ...string) Plan {
+	return Plan{
+		Services:        services,
+		Gather:          true,
+		Repeatable:      true,
+		MaximumAttempts: 2,
+		LeastShards:     len(services),
+		Target:          testTarget,
+		Deadline:        testDeadline,
+	}
+}
+
+func singlePlan(repeatable bool) Plan {
+	return Plan{
+		Services:        []string{"a"},
+		Repeatable:      repeatable,
+		MaximumAttempts: 2,
+		LeastShards:     1,
+		Target:          testTarget,
+		Deadline:        testDeadline,
+	}
+}
+
+func answered(status int) upstream.Reply {
+	return upstream.Reply{Kind: upstream.Answered, Verdict: verdict.Ran, Status: status, Seal: "s"}
+}
+
+var (
+	refused = upstream.Reply{Kind: upstream.Refused, Verdict: verdict.NotRun}
+	lost    = upstream.Reply{Kind: upstream.Lost, Verdict: verdict.MayHaveRun}
+)
--- /dev/null
+++ b/internal/members/announcer_test.go
@@ -0,0 +1,114 @@
+package members
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/driftstage/driftstage/internal/catalog"
+)
+
+// registry is a registry in memory.
+type registry struct {
+	mutex   sync.Mutex
+	members map[string]Member
+	writes  int
+	down    bool
+}
+
+var errDown = errors.New("down")
+
+func (registry *registry) Announce(member Member, _ time.Time) error {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	if registry.down {
+		return errDown
+	}
+	registry.writes++
+	registry.members[member.Name] = member
+	return nil
+}
+
+func (registry *registry) Members(time.Time) (catalog.Listing[Member], error) {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	if registry.down {
+		return catalog.Listing[Member]{}, errDown
+	}
+	var listing catalog.Listing[Member]
+	for _, member := range registry.members {
+		listing.Items = append(listing.Items, member)
+	}
+	return listing, nil
+}
+
+func (registry *registry) setDown(down bool) {
+	registry.mutex.Lock()
+	defer registry.mutex.Unlock()
+	registry.down = down
+}
+
+// counter remembers the last count told.
+type counter struct {
+	mutex sync.Mutex
+	count int
+}
+
+func (counter *counter) set(count int) {
+	counter.mutex.Lock()
+	defer counter.mutex.Unlock()
+	counter.count = count
+}
+
+func (counter *counter) get() int {
+	counter.mutex.Lock()
+	defer counter.mutex.Unlock()
+	return counter.count
+}
+
+func TestNodesThatStartTogetherCountEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		shared := &registry{members: make(map[string]Member)}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		counters := make([]counter, 3)
+		stops := make([]context.CancelFunc, 3)
+		for index := range counters {
+			nodeContext, stop := context.WithCancel(ctx)
+			stops[index] = stop
+			announcer := NewAnnouncer(shared, Member{Name: string(rune('a' + index))}, counters[index].set)
+			go announcer.Run(nodeContext)
+		}
+		time.Sleep(startInterval - time.Second)
+		is.Equal(counters[0].get(), 0) // no count is told before others can have announced themselves
+		time.Sleep(2 * time.Second)
+		for index := range counters {
+			is.Equal(counters[index].get(), 3)
+		}
+		stops[2]()
+		time.Sleep(lifetime + 2*readInterval)
+		is.Equal(counters[0].get(), 2) // the stopped node no longer counts
+	})
+}
+
+func TestCountSurvivesARegistryThatIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		shared := &registry{members: map[string]Member{"other": {Name: "other"}}}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var told counter
+		go NewAnnouncer(shared, Member{Name: "own"}, told.set).Run(ctx)
+		time.Sleep(startInterval + time.Second)
+		is.Equal(told.get(), 2)
+		shared.setDown(true)
+		time.Sleep(5 * lifetime)
+		is.Equal(told.get(), 2) // nothing is concluded from silence
+	})
+}
--- /dev/null
+++ b/internal/members/members_test.go
@@ -0,0 +1,39 @@
+package members
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestCount(t *testing.T) {
+	start := time.Unix(1000, 0)
+	own, other, third := Member{Name: "a", Sequence: 1}, Member{Name: "b", Sequence: 1}, Member{Name: "c", Sequence: 1}
+	renewed := Member{Name: "b", Sequence: 2}
+	type observation struct {
+		after   time.Duration
+		members []Member
+		want    int
+	}
+	for _, test := range []struct {
+		name  string
+		steps []observation
+	}{
+		{"alone", []observation{{0, nil, 1}, {0, []Member{own}, 1}}},
+		{"others count", []observation{{0, []Member{own, other, third}, 3}}},
+		{"a removed one no longer counts", []observation{{0, []Member{own, other}, 2}, {time.Second, []Member{own}, 1}}},
+		{"a silent one expires", []observation{{0, []Member{other}, 2}, {29 * time.Second, []Member{other}, 2}, {31 * time.Second, []Member{other}, 1}}},
+		{"an announcement renews", []observation{{0, []Member{other}, 2}, {20 * time.Second, []Member{renewed}, 2}, {40 * time.Second, []Member{renewed}, 2}}},
+		{"an expired one comes back", []observation{{0, []Member{other}, 2}, {31 * time.Second, []Member{other}, 1}, {32 * time.Second, []Member{renewed}, 2}}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			table := NewTable("a", 30*time.Second)
+			for _, step := range test.steps {
+				now := start.Add(step.after)
+				table.Observe(step.members, now)
+				is.New(t).Equal(table.Count(now), step.want)
+			}
+		})
+	}
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -52,7 +52,7 @@
 func (client *Client) Do(ctx context.Context, call Call) Reply {
 	conn, err := client.connect(ctx, call)
 	if err != nil {
-		return failure(ctx, Unreachable, verdict.NotRun, err)
+		return failure(ctx, call, Unreachable, verdict.NotRun, err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	reply, reusable := client.exchange(ctx, conn, call)
@@ -83,11 +83,11 @@
 func (client *Client) exchange(ctx context.Context, conn *connection, call Call) (Reply, bool) {
 	left := time.Until(call.Deadline)
 	if left < time.Millisecond {
-		return failure(ctx, Expired, verdict.NotRun, errors.New("no time left to send")), false
+		return failure(ctx, call, Expired, verdict.NotRun, errors.New("no time left to send")), false
 	}
 	sent := client.send(conn, call, left)
 	if err := sent.failed(); err != nil {
-		return failure(ctx, lostKind(conn, err), verdict.MayHaveRun, err), false
+		return failure(ctx, call, lostKind(conn, err), verdict.MayHaveRun, err), false
 	}
 	reader := client.readers.Get().(*bufio.Reader)
 	reader.Reset(conn)
@@ -97,7 +97,7 @@
 		if reply.Kind == Lost {
 			reply.Kind = lostKind(conn, reply.Err)
 		}
-		return failure(ctx, reply.Kind, reply.Verdict, reply.Err), false
+		return failure(ctx, call, reply.Kind, reply.Verdict, reply.Err), false
 	}
 	reusable := framing.keep && reader.Buffered() == 0 && sent.complete()
 	conn.used = true
@@ -170,9 +170,8 @@
 
 // failure classifies an error: one that came from the end of ctx or of the time
 // is no fault of the server.
-func failure(ctx context.Context, kind Kind, ran verdict.Verdict, err error) Reply {
-	var timeout net.Error
-	if ctx.Err() != nil || (errors.As(err, &timeout) && timeout.Timeout() && kind != Unreachable) {
+func failure(ctx context.Context, call Call, kind Kind, ran verdict.Verdict, err error) Reply {
+	if ctx.Err() != nil || !time.Now().Before(call.Deadline) {
 		kind = Expired
 	}
 	return Reply{Kind: kind, Verdict: ran, Err: err}
--- a/internal/upstream/receive.go
+++ b/internal/upstream/receive.go
@@ -32,6 +32,11 @@
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
 	for range maximumForeignAnswers {
+		// fasthttp takes every failure before the first byte for the end of the
+		// stream; the true one tells a reset from a close.
+		if _, err := reader.Peek(1); err != nil {
+			return Reply{Kind: Lost, Verdict: verdict.MayHaveRun, Err: err}, framing{}
+		}
 		response.Reset()
 		response.SkipBody = call.Request.HeadOnly
 		if err := response.ReadLimitBody(reader, maximumAnswerBytes); err != nil {
