--- a/internal/ingress/connection.go
+++ b/internal/ingress/connection.go
@@ -102,6 +102,7 @@
 		return 0, nil
 	}
 	if conn.takeAhead(buffer) {
+		conn.beginReading()
 		return 1, nil
 	}
 	conn.setDeadline()
@@ -119,8 +120,8 @@
 		return false
 	}
 	conn.hasAhead = false
+	conn.phase = phaseIdle
 	buffer[0] = conn.ahead[0]
-	conn.phase = phaseReading
 	return true
 }
 
--- a/internal/ingress/framing.go
+++ b/internal/ingress/framing.go
@@ -20,7 +20,10 @@
 // checkFraming rejects requests whose end another program could see elsewhere
 // than this one does, beyond what fasthttp itself rejects.
 func checkFraming(header *fasthttp.RequestHeader) error {
-	raw := header.RawHeaders()
+	return checkRawHeaders(header.RawHeaders())
+}
+
+func checkRawHeaders(raw []byte) error {
 	for line := range bytes.Lines(raw) {
 		switch {
 		case bytes.HasSuffix(line, []byte("\n")) && !bytes.HasSuffix(line, []byte("\r\n")):
--- /dev/null
+++ b/internal/settings/router_test.go
@@ -0,0 +1,50 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func requiredRouter() []string {
+	return []string{"--name", "n", "--zone", "z", "--region", "r", "--store-address", "127.0.0.1:9000"}
+}
+
+func TestRouterSettings(t *testing.T) {
+	is := is.New(t)
+	request, err := LoadRouter(append(requiredRouter(), "--zones", "z=r, y=q", "--retry-ratio", "0.25", "--stop-timeout", "4s", "--seeds", "127.0.0.1:1,127.0.0.1:2"))
+	is.NoErr(err)
+	is.Equal(request.Mode, ModeRun)
+	loaded := request.Settings
+	is.Equal(loaded.Regions, map[string]string{"z": "r", "y": "q"})
+	is.Equal(loaded.RetryRatio, 0.25)
+	is.Equal(loaded.StopTimeout, 4*time.Second)
+	is.Equal(loaded.Seeds, []string{"127.0.0.1:1", "127.0.0.1:2"})
+	is.Equal(loaded.MetricsAddress, "")
+}
+
+func TestRouterSettingsFromAFile(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	text := "name: n\nzone: z\nregion: r\nstore-address: 127.0.0.1:9000\nretry-slack: \"58\"\nseeds: \"\"\n"
+	is.NoErr(os.WriteFile(path, []byte(text), 0o600))
+	t.Setenv("DRIFTSTAGE_CONFIG", path)
+	request, err := LoadRouter(nil)
+	is.NoErr(err)
+	is.Equal(request.Settings.RetrySlack, 58.0)
+}
+
+func TestWrongRouterSettingsAreAllReported(t *testing.T) {
+	is := is.New(t)
+	_, err := LoadRouter([]string{"--name", "n", "--zone", "", "--region", "r", "--store-address", "127.0.0.1:0",
+		"--zones", "z", "--retry-ratio", "NaN", "--listen-address", "nowhere", "--log-lines", "0",
+		"--readiness-address", "127.0.0.1:7", "--metrics-address", "127.0.0.1:7"})
+	is.True(err != nil)
+	for _, key := range []string{"zone:", "store-address:", "zones:", "retry-ratio:", "listen-address:", "log-lines:", "metrics-address:"} {
+		is.True(strings.Contains(err.Error(), key)) // every wrong value is named
+	}
+}
