--- a/cmd/driftrouter/main.go
+++ b/cmd/driftrouter/main.go
@@ -66,7 +66,10 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
-	node := edge.New(loaded, platform.Names(), platform.NewStore(loaded.StoreAddress), recorder)
+	node := edge.New(loaded, platform.Names(), platform.NewStore(loaded.StoreAddress), edge.Logs{
+		Recorder: recorder,
+		Dropped:  output.Dropped,
+	})
 	if err := node.Run(ctx); err != nil {
 		fmt.Fprintf(os.Stderr, "driftrouter: %v\n", err)
 		return exitFailure
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -25,12 +25,19 @@
 	longestPause = 800 * time.Millisecond
 )
 
+// Observer counts calls. Its methods do not block.
+type Observer interface {
+	// StoreCalled is told the end of each call for the feed.
+	StoreCalled(feed string, err error)
+}
+
 // Follower keeps a sink current from a feed. It lists once, then watches; after
 // any doubt it lists again.
 type Follower[T any] struct {
 	name     string
 	feed     Feed[T]
 	sink     Sink[T]
+	observer Observer
 	revision Revision
 	listed   bool
 	failures int
@@ -39,14 +46,18 @@
 }
 
 // NewFollower returns a follower; the name is used in logs.
-func NewFollower[T any](name string, feed Feed[T], sink Sink[T]) *Follower[T] {
-	return &Follower[T]{name: name, feed: feed, sink: sink}
+func NewFollower[T any](name string, feed Feed[T], sink Sink[T], observer Observer) *Follower[T] {
+	return &Follower[T]{name: name, feed: feed, sink: sink, observer: observer}
 }
 
 // Run follows the feed until ctx ends.
 func (follower *Follower[T]) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := follower.step(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		follower.observer.StoreCalled(follower.name, err)
 		follower.report(err)
 		if err != nil {
 			follower.pause(ctx)
--- a/internal/catalog/follower_test.go
+++ b/internal/catalog/follower_test.go
@@ -162,13 +162,18 @@
 	return sink.last
 }
 
+// uncounted is an observer that counts nothing.
+type uncounted struct{}
+
+func (uncounted) StoreCalled(string, error) {}
+
 func follow(t *testing.T, test func(is *is.I, feed *memoryFeed, sink *memorySink)) {
 	synctest.Test(t, func(t *testing.T) {
 		feed, sink := newMemoryFeed(), &memorySink{}
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		feed.set("main", "one")
-		go NewFollower("test", feed, sink).Run(ctx)
+		go NewFollower("test", feed, sink, uncounted{}).Run(ctx)
 		synctest.Wait()
 		test(is.New(t), feed, sink)
 	})
@@ -229,7 +234,7 @@
 func TestOlderListIsNotTaken(t *testing.T) {
 	is := is.New(t)
 	feed, sink := newMemoryFeed(), &memorySink{}
-	follower := NewFollower("test", feed, sink)
+	follower := NewFollower("test", feed, sink, uncounted{})
 	feed.set("main", "new")
 	is.NoErr(follower.list(t.Context()))
 	feed.configure(func() { feed.revision, feed.items["main"] = 0, "old" })
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -44,6 +44,7 @@
 	directory *endpoints.Directory
 	client    *upstream.Client
 	recorder  *trace.Recorder
+	observer  Observer
 
 	mutex     sync.Mutex
 	estimates map[string]*endpoints.Estimate
@@ -52,11 +53,12 @@
 
 // New returns a dispatcher over the directory and the client. A nil recorder
 // writes no traces.
-func New(directory *endpoints.Directory, client *upstream.Client, recorder *trace.Recorder) *Dispatcher {
+func New(directory *endpoints.Directory, client *upstream.Client, recorder *trace.Recorder, observer Observer) *Dispatcher {
 	return &Dispatcher{
 		directory: directory,
 		client:    client,
 		recorder:  recorder,
+		observer:  observer,
 		estimates: make(map[string]*endpoints.Estimate),
 		turns:     make(map[string]uint64),
 	}
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -21,6 +21,7 @@
 }
 
 func (run *run) recordDeferred(service string, extra bool, availability endpoints.Availability) {
+	run.dispatcher.observer.SendDeferred(availability)
 	run.trace.Add(trace.EventDeferred, time.Now(),
 		slog.String("service", service),
 		slog.Bool("extra", extra),
@@ -41,6 +42,7 @@
 }
 
 func (run *run) recordEnded(end ended) {
+	run.dispatcher.observer.AttemptEnded(end.reason, end.reply.Kind)
 	attrs := []slog.Attr{
 		slog.String("service", run.plan.Services[end.id.Shard]),
 		slog.Int("attempt", end.id.Number),
@@ -62,6 +64,7 @@
 
 func (run *run) recordFinished(outcome *exchange.Outcome) {
 	now := time.Now()
+	run.dispatcher.observer.RequestFinished(run.plan.Gather, outcome, now.Sub(run.request.Arrived))
 	run.trace.Add(trace.EventFinished, now,
 		slog.String("status", outcome.Status.String()),
 		slog.String("cause", string(outcome.Cause)),
@@ -72,6 +75,7 @@
 }
 
 func (run *run) recordHungUp() {
+	run.dispatcher.observer.RequestAbandoned(run.plan.Gather)
 	run.trace.Add(trace.EventFinished, time.Now(),
 		slog.String("status", "abandoned"),
 		slog.String("cause", "caller_hung_up"))
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -12,8 +12,9 @@
 
 // ended is an attempt that has ended.
 type ended struct {
-	id    exchange.AttemptID
-	reply upstream.Reply
+	id     exchange.AttemptID
+	reason exchange.Reason
+	reply  upstream.Reply
 }
 
 // run is the execution of one request.
@@ -115,7 +116,7 @@
 		IdleLimit: run.dispatcher.directory.IdleLimit(send.Choice.Server.Service),
 	})
 	run.dispatcher.directory.Finish(send.Choice, run.estimate, result(reply), time.Now())
-	run.replies <- ended{id: send.ID, reply: reply}
+	run.replies <- ended{id: send.ID, reason: send.Reason, reply: reply}
 }
 
 func result(reply upstream.Reply) endpoints.Result {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -31,6 +31,12 @@
 	members.Registry
 }
 
+// Names of the feeds in logs and metrics.
+const (
+	feedTables  = "tables"
+	feedServers = "servers"
+)
+
 const (
 	// presumedNodes is how many nodes are taken to share what is shared until
 	// they have been counted.
@@ -53,10 +59,26 @@
 	client    *upstream.Client
 	server    *ingress.Server
 	readiness *readiness
+	metrics   *metrics
+}
+
+// Logs are where the node writes what happens to requests; the zero value is
+// nowhere.
+type Logs struct {
+	Recorder *trace.Recorder
+	// Dropped returns how many log lines were lost to a slow reader.
+	Dropped func() uint64
+}
+
+func (logs Logs) dropped() float64 {
+	if logs.Dropped == nil {
+		return 0
+	}
+	return float64(logs.Dropped())
 }
 
 // New wires the parts; nothing runs yet.
-func New(loaded settings.Router, names ingress.Names, store Store, recorder *trace.Recorder) *Node {
+func New(loaded settings.Router, names ingress.Names, store Store, logs Logs) *Node {
 	topology := endpoints.Topology{
 		Own:     endpoints.Place{Zone: loaded.Zone, Region: loaded.Region},
 		Regions: loaded.Regions,
@@ -68,12 +90,13 @@
 		directory: endpoints.New(topology),
 		client:    upstream.NewClient(names.Headers),
 	}
+	node.metrics = newMetrics(node, logs)
 	node.shareAmong(presumedNodes)
 	node.state = &state{directory: node.directory, client: node.client}
 	node.server = ingress.New(ingress.Options{
 		Names:      names,
 		Table:      node.state.Table,
-		Dispatcher: dispatch.New(node.directory, node.client, recorder),
+		Dispatcher: dispatch.New(node.directory, node.client, logs.Recorder, node.metrics),
 	})
 	node.readiness = newReadiness(names.ReadinessPath, node.state.ready)
 	return node
@@ -94,7 +117,10 @@
 	defer cancel()
 	var tasks sync.WaitGroup
 	node.follow(background, &tasks)
-	failed := make(chan error, 2)
+	failed := make(chan error, 3)
+	if err := node.serveMetrics(failed); err != nil {
+		return err
+	}
 	go func() { failed <- node.server.Serve(callers) }()
 	go func() { failed <- node.readiness.serve(questions) }()
 	klog.InfoS("started", "zone", node.settings.Zone, "listen", node.settings.ListenAddress)
@@ -112,8 +138,8 @@
 
 // follow keeps the configuration and the servers current.
 func (node *Node) follow(ctx context.Context, tasks *sync.WaitGroup) {
-	tables := catalog.NewFollower("tables", node.store.Tables(), tableSink{node.state})
-	servers := catalog.NewFollower("servers", node.store.Servers(), serverSink{node.state})
+	tables := catalog.NewFollower(feedTables, node.store.Tables(), tableSink{node.state}, node.metrics)
+	servers := catalog.NewFollower(feedServers, node.store.Servers(), serverSink{node.state}, node.metrics)
 	tasks.Go(func() { tables.Run(ctx) })
 	tasks.Go(func() { servers.Run(ctx) })
 	announcer := members.NewAnnouncer(node.store, node.member(), func(count int) { node.shareAmong(count + spareNodes) })
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -377,3 +379,31 @@
 	})
 	is.True(world.store.Calls("write") <= 2)
 }
+
+func TestMetricsTellWhatHappened(t *testing.T) {
+	is := is.New(t)
+	world := newWorld(t, configuration(3, singleRoute("/one/", "safe", "s")))
+	world.serve(standin.ServerOptions{ID: "i-1", Service: "s", Behave: func(int) standin.Behavior { return standin.Shed }})
+	world.serve(standin.ServerOptions{ID: "i-2", Service: "s", Zone: "zone-2"})
+	var address string
+	world.startReady(func(loaded *settings.Router) {
+		address = freeAddress(t)
+		loaded.MetricsAddress = address
+	})
+	is.Equal(world.ask("/one/", "id").status, 200)
+	response, err := http.Get("http://" + address + "/metrics")
+	is.NoErr(err)
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	for _, line := range []string{
+		`driftstage_request_finished_total{cause="complete",gather="false",status="answered"} 1`,
+		`driftstage_attempt_ended_total{reason="first",result="refused"} 1`,
+		`driftstage_attempt_ended_total{reason="retry",result="answered"} 1`,
+		`driftstage_configuration_version 3`,
+		`driftstage_server_known_count 2`,
+		`driftstage_node_ready_status 1`,
+	} {
+		is.True(strings.Contains(string(text), line))
+	}
+}
--- /dev/null
+++ b/internal/edge/metrics.go
@@ -0,0 +1,177 @@
+package edge
+
+import (
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/driftstage/driftstage/internal/endpoints"
+	"github.com/driftstage/driftstage/internal/exchange"
+	"github.com/driftstage/driftstage/internal/telemetry"
+	"github.com/driftstage/driftstage/internal/upstream"
+)
+
+// namespace begins the name of every metric: driftstage_component_noun_unit.
+const namespace = "driftstage"
+
+// requestBuckets are the bounds of the latency histogram in seconds.
+var requestBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1, 2.5, 5, 15}
+
+// metrics counts what the node does. A node without metrics address keeps none.
+type metrics struct {
+	registry *prometheus.Registry
+	finished *prometheus.CounterVec
+	duration *prometheus.HistogramVec
+	missing  prometheus.Counter
+	attempts *prometheus.CounterVec
+	deferred *prometheus.CounterVec
+	calls    *prometheus.CounterVec
+
+	mutex sync.Mutex
+	// contact is when each feed was last read.
+	contact map[string]time.Time
+}
+
+func newMetrics(node *Node, logs Logs) *metrics {
+	if node.settings.MetricsAddress == "" {
+		return &metrics{}
+	}
+	counters := &metrics{
+		registry: telemetry.NewRegistry(),
+		contact:  make(map[string]time.Time),
+		finished: counterVector("request", "finished_total", "Requests by their end.", "gather", "status", "cause"),
+		missing:  counter("request", "missing_shards_total", "Shards left out of answers."),
+		attempts: counterVector("attempt", "ended_total", "Attempts at servers by reason and result.", "reason", "result"),
+		deferred: counterVector("attempt", "deferred_total", "Sends that had to wait, by cause.", "cause"),
+		calls:    counterVector("store", "calls_total", "Calls to the store by feed and result.", "feed", "result"),
+		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Subsystem: "request", Name: "duration_seconds",
+			Help: "Time from the arrival of a request to its final answer.", Buckets: requestBuckets,
+		}, []string{"gather"}),
+	}
+	counters.registry.MustRegister(counters.finished, counters.missing, counters.attempts, counters.deferred, counters.calls, counters.duration)
+	counters.registerGauges(node, logs)
+	return counters
+}
+
+func (counters *metrics) registerGauges(node *Node, logs Logs) {
+	for _, gauge := range []struct {
+		component, name, help string
+		value                 func() float64
+	}{
+		{"configuration", "version", "Version of the configuration in force; 0 for none.", func() float64 { return float64(node.state.version()) }},
+		{"server", "known_count", "Servers in the list.", func() float64 { return float64(node.directory.Count()) }},
+		{"caller", "connections_count", "Open connections of callers.", func() float64 { return float64(node.server.Connections()) }},
+		{"server", "idle_connections_count", "Idle connections to servers.", func() float64 { return float64(node.client.Idle()) }},
+		{"request", "under_way_count", "Requests without final answer.", func() float64 { return float64(node.server.UnderWay()) }},
+		{"node", "ready_status", "1 while the node takes new connections.", func() float64 { return boolean(node.state.ready()) }},
+		{"log", "dropped_lines_count", "Log lines lost to a slow reader since the start.", logs.dropped},
+		{"store", "tables_age_seconds", "Time since the configuration was last read.", func() float64 { return counters.age(feedTables) }},
+		{"store", "servers_age_seconds", "Time since the servers were last read.", func() float64 { return counters.age(feedServers) }},
+	} {
+		counters.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Subsystem: gauge.component, Name: gauge.name, Help: gauge.help,
+		}, gauge.value))
+	}
+}
+
+func counter(component, name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Subsystem: component, Name: name, Help: help})
+}
+
+func counterVector(component, name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Subsystem: component, Name: name, Help: help}, labels)
+}
+
+func boolean(value bool) float64 {
+	if value {
+		return 1
+	}
+	return 0
+}
+
+func (counters *metrics) enabled() bool { return counters.registry != nil }
+
+// RequestFinished implements dispatch.Observer.
+func (counters *metrics) RequestFinished(gather bool, outcome *exchange.Outcome, elapsed time.Duration) {
+	if !counters.enabled() {
+		return
+	}
+	label := strconv.FormatBool(gather)
+	counters.finished.WithLabelValues(label, outcome.Status.String(), string(outcome.Cause)).Inc()
+	counters.duration.WithLabelValues(label).Observe(elapsed.Seconds())
+	if outcome.Status == exchange.StatusAnswered {
+		counters.missing.Add(float64(outcome.Missing))
+	}
+}
+
+// RequestAbandoned implements dispatch.Observer.
+func (counters *metrics) RequestAbandoned(gather bool) {
+	if counters.enabled() {
+		counters.finished.WithLabelValues(strconv.FormatBool(gather), "abandoned", "caller_hung_up").Inc()
+	}
+}
+
+// AttemptEnded implements dispatch.Observer.
+func (counters *metrics) AttemptEnded(reason exchange.Reason, kind upstream.Kind) {
+	if counters.enabled() {
+		counters.attempts.WithLabelValues(reason.String(), kind.String()).Inc()
+	}
+}
+
+// SendDeferred implements dispatch.Observer.
+func (counters *metrics) SendDeferred(cause endpoints.Availability) {
+	if counters.enabled() {
+		counters.deferred.WithLabelValues(cause.String()).Inc()
+	}
+}
+
+// StoreCalled implements catalog.Observer.
+func (counters *metrics) StoreCalled(feed string, err error) {
+	if !counters.enabled() {
+		return
+	}
+	result := "ok"
+	if err != nil {
+		result = "failed"
+	}
+	counters.calls.WithLabelValues(feed, result).Inc()
+	if err == nil {
+		counters.mutex.Lock()
+		defer counters.mutex.Unlock()
+		counters.contact[feed] = time.Now()
+	}
+}
+
+// age returns the seconds since the feed was last read; -1 if it never was.
+func (counters *metrics) age(feed string) float64 {
+	counters.mutex.Lock()
+	defer counters.mutex.Unlock()
+	contact, found := counters.contact[feed]
+	if !found {
+		return -1
+	}
+	return time.Since(contact).Seconds()
+}
+
+// serveMetrics serves the metrics if they have an address.
+func (node *Node) serveMetrics(failed chan<- error) error {
+	if !node.metrics.enabled() {
+		return nil
+	}
+	listener, err := net.Listen("tcp4", node.settings.MetricsAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen for readers of metrics")
+	}
+	admin := telemetry.NewAdmin(telemetry.AdminOptions{
+		Registry: node.metrics.registry,
+		Ready:    node.state.reason,
+		State:    func() any { return node.state.describe() },
+	})
+	go func() { failed <- admin.Serve(listener) }()
+	return nil
+}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -26,8 +26,42 @@
 func (state *state) Table() *routing.Table { return state.table.Load() }
 
 // ready reports whether the node takes new connections.
-func (state *state) ready() bool {
-	return !state.stopping.Load() && state.table.Load() != nil && state.serversKnown.Load()
+func (state *state) ready() bool { return state.reason() == "" }
+
+// reason returns why the node takes no new connections; empty if it does.
+func (state *state) reason() string {
+	switch {
+	case state.stopping.Load():
+		return "the node is stopping"
+	case state.table.Load() == nil:
+		return "no configuration is known yet"
+	case !state.serversKnown.Load():
+		return "the servers are not known yet"
+	}
+	return ""
+}
+
+// version returns the version of the configuration in force; 0 for none.
+func (state *state) version() uint64 {
+	if table := state.table.Load(); table != nil {
+		return table.Version
+	}
+	return 0
+}
+
+// description is what the node believes, for operators.
+type description struct {
+	Version     uint64
+	Servers     int
+	NotReadyFor string
+}
+
+func (state *state) describe() description {
+	return description{
+		Version:     state.version(),
+		Servers:     state.directory.Count(),
+		NotReadyFor: state.reason(),
+	}
 }
 
 // adopt takes over a configuration unless a newer one is known: versions never
--- a/internal/edge/world_test.go
+++ b/internal/edge/world_test.go
@@ -153,7 +153,7 @@
 	for _, apply := range change {
 		apply(&world.loaded)
 	}
-	world.node = edge.New(world.loaded, platform.Names(), platform.NewStore(world.loaded.StoreAddress), nil)
+	world.node = edge.New(world.loaded, platform.Names(), platform.NewStore(world.loaded.StoreAddress), edge.Logs{})
 	ctx, stop := context.WithCancel(context.Background())
 	world.stop = stop
 	go func() { world.stopped <- world.node.Run(ctx) }()
--- a/internal/exchange/property_test.go
+++ b/internal/exchange/property_test.go
@@ -16,7 +16,6 @@
 	open     []AttemptID
 	started  map[AttemptID]bool
 	ended    map[AttemptID]upstream.Reply
-	answers  int
 	outcomes []*Outcome
 }
 
--- a/internal/ingress/connection.go
+++ b/internal/ingress/connection.go
@@ -70,6 +70,12 @@
 	}
 }
 
+func (open *connections) count() int {
+	open.mutex.Lock()
+	defer open.mutex.Unlock()
+	return len(open.all)
+}
+
 // phase is what a caller's connection is waiting for.
 type phase uint8
 
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -89,6 +89,9 @@
 // UnderWay returns the number of requests that have no answer yet.
 func (server *Server) UnderWay() int64 { return server.underWay.Load() }
 
+// Connections returns the number of callers' connections.
+func (server *Server) Connections() int { return server.open.count() }
+
 func (server *Server) limits() routing.Limits {
 	table := server.table()
 	if table == nil {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -44,6 +44,9 @@
 // Forget closes the idle connections of the server.
 func (client *Client) Forget(serverID string) { client.pool.forget(serverID) }
 
+// Idle returns the number of idle connections to servers.
+func (client *Client) Idle() int { return client.pool.count() }
+
 // Sweep closes connections that have rested too long.
 func (client *Client) Sweep(now time.Time) { client.pool.sweep(now) }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -68,6 +68,16 @@
 	return true
 }
 
+func (pool *pool) count() int {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	count := 0
+	for _, idle := range pool.idle {
+		count += len(idle)
+	}
+	return count
+}
+
 // forget closes the idle connections of the server.
 func (pool *pool) forget(serverID string) {
 	pool.mutex.Lock()
