--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -127,6 +127,8 @@
 		return endpoints.ResultRefused
 	case upstream.Foreign:
 		return endpoints.ResultForeign
+	case upstream.Unreachable:
+		return endpoints.ResultUnreachable
 	case upstream.Reset:
 		return endpoints.ResultReset
 	case upstream.Expired:
--- a/internal/endpoints/choose.go
+++ b/internal/endpoints/choose.go
@@ -22,15 +22,6 @@
 	Reserved time.Time
 }
 
-// Usable reports whether any server of the service takes new requests.
-func (directory *Directory) Usable(name string) bool {
-	directory.mutex.Lock()
-	defer directory.mutex.Unlock()
-	return slices.ContainsFunc(directory.service(name).endpoints, func(endpoint *Endpoint) bool {
-		return !endpoint.Draining
-	})
-}
-
 // Availability tells whether a server was chosen.
 type Availability uint8
 
@@ -88,7 +79,7 @@
 	var bestCost time.Duration
 	availability := NoServer
 	for _, endpoint := range directory.service(demand.Service).endpoints {
-		if endpoint.Draining || slices.Contains(demand.Tried, endpoint) {
+		if !endpoint.open() || slices.Contains(demand.Tried, endpoint) {
 			continue
 		}
 		if endpoint.full(now) {
@@ -165,7 +156,7 @@
 // those tried.
 func (directory *Directory) hasNear(demand Demand, except *Endpoint) bool {
 	return slices.ContainsFunc(directory.service(demand.Service).endpoints, func(other *Endpoint) bool {
-		return other != except && !other.Draining &&
+		return other != except && other.open() &&
 			directory.topology.sameRegion(other.Zone) && !slices.Contains(demand.Tried, other)
 	})
 }
@@ -192,7 +183,10 @@
 	ResultReset
 	// ResultAbandoned is a request that was given up while under way.
 	ResultAbandoned
-	// ResultForeign is an address that belongs to another server by now.
+	// ResultUnreachable is an address where nobody listens or answers.
+	ResultUnreachable
+	// ResultForeign is an address that belongs to another server by now: the one
+	// that was meant has ended.
 	ResultForeign
 	// ResultUnused is a reservation that was never sent.
 	ResultUnused
@@ -222,8 +216,11 @@
 		endpoint.crowded(now)
 	case ResultFailed:
 		endpoint.failed(now)
-	case ResultForeign:
+	case ResultUnreachable:
+		endpoint.failed(now)
 		endpoint.backoffUntil = now.Add(maximumBackoff)
+	case ResultForeign:
+		endpoint.gone = true
 	case ResultUnused:
 	}
 }
--- a/internal/endpoints/directory.go
+++ b/internal/endpoints/directory.go
@@ -60,7 +60,6 @@
 	if !found {
 		return
 	}
-	endpoint.removed = true
 	delete(directory.byID, id)
 	owner := directory.service(endpoint.Service)
 	for index, other := range owner.endpoints {
--- a/internal/endpoints/endpoint.go
+++ b/internal/endpoints/endpoint.go
@@ -44,7 +44,8 @@
 	coldUntil    time.Time
 	failures     int
 	backoffUntil time.Time
-	removed      bool
+	// gone is set once another server has the address.
+	gone bool
 	// answeredAt is when the server last answered anything.
 	answeredAt time.Time
 }
@@ -117,6 +118,9 @@
 	return now.Before(endpoint.backoffUntil)
 }
 
+// open reports whether the server may get new requests.
+func (endpoint *Endpoint) open() bool { return !endpoint.Draining && !endpoint.gone }
+
 // full reports whether the node has as many requests at the server as it may.
 func (endpoint *Endpoint) full(now time.Time) bool {
 	return endpoint.ceiling > 0 && float64(len(endpoint.underWay)) >= endpoint.currentLimit(now)
