--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -87,6 +87,7 @@
 		LeastShards:     1,
 		Target:          target(route),
 		Deadline:        deadline(request),
+		Returning:       returning(request),
 	}
 	if plan.Gather {
 		plan.LeastShards = route.LeastShards()
@@ -109,6 +110,16 @@
 	return max(allowed-deadlineMargin, allowed/2)
 }
 
+// returningShare is the part of the route's timeout below which a caller's
+// deadline shows that it has been waiting before.
+const returningShare = 0.97
+
+// returning reports whether the caller has probably been refused before: it
+// waits for less than requests of the route usually do.
+func returning(request Request) bool {
+	return request.Allowed > 0 && request.Allowed < time.Duration(returningShare*float64(request.Route.Timeout))
+}
+
 func (dispatcher *Dispatcher) turn(route string) uint64 {
 	dispatcher.mutex.Lock()
 	defer dispatcher.mutex.Unlock()
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -48,22 +48,32 @@
 	return run
 }
 
+// Feasible implements exchange.Servers.
+func (run *run) Feasible(service string) bool {
+	now := time.Now()
+	return run.dispatcher.directory.Feasible(run.demand(service, now), now)
+}
+
 // Choose implements exchange.Servers.
 func (run *run) Choose(service string, tried []*endpoints.Endpoint, extra bool) (endpoints.Choice, endpoints.Availability) {
 	now := time.Now()
-	choice, availability := run.dispatcher.directory.Choose(endpoints.Demand{
-		Service: service,
-		Tried:   tried,
-		Extra:   extra,
-		Work:    run.estimate,
-		Left:    run.plan.Target - now.Sub(run.request.Arrived),
-	}, now)
+	demand := run.demand(service, now)
+	demand.Tried, demand.Extra = tried, extra
+	choice, availability := run.dispatcher.directory.Choose(demand, now)
 	if availability != endpoints.Chosen {
 		run.recordDeferred(service, extra, availability)
 	}
 	return choice, availability
 }
 
+func (run *run) demand(service string, now time.Time) endpoints.Demand {
+	return endpoints.Demand{
+		Service: service,
+		Work:    run.estimate,
+		Left:    run.plan.Target - now.Sub(run.request.Arrived),
+	}
+}
+
 func (run *run) since() time.Duration {
 	return time.Since(run.request.Arrived)
 }
--- a/internal/endpoints/choose.go
+++ b/internal/endpoints/choose.go
@@ -73,6 +73,21 @@
 	return directory.reserve(best, demand, now), Chosen
 }
 
+// Feasible reports whether some server is expected to answer in the time left.
+func (directory *Directory) Feasible(demand Demand, now time.Time) bool {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	return slices.ContainsFunc(directory.service(demand.Service).endpoints, func(endpoint *Endpoint) bool {
+		return endpoint.open() && !endpoint.full(now) && !endpoint.backsOff(now) &&
+			directory.expected(endpoint, demand, now) <= demand.Left
+	})
+}
+
+// expected returns the predicted time until an answer, round trip included.
+func (directory *Directory) expected(endpoint *Endpoint, demand Demand, now time.Time) time.Duration {
+	return endpoint.predict(demand.Work.Mean(), now) + directory.topology.RoundTrip(endpoint.Zone)
+}
+
 // best returns the server with the least cost, or why there is none.
 func (directory *Directory) best(demand Demand, now time.Time) (*Endpoint, Availability) {
 	var best *Endpoint
@@ -108,7 +123,7 @@
 )
 
 func (directory *Directory) cost(endpoint *Endpoint, demand Demand, now time.Time) time.Duration {
-	cost := endpoint.predict(demand.Work.Mean(), now) + directory.topology.RoundTrip(endpoint.Zone)
+	cost := directory.expected(endpoint, demand, now)
 	inTime := cost <= time.Duration(nearShare*float64(demand.Left))
 	if !inTime || !directory.topology.sameRegion(endpoint.Zone) {
 		cost += farCost
@@ -120,11 +135,10 @@
 }
 
 func (directory *Directory) reserve(endpoint *Endpoint, demand Demand, now time.Time) Choice {
-	roundTrip := directory.topology.RoundTrip(endpoint.Zone)
 	choice := Choice{
 		Endpoint:   endpoint,
 		Server:     endpoint.Server,
-		Expected:   endpoint.predict(demand.Work.Mean(), now) + roundTrip,
+		Expected:   directory.expected(endpoint, demand, now),
 		LateAfter:  directory.lateAfter(endpoint, demand, now),
 		UnderWay:   len(endpoint.underWay),
 		BudgetLeft: directory.service(endpoint.Service).bucket.Tokens(),
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -34,11 +34,27 @@
 	return core
 }
 
-// Start sends the first attempts.
+// Start sends the first attempts, or refuses a request that is not expected to
+// be answered before its target: what is left out shortens the queues for the
+// others, and a caller that is told at once can come back in time.
 func (core *Core) Start(now time.Duration) Batch {
+	if !core.plan.Returning && core.feasibleShards() < core.plan.LeastShards {
+		core.done = true
+		return Batch{Outcome: &Outcome{Status: StatusRefused, Cause: CauseOverloaded, Missing: len(core.shards)}}
+	}
 	return core.step(now)
 }
 
+func (core *Core) feasibleShards() int {
+	count := 0
+	for _, service := range core.plan.Services {
+		if core.servers.Feasible(service) {
+			count++
+		}
+	}
+	return count
+}
+
 // Tick takes the passing of time into account.
 func (core *Core) Tick(now time.Duration) Batch {
 	return core.step(now)
--- a/internal/exchange/core_test.go
+++ b/internal/exchange/core_test.go
@@ -169,6 +169,21 @@
 	is.Equal(len(core.Tick(testTarget+100*ms).Sends), 1)
 }
 
+func TestRequestThatWouldBeLateIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	plan := gatherPlan("a", "b", "c")
+	plan.LeastShards = 2
+	servers := &fleet{servers: map[string]int{"a": 1, "b": 1, "c": 1}, slow: map[string]bool{"a": true}}
+	is.Equal(len(New(plan, servers).Start(0).Sends), 3) // one slow shard can be left out
+	servers.slow["b"] = true
+	batch := New(plan, servers).Start(0)
+	is.Equal(batch.Outcome.Status, StatusRefused)
+	is.Equal(batch.Outcome.Cause, CauseOverloaded)
+	is.Equal(len(batch.Sends), 0) // nothing runs
+	plan.Returning = true
+	is.Equal(len(New(plan, servers).Start(0).Sends), 3) // nobody is refused twice for this
+}
+
 func TestDeadlineEndsTheRequest(t *testing.T) {
 	is := is.New(t)
 	core := New(singlePlan(true), &fleet{servers: map[string]int{"a": 1}})
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -30,10 +30,15 @@
 	Target time.Duration
 	// Deadline is when a final answer has to be given.
 	Deadline time.Duration
+	// Returning requests were refused before and are not refused again for being
+	// expected to be late.
+	Returning bool
 }
 
 // Servers chooses servers and keeps the retry budget.
 type Servers interface {
+	// Feasible reports whether a server is expected to answer before the target.
+	Feasible(service string) bool
 	// Choose reserves a server other than the ones tried. An extra send, one
 	// beyond the first, is taken off the retry budget of the service.
 	Choose(service string, tried []*endpoints.Endpoint, extra bool) (endpoints.Choice, endpoints.Availability)
@@ -120,5 +125,6 @@
 	CauseDeadline     Cause = "deadline_reached"
 	CauseShardsLost   Cause = "shards_lost"
 	CauseNoServers    Cause = "no_servers"
+	CauseOverloaded   Cause = "overloaded"
 	CauseServerFailed Cause = "server_failed"
 )
--- a/internal/exchange/world_test.go
+++ b/internal/exchange/world_test.go
@@ -22,8 +22,12 @@
 	// busy services have servers that take nothing now.
 	busy  map[string]bool
 	extra int
+	// slow services are not expected to answer before the target.
+	slow map[string]bool
 }
 
+func (fleet *fleet) Feasible(service string) bool { return !fleet.slow[service] }
+
 func (fleet *fleet) Choose(service string, tried []*endpoints.Endpoint, extra bool) (endpoints.Choice, endpoints.Availability) {
 	switch {
 	case fleet.busy[service]:
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"math/rand/v2"
 	"strconv"
 	"strings"
 	"time"
@@ -20,7 +21,7 @@
 	case outcome.Status == exchange.StatusAnswered:
 		writeReply(ctx, outcome)
 	case outcome.Status == exchange.StatusRefused:
-		refuse(ctx, string(outcome.Cause), retryAfter)
+		refuse(ctx, string(outcome.Cause))
 	case outcome.Status == exchange.StatusExpired:
 		ctx.Error(string(outcome.Cause)+"\n", fasthttp.StatusGatewayTimeout)
 	default:
@@ -28,11 +29,16 @@
 	}
 }
 
-// retryAfter is when a refused caller may come back.
-const retryAfter = 300 * time.Millisecond
+// Times after which refused callers may come back; spread, so that they do not
+// come back together.
+const (
+	shortestRetryAfter = 300 * time.Millisecond
+	retryAfterSpread   = 500 * time.Millisecond
+)
 
 // refuse promises that the request has not run and says when to come back.
-func refuse(ctx *fasthttp.RequestCtx, reason string, after time.Duration) {
+func refuse(ctx *fasthttp.RequestCtx, reason string) {
+	after := (shortestRetryAfter + rand.N(retryAfterSpread)).Round(time.Millisecond)
 	ctx.Error(reason+"\n", fasthttp.StatusServiceUnavailable)
 	ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(after.Seconds(), 'f', -1, 64))
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -117,7 +117,7 @@
 func (server *Server) answer(ctx *fasthttp.RequestCtx, arrived time.Time) {
 	table := server.table()
 	if table == nil {
-		refuse(ctx, "no configuration is known yet", retryAfter)
+		refuse(ctx, "no configuration is known yet")
 		return
 	}
 	if len(ctx.Request.Header.RawHeaders()) > table.Limits.MaximumHeaderBytes {
