--- a/internal/endpoints/endpoint.go
+++ b/internal/endpoints/endpoint.go
@@ -8,7 +8,7 @@
 const (
 	// slownessHalfLife is the time in which half of a server's learned slowness
 	// is forgotten, so that a server that was slow is tried again.
-	slownessHalfLife = 3 * time.Second
+	slownessHalfLife = 2 * time.Second
 	// maximumSlowness bounds what a single stall teaches.
 	maximumSlowness = 30.0
 	// stallFactor is how many times its expected time a request may be under way
@@ -89,14 +89,26 @@
 // predict returns the expected time until an answer, distance left out.
 func (endpoint *Endpoint) predict(work time.Duration, now time.Time) time.Duration {
 	expected := float64(work) * endpoint.currentSlowness(now)
-	load := float64(len(endpoint.underWay)) / float64(max(endpoint.Slots, 1))
-	predicted := time.Duration(expected * (1 + load))
+	predicted := time.Duration(expected * (1 + endpoint.queueing()))
 	if age := endpoint.silence(now); float64(age) > stallFactor*expected {
 		predicted += age
 	}
 	return predicted
 }
 
+// sharedLoad is what a full server adds to the expected time, in parts of it,
+// besides its queue: other nodes' requests are not seen, and nearly full servers
+// are slower.
+const sharedLoad = 0.25
+
+// queueing returns the expected wait in units of the time of work.
+func (endpoint *Endpoint) queueing() float64 {
+	slots := float64(max(endpoint.Slots, 1))
+	underWay := float64(len(endpoint.underWay))
+	queued := max(underWay+1-slots, 0)
+	return (sharedLoad*underWay + queued) / slots
+}
+
 // silence returns the age of the oldest request under way since which the server
 // has answered nothing. A request that is late beside others that were answered
 // is only a long one.
