--- a/cmd/driftctl/main.go
+++ b/cmd/driftctl/main.go
@@ -113,6 +113,7 @@
 			application.waitCommand(),
 			application.validateCommand(),
 			application.nodesCommand(),
+			application.explainCommand(),
 		},
 	}
 }
