--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -17,6 +17,7 @@
 	"github.com/driftstage/driftstage/internal/endpoints"
 	"github.com/driftstage/driftstage/internal/ingress"
 	"github.com/driftstage/driftstage/internal/members"
+	"github.com/driftstage/driftstage/internal/peers"
 	"github.com/driftstage/driftstage/internal/retrybudget"
 	"github.com/driftstage/driftstage/internal/routing"
 	"github.com/driftstage/driftstage/internal/settings"
@@ -117,8 +118,8 @@
 	defer cancel()
 	var tasks sync.WaitGroup
 	node.follow(background, &tasks)
-	failed := make(chan error, 3)
-	if err := node.serveMetrics(failed); err != nil {
+	failed := make(chan error, 4)
+	if err := errors.Join(node.serveMetrics(failed), node.servePeers(failed)); err != nil {
 		return err
 	}
 	go func() { failed <- node.server.Serve(callers) }()
@@ -144,9 +145,25 @@
 	tasks.Go(func() { servers.Run(ctx) })
 	announcer := members.NewAnnouncer(node.store, node.member(), func(count int) { node.shareAmong(count + spareNodes) })
 	tasks.Go(func() { announcer.Run(ctx) })
+	starter := peers.Starter{Addresses: node.settings.Seeds, Known: node.state.complete, Adopt: node.state.adoptSnapshot}
+	tasks.Go(func() { starter.Run(ctx) })
 	tasks.Go(func() { node.sweep(ctx) })
 }
 
+// servePeers tells other nodes what this one knows, if it has an address for that.
+func (node *Node) servePeers(failed chan<- error) error {
+	if node.settings.PeerAddress == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp4", node.settings.PeerAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	server := peers.NewServer(node.state.snapshot)
+	go func() { failed <- server.Serve(listener) }()
+	return nil
+}
+
 func (node *Node) member() members.Member {
 	return members.Member{
 		Name:    node.settings.Name,
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -407,3 +407,32 @@
 		is.True(strings.Contains(string(text), line))
 	}
 }
+
+func TestNodeLearnsFromAPeerWhileTheStoreIsAway(t *testing.T) {
+	is := is.New(t)
+	first := newWorld(t, configuration(7, singleRoute("/one/", "safe", "s"), gatherRoute("/all/", "a", "b")))
+	first.serve(standin.ServerOptions{ID: "i-1", Service: "s"})
+	peer := freeAddress(t)
+	first.startReady(func(loaded *settings.Router) { loaded.PeerAddress = peer })
+
+	away := newWorld(t, configuration(6, singleRoute("/old/", "safe", "s")))
+	away.store.SetFaults(standin.StoreFaults{Silent: true})
+	away.startReady(func(loaded *settings.Router) { loaded.Seeds = []string{freeAddress(t), peer} })
+	is.Equal(away.ask("/one/", "id-1").status, 200)
+	away.store.SetFaults(standin.StoreFaults{})
+	away.eventually("the store's list of servers in place of the peer's", func() bool {
+		return away.ask("/one/", "id-2").status == 503
+	})
+	is.Equal(away.ask("/old/", "id-3").status, 404) // the version did not go back
+}
+
+func TestNodesThatKnowNothingLearnNothingFromEachOther(t *testing.T) {
+	is := is.New(t)
+	world := newWorld(t, configuration(1, singleRoute("/one/", "safe", "s")))
+	world.store.SetFaults(standin.StoreFaults{Unavailable: true})
+	peer := freeAddress(t)
+	world.start(func(loaded *settings.Router) { loaded.PeerAddress, loaded.Seeds = peer, []string{peer} })
+	time.Sleep(500 * time.Millisecond)
+	is.True(!world.ready())
+	is.Equal(world.ask("/one/", "id").status, 503)
+}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"github.com/driftstage/driftstage/internal/catalog"
 	"github.com/driftstage/driftstage/internal/endpoints"
+	"github.com/driftstage/driftstage/internal/peers"
 	"github.com/driftstage/driftstage/internal/routing"
 	"github.com/driftstage/driftstage/internal/upstream"
 )
@@ -17,9 +19,15 @@
 	directory *endpoints.Directory
 	client    *upstream.Client
 	table     atomic.Pointer[routing.Table]
+	// adopting keeps two sources from going back on each other's versions.
+	adopting sync.Mutex
 	// serversKnown is set once the servers have been listed.
 	serversKnown atomic.Bool
-	stopping     atomic.Bool
+	// serversListed is set once the store itself has listed them.
+	serversListed atomic.Bool
+	stopping      atomic.Bool
+	// replacing keeps a peer's list from taking the place of the store's.
+	replacing sync.Mutex
 }
 
 // Table returns the configuration in force; nil if none is known yet.
@@ -67,6 +75,8 @@
 // adopt takes over a configuration unless a newer one is known: versions never
 // go back within a process.
 func (state *state) adopt(table *routing.Table) {
+	state.adopting.Lock()
+	defer state.adopting.Unlock()
 	if known := state.table.Load(); known != nil && table.Version <= known.Version {
 		return
 	}
@@ -75,6 +85,35 @@
 	klog.InfoS("configuration in force", "version", table.Version, "routes", table.RouteCount())
 }
 
+// complete reports whether the node needs nothing from its peers.
+func (state *state) complete() bool {
+	return state.table.Load() != nil && state.serversKnown.Load()
+}
+
+// snapshot returns what the node knows for other nodes; false while it is not
+// complete.
+func (state *state) snapshot() (peers.Snapshot, bool) {
+	if !state.complete() {
+		return peers.Snapshot{}, false
+	}
+	return peers.Snapshot{Table: state.table.Load().Document(), Servers: state.directory.Servers()}, true
+}
+
+// adoptSnapshot takes over what a peer knows, as far as the store has not told.
+func (state *state) adoptSnapshot(snapshot peers.Snapshot) error {
+	table, err := snapshot.Table.Table()
+	if err != nil {
+		return err
+	}
+	state.adopt(table)
+	state.replacing.Lock()
+	defer state.replacing.Unlock()
+	if !state.serversListed.Load() {
+		state.replaceServers(snapshot.Servers)
+	}
+	return nil
+}
+
 // tableSink takes configurations from a follower.
 type tableSink struct{ state *state }
 
@@ -98,13 +137,20 @@
 
 // Replace implements catalog.Sink.
 func (sink serverSink) Replace(servers []endpoints.Server) {
-	for _, id := range sink.state.directory.Replace(servers, time.Now()) {
-		sink.state.client.Forget(id)
-	}
-	sink.state.serversKnown.Store(true)
+	sink.state.replacing.Lock()
+	defer sink.state.replacing.Unlock()
+	sink.state.replaceServers(servers)
+	sink.state.serversListed.Store(true)
 	klog.V(1).InfoS("servers listed", "count", len(servers))
 }
 
+func (state *state) replaceServers(servers []endpoints.Server) {
+	for _, id := range state.directory.Replace(servers, time.Now()) {
+		state.client.Forget(id)
+	}
+	state.serversKnown.Store(true)
+}
+
 // Apply implements catalog.Sink.
 func (sink serverSink) Apply(change catalog.Change[endpoints.Server]) {
 	if change.Removed {
--- a/internal/endpoints/directory.go
+++ b/internal/endpoints/directory.go
@@ -170,6 +170,17 @@
 	return len(directory.byID)
 }
 
+// Servers returns all servers as they were listed.
+func (directory *Directory) Servers() []Server {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	servers := make([]Server, 0, len(directory.byID))
+	for _, endpoint := range directory.byID {
+		servers = append(servers, endpoint.Server)
+	}
+	return servers
+}
+
 // EarnRetries adds the allowance of one request to the service's retry budget.
 func (directory *Directory) EarnRetries(name string, now time.Time) {
 	directory.mutex.Lock()
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -93,7 +93,9 @@
 	Version  uint64
 	Limits   Limits
 	Services map[string]Service
-	byHost   map[string][]*Route
+	// routes are all routes as they were given.
+	routes []Route
+	byHost map[string][]*Route
 }
 
 // NewTable returns the table of the routes. The error names the first wrong route.
@@ -102,6 +104,7 @@
 		Version:  version,
 		Limits:   limits,
 		Services: make(map[string]Service, len(services)),
+		routes:   routes,
 		byHost:   make(map[string][]*Route),
 	}
 	for _, service := range services {
@@ -149,12 +152,28 @@
 }
 
 // RouteCount returns the number of routes.
-func (table *Table) RouteCount() int {
-	count := 0
-	for _, ofHost := range table.byHost {
-		count += len(ofHost)
+func (table *Table) RouteCount() int { return len(table.routes) }
+
+// Document is the content of a table in a form that can be encoded.
+type Document struct {
+	Version  uint64
+	Limits   Limits
+	Services []Service
+	Routes   []Route
+}
+
+// Document returns the content of the table; it must not be changed.
+func (table *Table) Document() Document {
+	services := make([]Service, 0, len(table.Services))
+	for _, service := range table.Services {
+		services = append(services, service)
 	}
-	return count
+	return Document{Version: table.Version, Limits: table.Limits, Services: services, Routes: table.routes}
+}
+
+// Table returns the table of the document. The error names the first wrong route.
+func (document Document) Table() (*Table, error) {
+	return NewTable(document.Version, document.Limits, document.Services, document.Routes)
 }
 
 func hostName(host string) string {
