--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -104,7 +104,7 @@
 }
 
 // Run serves until ctx ends, then stops in order. It returns nil after a stop
-// that cut nothing.
+// that cut no request.
 func (node *Node) Run(ctx context.Context) error {
 	callers, err := net.Listen("tcp4", node.settings.ListenAddress)
 	if err != nil {
@@ -134,6 +134,9 @@
 	cancel()
 	klog.InfoS("stopped", "cut", cut)
 	klog.Flush()
+	if cut > 0 {
+		err = errors.Join(err, errors.Newf("%d requests were cut", cut))
+	}
 	return err
 }
 
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -265,6 +265,22 @@
 	is.Equal(world.ask("/one/", "id-2").status, 200) // new connections are still served for a while
 }
 
+func TestStopWaitsForLongRequests(t *testing.T) {
+	is := is.New(t)
+	world := newWorld(t, configuration(1, singleRoute("/one/", "safe", "s")))
+	world.serve(standin.ServerOptions{ID: "i-1", Service: "s", Work: 1300 * time.Millisecond})
+	world.startReady(func(loaded *settings.Router) { loaded.StopTimeout = 2 * time.Second })
+	got := make(chan answer, 1)
+	go func() { got <- world.ask("/one/", "id-1") }()
+	time.Sleep(100 * time.Millisecond)
+	world.stop()
+	err := <-world.stopped
+	is.NoErr(err) // nothing was cut
+	reply := <-got
+	is.Equal(reply.status, 200)
+	world.stopped <- nil // for the end of the world
+}
+
 func TestBadInput(t *testing.T) {
 	world := newWorld(t, configuration(1, singleRoute("/one/", "safe", "s")))
 	world.serve(standin.ServerOptions{ID: "i-1", Service: "s"})
