--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -123,7 +123,7 @@
 		ServerID:  send.Choice.Server.ID,
 		Address:   send.Choice.Server.Address,
 		Deadline:  run.deadline,
-		IdleLimit: run.dispatcher.directory.IdleLimit(send.Choice.Server.Service),
+		IdleLimit: run.dispatcher.directory.IdleLimit(send.Choice.Server),
 	})
 	run.dispatcher.directory.Finish(send.Choice, run.estimate, result(reply), time.Now())
 	run.replies <- ended{id: send.ID, reason: send.Reason, reply: reply}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -39,9 +39,10 @@
 )
 
 const (
-	// presumedNodes is how many nodes are taken to share what is shared until
-	// they have been counted.
-	presumedNodes = 12
+	// presumedNodes and presumedZoneNodes are how many nodes, and nodes of the own
+	// zone, are taken to share what is shared until they have been counted.
+	presumedNodes     = 10
+	presumedZoneNodes = 4
 	// spareNodes allows for nodes that have just started.
 	spareNodes = 2
 	// retryReserve is kept from the retry ratio: nodes count in windows of their own.
@@ -92,7 +93,7 @@
 		client:    upstream.NewClient(names.Headers),
 	}
 	node.metrics = newMetrics(node, logs)
-	node.shareAmong(presumedNodes)
+	node.shareAmong(members.Count{All: presumedNodes, Zone: presumedZoneNodes})
 	node.state = &state{directory: node.directory, client: node.client}
 	node.server = ingress.New(ingress.Options{
 		Names:      names,
@@ -146,7 +147,7 @@
 	servers := catalog.NewFollower(feedServers, node.store.Servers(), serverSink{node.state}, node.metrics)
 	tasks.Go(func() { tables.Run(ctx) })
 	tasks.Go(func() { servers.Run(ctx) })
-	announcer := members.NewAnnouncer(node.store, node.member(), func(count int) { node.shareAmong(count + spareNodes) })
+	announcer := members.NewAnnouncer(node.store, node.member(), node.shareAmong)
 	tasks.Go(func() { announcer.Run(ctx) })
 	starter := peers.Starter{Addresses: node.settings.Seeds, Known: node.state.complete, Adopt: node.state.adoptSnapshot}
 	tasks.Go(func() { starter.Run(ctx) })
@@ -176,13 +177,16 @@
 }
 
 // shareAmong divides what all nodes share among so many of them.
-func (node *Node) shareAmong(nodes int) {
+func (node *Node) shareAmong(count members.Count) {
 	budget := retrybudget.Limits{
 		Ratio:    max(node.settings.RetryRatio-retryReserve, 0),
-		Capacity: max(node.settings.RetrySlack/float64(nodes), 1),
+		Capacity: max(node.settings.RetrySlack/float64(count.All+spareNodes), 1),
 		FillAt:   node.started.Add(node.settings.RetryWindow),
 	}
-	node.directory.Share(budget, nodes, time.Now())
+	node.directory.Share(budget, endpoints.Sharers{
+		Near: count.Zone + spareNodes/2,
+		Far:  count.All - count.Zone + spareNodes/2,
+	}, time.Now())
 }
 
 func (node *Node) sweep(ctx context.Context) {
--- a/internal/endpoints/directory.go
+++ b/internal/endpoints/directory.go
@@ -8,14 +8,20 @@
 	"github.com/driftstage/driftstage/internal/routing"
 )
 
+// Sharers are the nodes that share the connections of a server.
+type Sharers struct {
+	// Near are those of the server's own zone, Far all others.
+	Near int
+	Far  int
+}
+
 // Directory holds the endpoints of all services. It is safe for concurrent use.
 type Directory struct {
 	topology Topology
 
-	mutex  sync.Mutex
-	budget retrybudget.Limits
-	// sharers is how many nodes share the connections of a server.
-	sharers  int
+	mutex    sync.Mutex
+	budget   retrybudget.Limits
+	sharers  Sharers
 	byID     map[string]*Endpoint
 	services map[string]*service
 }
@@ -31,7 +37,7 @@
 func New(topology Topology) *Directory {
 	return &Directory{
 		topology: topology,
-		sharers:  1,
+		sharers:  Sharers{Near: 1, Far: 1},
 		byID:     make(map[string]*Endpoint),
 		services: make(map[string]*service),
 	}
@@ -109,13 +115,13 @@
 	}
 }
 
-// Share sets the retry budget of each service and the number of nodes that share
-// the connections of a server.
-func (directory *Directory) Share(budget retrybudget.Limits, sharers int, now time.Time) {
+// Share sets the retry budget of each service and the nodes that share the
+// connections of a server.
+func (directory *Directory) Share(budget retrybudget.Limits, sharers Sharers, now time.Time) {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
 	directory.budget = budget
-	directory.sharers = max(sharers, 1)
+	directory.sharers = sharers
 	for _, owner := range directory.services {
 		owner.setCeiling(directory.ceiling(owner.maxConnections), now)
 	}
@@ -127,31 +133,43 @@
 	}
 }
 
-// busyShare is the part of a server's connections that a single node may use at
-// a time. Nodes are not equally busy, and servers queue fewer requests than they
-// accept connections; where it is too much, servers reset connections and the
-// limit of the endpoint is cut.
-const busyShare = 0.4
+const (
+	// busyShare is the part of a server's connections that a single node may use
+	// at a time. Nodes are not equally busy, and servers queue fewer requests than
+	// they accept connections; where it is too much, servers reset connections and
+	// the limit of the endpoint is cut.
+	busyShare = 0.4
+	// nearIdleShare and farIdleShare are the parts of a server's connections that
+	// nodes of its zone, and all others, may keep idle.
+	nearIdleShare = 0.45
+	farIdleShare  = 0.5
+)
+
+// NoLimit is the idle limit of servers whose connections are not bounded.
+const NoLimit = -1
 
-// ceiling returns how many requests the node may have at a server.
+// ceiling returns how many requests the node may have at a server; 0 for no bound.
 func (directory *Directory) ceiling(maxConnections int) float64 {
-	return max(busyShare*float64(maxConnections), float64(directory.share(maxConnections)))
+	if maxConnections == 0 {
+		return 0
+	}
+	return max(busyShare*float64(maxConnections), 1)
 }
 
-// IdleLimit returns how many idle connections the node may keep to a server.
-func (directory *Directory) IdleLimit(name string) int {
+// IdleLimit returns how many idle connections the node may keep to the server: one
+// at least in its own zone, perhaps none elsewhere.
+func (directory *Directory) IdleLimit(server Server) int {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
-	return directory.share(directory.service(name).maxConnections)
-}
-
-// share returns the node's equal share of a server's connections; 0 if they are
-// not bounded.
-func (directory *Directory) share(maxConnections int) int {
-	if maxConnections == 0 {
-		return 0
+	maximum := float64(directory.service(server.Service).maxConnections)
+	switch {
+	case maximum == 0:
+		return NoLimit
+	case server.Zone == directory.topology.Own.Zone:
+		return max(int(nearIdleShare*maximum/float64(max(directory.sharers.Near, 1))), 1)
+	default:
+		return int(farIdleShare * maximum / float64(max(directory.sharers.Far, 1)))
 	}
-	return max(maxConnections/directory.sharers, 1)
 }
 
 func (directory *Directory) service(name string) *service {
--- a/internal/endpoints/directory_test.go
+++ b/internal/endpoints/directory_test.go
@@ -25,7 +25,7 @@
 
 func directoryOf(servers ...Server) *Directory {
 	directory := New(testTopology())
-	directory.Share(retrybudget.Limits{Ratio: 1, Capacity: 10}, 1, epoch)
+	directory.Share(retrybudget.Limits{Ratio: 1, Capacity: 10}, Sharers{Near: 1, Far: 1}, epoch)
 	for _, server := range servers {
 		directory.Put(server, epoch)
 	}
@@ -155,8 +155,9 @@
 	table, err := routing.NewTable(1, routing.Limits{}, []routing.Service{{Name: "s", MaximumConnections: 10}}, nil)
 	is.NoErr(err)
 	directory.Configure(table, epoch)
-	directory.Share(retrybudget.Limits{}, 5, epoch)
-	is.Equal(directory.IdleLimit("s"), 2) // an equal share
+	directory.Share(retrybudget.Limits{}, Sharers{Near: 2, Far: 6}, epoch)
+	is.Equal(directory.IdleLimit(server("only", "near-1")), 2)
+	is.Equal(directory.IdleLimit(server("other", "far-1")), 0) // less than one each
 	work := NewEstimate(20 * time.Millisecond)
 	var choices []Choice
 	for range 4 { // two fifths of ten
@@ -176,10 +177,14 @@
 	}
 }
 
+func TestIdleLimitOfUnboundedServers(t *testing.T) {
+	is.New(t).Equal(directoryOf().IdleLimit(server("a", "near-1")), NoLimit)
+}
+
 func TestRetryBudgetOfAService(t *testing.T) {
 	is := is.New(t)
 	directory := directoryOf(server("a", "near-1"))
-	directory.Share(retrybudget.Limits{Ratio: 0.5, Capacity: 1, FillAt: epoch.Add(time.Hour)}, 1, epoch)
+	directory.Share(retrybudget.Limits{Ratio: 0.5, Capacity: 1, FillAt: epoch.Add(time.Hour)}, Sharers{Near: 1, Far: 1}, epoch)
 	work := NewEstimate(20 * time.Millisecond)
 	extra := demand(work)
 	extra.Extra = true
--- a/internal/members/announcer.go
+++ b/internal/members/announcer.go
@@ -31,8 +31,8 @@
 	member   Member
 	table    *Table
 	// changed is told the count whenever it changes.
-	changed func(count int)
-	count   int
+	changed func(count Count)
+	count   Count
 
 	announceAt time.Time
 	readAt     time.Time
@@ -42,11 +42,11 @@
 }
 
 // NewAnnouncer returns an announcer for the node.
-func NewAnnouncer(registry Registry, member Member, changed func(count int)) *Announcer {
+func NewAnnouncer(registry Registry, member Member, changed func(count Count)) *Announcer {
 	return &Announcer{
 		registry: registry,
 		member:   member,
-		table:    NewTable(member.Name, lifetime),
+		table:    NewTable(member, lifetime),
 		changed:  changed,
 	}
 }
@@ -101,7 +101,7 @@
 	announcer.readAt = now.Add(jittered(readInterval))
 	count := announcer.table.Count(time.Now())
 	if count != announcer.count {
-		klog.InfoS("members counted", "count", count, "before", announcer.count)
+		klog.InfoS("members counted", "count", count.All, "in_zone", count.Zone, "before", announcer.count.All)
 		announcer.count = count
 		announcer.changed(count)
 	}
--- a/internal/members/announcer_test.go
+++ b/internal/members/announcer_test.go
@@ -59,10 +59,10 @@
 	count int
 }
 
-func (counter *counter) set(count int) {
+func (counter *counter) set(count Count) {
 	counter.mutex.Lock()
 	defer counter.mutex.Unlock()
-	counter.count = count
+	counter.count = count.All
 }
 
 func (counter *counter) get() int {
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -35,14 +35,14 @@
 
 // Table is what a node knows of the others. It does no I/O and reads no clock.
 type Table struct {
-	own string
+	own Member
 	// lifetime is how long an announcement that does not change counts.
 	lifetime  time.Duration
 	sightings map[string]sighting
 }
 
 // NewTable returns a table that knows only the node itself.
-func NewTable(own string, lifetime time.Duration) *Table {
+func NewTable(own Member, lifetime time.Duration) *Table {
 	return &Table{own: own, lifetime: lifetime, sightings: make(map[string]sighting)}
 }
 
@@ -63,12 +63,23 @@
 	}
 }
 
+// Count is a number of nodes.
+type Count struct {
+	All int
+	// Zone are the nodes in the zone of the one that counts.
+	Zone int
+}
+
 // Count returns the number of live nodes, this one included.
-func (table *Table) Count(now time.Time) int {
-	count := 1
+func (table *Table) Count(now time.Time) Count {
+	count := Count{All: 1, Zone: 1}
 	for name, sighting := range table.sightings {
-		if name != table.own && now.Sub(sighting.seen) < table.lifetime {
-			count++
+		if name == table.own.Name || now.Sub(sighting.seen) >= table.lifetime {
+			continue
+		}
+		count.All++
+		if sighting.member.Zone == table.own.Zone {
+			count.Zone++
 		}
 	}
 	return count
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -28,12 +28,18 @@
 		{"an expired one comes back", []observation{{0, []Member{other}, 2}, {31 * time.Second, []Member{other}, 1}, {32 * time.Second, []Member{renewed}, 2}}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			table := NewTable("a", 30*time.Second)
+			table := NewTable(Member{Name: "a", Zone: "z"}, 30*time.Second)
 			for _, step := range test.steps {
 				now := start.Add(step.after)
 				table.Observe(step.members, now)
-				is.New(t).Equal(table.Count(now), step.want)
+				is.New(t).Equal(table.Count(now).All, step.want)
 			}
 		})
 	}
 }
+
+func TestCountOfTheZone(t *testing.T) {
+	table := NewTable(Member{Name: "a", Zone: "z"}, time.Minute)
+	table.Observe([]Member{{Name: "a", Zone: "z"}, {Name: "b", Zone: "z"}, {Name: "c", Zone: "y"}}, time.Unix(1, 0))
+	is.New(t).Equal(table.Count(time.Unix(2, 0)), Count{All: 3, Zone: 2})
+}
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -47,10 +47,11 @@
 		head = strings.Replace(head, "GET", "POST", 1) + "Content-Length: " + lengthOf(body) + "\r\n"
 	}
 	return upstream.Call{
-		Request:  &upstream.Request{ID: id, Head: []byte(head), Body: []byte(body)},
-		ServerID: "i-1",
-		Address:  server.Address(),
-		Deadline: time.Now().Add(time.Second),
+		Request:   &upstream.Request{ID: id, Head: []byte(head), Body: []byte(body)},
+		ServerID:  "i-1",
+		Address:   server.Address(),
+		Deadline:  time.Now().Add(time.Second),
+		IdleLimit: -1,
 	}
 }
 
--- a/internal/upstream/doc.go
+++ b/internal/upstream/doc.go
@@ -50,7 +50,7 @@
 	Address  string
 	// Deadline is when the caller of the request stops waiting.
 	Deadline time.Time
-	// IdleLimit bounds the idle connections kept to the server; 0 for no bound.
+	// IdleLimit bounds the idle connections kept to the server; negative for no bound.
 	IdleLimit int
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -50,7 +50,8 @@
 	return conn
 }
 
-// put keeps an idle connection, or closes it if there are enough; 0 is no limit.
+// put keeps an idle connection, or closes it if there are enough; a negative
+// limit is none.
 func (pool *pool) put(serverID string, conn *connection, limit int) {
 	if !pool.keep(serverID, conn, limit) {
 		_ = conn.Close()
@@ -61,7 +62,7 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	idle := pool.idle[serverID]
-	if limit > 0 && len(idle) >= limit {
+	if limit >= 0 && len(idle) >= limit {
 		return false
 	}
 	pool.idle[serverID] = append(idle, conn)
