--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -39,10 +39,6 @@
 )
 
 const (
-	// presumedNodes and presumedZoneNodes are how many nodes, and nodes of the own
-	// zone, are taken to share what is shared until they have been counted.
-	presumedNodes     = 10
-	presumedZoneNodes = 4
 	// spareNodes allows for nodes that have just started.
 	spareNodes = 2
 	// retryReserve is kept from the retry ratio: nodes count in windows of their own.
@@ -51,6 +47,10 @@
 	sweepInterval = time.Second
 )
 
+// presumedCount is the least number of nodes that are taken to share what is
+// shared until the count is settled.
+var presumedCount = members.Count{All: 10, Zone: 4}
+
 // Node is one process of the query tier.
 type Node struct {
 	settings  settings.Router
@@ -93,7 +93,7 @@
 		client:    upstream.NewClient(names.Headers),
 	}
 	node.metrics = newMetrics(node, logs)
-	node.shareAmong(members.Count{All: presumedNodes, Zone: presumedZoneNodes})
+	node.shareAmong(presumedCount)
 	node.state = &state{directory: node.directory, client: node.client}
 	node.server = ingress.New(ingress.Options{
 		Names:      names,
@@ -178,6 +178,9 @@
 
 // shareAmong divides what all nodes share among so many of them.
 func (node *Node) shareAmong(count members.Count) {
+	if !count.Settled {
+		count = count.AtLeast(presumedCount)
+	}
 	budget := retrybudget.Limits{
 		Ratio:    max(node.settings.RetryRatio-retryReserve, 0),
 		Capacity: max(node.settings.RetrySlack/float64(count.All+spareNodes), 1),
--- a/internal/members/announcer.go
+++ b/internal/members/announcer.go
@@ -93,15 +93,16 @@
 		announcer.readAt = now.Add(retryInterval)
 		return
 	}
-	announcer.table.Observe(listing.Items, time.Now())
-	if now.Before(announcer.trustedAt) {
-		announcer.readAt = announcer.trustedAt
-		return
+	settled := !now.Before(announcer.trustedAt)
+	announcer.readAt = announcer.trustedAt
+	if settled {
+		announcer.readAt = now.Add(jittered(readInterval))
 	}
-	announcer.readAt = now.Add(jittered(readInterval))
+	announcer.table.Observe(listing.Items, time.Now())
 	count := announcer.table.Count(time.Now())
+	count.Settled = settled
 	if count != announcer.count {
-		klog.InfoS("members counted", "count", count.All, "in_zone", count.Zone, "before", announcer.count.All)
+		klog.InfoS("members counted", "count", count.All, "in_zone", count.Zone, "settled", settled, "before", announcer.count.All)
 		announcer.count = count
 		announcer.changed(count)
 	}
--- a/internal/members/announcer_test.go
+++ b/internal/members/announcer_test.go
@@ -62,7 +62,10 @@
 func (counter *counter) set(count Count) {
 	counter.mutex.Lock()
 	defer counter.mutex.Unlock()
-	counter.count = count.All
+	counter.count = 0
+	if count.Settled {
+		counter.count = count.All
+	}
 }
 
 func (counter *counter) get() int {
@@ -86,7 +89,7 @@
 			go announcer.Run(nodeContext)
 		}
 		time.Sleep(startInterval - time.Second)
-		is.Equal(counters[0].get(), 0) // no count is told before others can have announced themselves
+		is.Equal(counters[0].get(), 0) // no count is settled before others can have announced themselves
 		time.Sleep(2 * time.Second)
 		for index := range counters {
 			is.Equal(counters[index].get(), 3)
@@ -112,3 +115,20 @@
 		is.Equal(told.get(), 2) // nothing is concluded from silence
 	})
 }
+
+func TestRestartedNodeIsToldTheOthersAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		shared := &registry{members: map[string]Member{"b": {Name: "b"}, "c": {Name: "c"}}}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		told := make(chan Count, 8)
+		go NewAnnouncer(shared, Member{Name: "a"}, func(count Count) { told <- count }).Run(ctx)
+		is.Equal(<-told, Count{All: 3, Zone: 3})
+		is.Equal(<-told, Count{All: 3, Zone: 3, Settled: true})
+	})
+}
+
+func TestAtLeast(t *testing.T) {
+	is.New(t).Equal(Count{All: 60, Zone: 2, Settled: true}.AtLeast(Count{All: 10, Zone: 4}), Count{All: 60, Zone: 4, Settled: true})
+}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -68,6 +68,16 @@
 	All int
 	// Zone are the nodes in the zone of the one that counts.
 	Zone int
+	// Settled is set once nodes that started together have had time to announce
+	// themselves; before that the count may be too small.
+	Settled bool
+}
+
+// AtLeast returns the count, or the other one where that is larger.
+func (count Count) AtLeast(other Count) Count {
+	count.All = max(count.All, other.All)
+	count.Zone = max(count.Zone, other.Zone)
+	return count
 }
 
 // Count returns the number of live nodes, this one included.
