The store is read page by page, a second a page

Lists bounded as a whole could also never end on a slow store with many pages. TestSlowStoreIsReadPageByPage and TestStoreIsRegainedSoon.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -18,10 +18,13 @@
 	Value   T
 }
 
-// Listing is the whole state of a kind of objects at a revision.
-type Listing[T any] struct {
-	Items    []T
+// Page is a part of the state of a kind of objects.
+type Page[T any] struct {
+	Items []T
+	// Revision is the state of the store when the page was read.
 	Revision Revision
+	// Next is the name after which the state goes on; empty at its end.
+	Next string
 }
 
 // Changes are what happened to a kind of objects up to a revision.
@@ -45,8 +48,9 @@
 
 // Feed reads one kind of objects from a store.
 type Feed[T any] interface {
-	// List returns the whole state, not older than the call.
-	List(ctx context.Context) (Listing[T], error)
+	// List returns the objects after a name, or the first ones without a name, not
+	// older than the call.
+	List(ctx context.Context, after string) (Page[T], error)
 	// Watch returns the changes after a revision, as soon as there are any, or
 	// none after the wait.
 	Watch(ctx context.Context, request WatchRequest) (Changes[T], error)
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -18,11 +18,11 @@
 	// may, which costs a tenth: the store's lag is small unless it is disturbed,
 	// and this bounds what a larger one does.
 	freshInterval = 14 * time.Second
-	// listTimeout bounds one list with all its pages.
-	listTimeout = 2 * time.Second
+	// pageTimeout bounds the read of one page.
+	pageTimeout = time.Second
 	// firstPause is the pause after a failed call; it doubles up to longestPause.
 	firstPause   = 100 * time.Millisecond
-	longestPause = 800 * time.Millisecond
+	longestPause = 400 * time.Millisecond
 )
 
 // Observer counts calls. Its methods do not block.
@@ -73,21 +73,45 @@
 }
 
 func (follower *Follower[T]) list(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	listing, err := follower.feed.List(ctx)
+	begun := time.Now()
+	items, revision, err := follower.readPages(ctx)
 	if err != nil {
 		return err
 	}
-	if listing.Revision < follower.revision {
+	if revision < follower.revision {
 		return errors.New("the list is older than what is known")
 	}
-	follower.sink.Replace(listing.Items)
-	follower.revision, follower.listed = listing.Revision, true
-	follower.freshAt = time.Now()
+	follower.sink.Replace(items)
+	follower.revision, follower.listed = revision, true
+	follower.freshAt = begun
 	return nil
 }
 
+// readPages returns all objects and the revision of the first page: what changes
+// while the others are read is seen again by the watch from there.
+func (follower *Follower[T]) readPages(ctx context.Context) ([]T, Revision, error) {
+	first, err := follower.readPage(ctx, "")
+	if err != nil {
+		return nil, 0, err
+	}
+	items := first.Items
+	for next := first.Next; next != ""; {
+		page, err := follower.readPage(ctx, next)
+		if err != nil {
+			return nil, 0, err
+		}
+		items = append(items, page.Items...)
+		next = page.Next
+	}
+	return items, first.Revision, nil
+}
+
+func (follower *Follower[T]) readPage(ctx context.Context, after string) (Page[T], error) {
+	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
+	defer cancel()
+	return follower.feed.List(ctx, after)
+}
+
 func (follower *Follower[T]) watch(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
--- a/internal/catalog/follower_test.go
+++ b/internal/catalog/follower_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,6 +14,9 @@
 	"github.com/matryer/is"
 )
 
+// pageSize is the most objects of one page.
+const pageSize = 3
+
 // memoryFeed is a feed in memory with the faults of a store.
 type memoryFeed struct {
 	mutex    sync.Mutex
@@ -24,9 +30,11 @@
 	hang, fail bool
 	// staleBehind is how many revisions stale watches do not see.
 	staleBehind Revision
-	lists       int
-	fresh       int
-	stale       int
+	// delay comes before each page.
+	delay time.Duration
+	lists int
+	fresh int
+	stale int
 }
 
 func newMemoryFeed() *memoryFeed {
@@ -72,18 +80,34 @@
 	return nil
 }
 
-func (feed *memoryFeed) List(ctx context.Context) (Listing[string], error) {
+func (feed *memoryFeed) List(ctx context.Context, after string) (Page[string], error) {
 	if err := feed.trouble(ctx); err != nil {
-		return Listing[string]{}, err
+		return Page[string]{}, err
+	}
+	feed.mutex.Lock()
+	delay := feed.delay
+	feed.mutex.Unlock()
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+		return Page[string]{}, ctx.Err()
 	}
 	feed.mutex.Lock()
 	defer feed.mutex.Unlock()
 	feed.lists++
-	listing := Listing[string]{Revision: feed.revision}
-	for _, value := range feed.items {
-		listing.Items = append(listing.Items, value)
+	page := Page[string]{Revision: feed.revision}
+	for _, name := range slices.Sorted(maps.Keys(feed.items)) {
+		switch {
+		case name <= after:
+		case len(page.Items) == pageSize:
+			return page, nil
+		default:
+			page.Items = append(page.Items, feed.items[name])
+			page.Next = name
+		}
 	}
-	return listing, nil
+	page.Next = ""
+	return page, nil
 }
 
 func (feed *memoryFeed) Watch(ctx context.Context, request WatchRequest) (Changes[string], error) {
@@ -138,6 +162,7 @@
 type memorySink struct {
 	mutex    sync.Mutex
 	last     string
+	size     int
 	replaced int
 }
 
@@ -145,6 +170,7 @@
 	sink.mutex.Lock()
 	defer sink.mutex.Unlock()
 	sink.replaced++
+	sink.size = len(items)
 	if len(items) > 0 {
 		sink.last = items[0]
 	}
@@ -231,6 +257,39 @@
 	})
 }
 
+// A store that answers slowly is read page by page, however long all pages take.
+func TestSlowStoreIsReadPageByPage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		feed, sink := newMemoryFeed(), &memorySink{}
+		for number := range 10 * pageSize {
+			feed.set(fmt.Sprintf("name-%02d", number), "value")
+		}
+		feed.configure(func() { feed.delay = pageTimeout * 9 / 10 })
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go NewFollower("test", feed, sink, uncounted{}).Run(ctx)
+		time.Sleep(10 * pageTimeout)
+		sink.mutex.Lock()
+		defer sink.mutex.Unlock()
+		is.Equal(sink.size, 10*pageSize)
+	})
+}
+
+// A store that has been silent is read again soon after it answers.
+func TestStoreIsRegainedSoon(t *testing.T) {
+	for silence := 4 * time.Second; silence < 12*time.Second; silence += 300 * time.Millisecond {
+		follow(t, func(is *is.I, feed *memoryFeed, sink *memorySink) {
+			feed.configure(func() { feed.hang = true })
+			feed.set("main", "two")
+			time.Sleep(silence)
+			feed.configure(func() { feed.hang = false })
+			time.Sleep(pageTimeout + longestPause + time.Millisecond)
+			is.Equal(sink.get(), "two")
+		})
+	}
+}
+
 func TestOlderListIsNotTaken(t *testing.T) {
 	is := is.New(t)
 	feed, sink := newMemoryFeed(), &memorySink{}
--- a/internal/members/announcer.go
+++ b/internal/members/announcer.go
@@ -88,7 +88,7 @@
 }
 
 func (announcer *Announcer) read(now time.Time) {
-	listing, err := announcer.registry.Members(now.Add(callTimeout))
+	all, err := announcer.registry.Members(now.Add(callTimeout))
 	if err != nil {
 		announcer.readAt = now.Add(retryInterval)
 		return
@@ -98,7 +98,7 @@
 	if settled {
 		announcer.readAt = now.Add(jittered(readInterval))
 	}
-	announcer.table.Observe(listing.Items, time.Now())
+	announcer.table.Observe(all, time.Now())
 	count := announcer.table.Count(time.Now())
 	count.Settled = settled
 	if count != announcer.count {
--- a/internal/members/announcer_test.go
+++ b/internal/members/announcer_test.go
@@ -9,8 +9,6 @@
 	"time"
 
 	"github.com/matryer/is"
-
-	"github.com/driftstage/driftstage/internal/catalog"
 )
 
 // registry is a registry in memory.
@@ -34,17 +32,17 @@
 	return nil
 }
 
-func (registry *registry) Members(time.Time) (catalog.Listing[Member], error) {
+func (registry *registry) Members(time.Time) ([]Member, error) {
 	registry.mutex.Lock()
 	defer registry.mutex.Unlock()
 	if registry.down {
-		return catalog.Listing[Member]{}, errDown
+		return nil, errDown
 	}
-	var listing catalog.Listing[Member]
+	var all []Member
 	for _, member := range registry.members {
-		listing.Items = append(listing.Items, member)
+		all = append(all, member)
 	}
-	return listing, nil
+	return all, nil
 }
 
 func (registry *registry) setDown(down bool) {
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -3,11 +3,7 @@
 // nodes share: the connections of a server and the slack of the retry budget.
 package members
 
-import (
-	"time"
-
-	"github.com/driftstage/driftstage/internal/catalog"
-)
+import "time"
 
 // Member is one node's announcement.
 type Member struct {
@@ -24,7 +20,7 @@
 	// Announce writes or replaces the node's announcement.
 	Announce(member Member, deadline time.Time) error
 	// Members returns all announcements; the list may be seconds old.
-	Members(deadline time.Time) (catalog.Listing[Member], error)
+	Members(deadline time.Time) ([]Member, error)
 }
 
 // sighting is when an announcement was last seen to change.
