--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -73,7 +73,7 @@
 func TestSplitKeepsItsWeights(t *testing.T) {
 	is := is.New(t)
 	route := singleRoute("/split/", "safe", "")
-	route.TrafficSplit = []splitSpec{{"s", 80}, {"u", 20}}
+	route.TrafficSplit = []standin.Split{{Service: "s", Weight: 80}, {Service: "u", Weight: 20}}
 	world := newWorld(t, configuration(1, route))
 	first := world.serve(standin.ServerOptions{ID: "i-1", Service: "s"})
 	second := world.serve(standin.ServerOptions{ID: "i-2", Service: "u"})
--- a/internal/edge/world_test.go
+++ b/internal/edge/world_test.go
@@ -30,70 +30,30 @@
 	stopped chan error
 }
 
-// routeSpec and the types below are the operator's configuration on the wire.
-type routeSpec struct {
-	Name            string      `json:"name"`
-	Host            string      `json:"host"`
-	PathPrefix      string      `json:"pathPrefix"`
-	Kind            string      `json:"kind"`
-	TimeoutMs       int         `json:"timeoutMs"`
-	TargetLatencyMs int         `json:"targetLatencyMs"`
-	Service         string      `json:"service,omitempty"`
-	TrafficSplit    []splitSpec `json:"trafficSplit,omitempty"`
-	Gather          []string    `json:"gather,omitempty"`
-	MaxAttempts     int         `json:"maxAttempts"`
-	ResultCount     int         `json:"resultCount,omitempty"`
-	MinVersion      float64     `json:"minVersion,omitempty"`
-}
-
-type splitSpec struct {
-	Service string  `json:"service"`
-	Weight  float64 `json:"weight"`
-}
-
-type serviceSpec struct {
-	Name           string `json:"name"`
-	MaxConnections int    `json:"maxConnections"`
-}
-
-type limitsSpec struct {
-	MaxHeaderBytes  int `json:"maxHeaderBytes"`
-	MaxBodyBytes    int `json:"maxBodyBytes"`
-	HeaderTimeoutMs int `json:"headerTimeoutMs"`
-	IdleTimeoutMs   int `json:"idleTimeoutMs"`
-}
-
-type configurationSpec struct {
-	Version  uint64        `json:"version"`
-	Routes   []routeSpec   `json:"routes"`
-	Services []serviceSpec `json:"services"`
-	Limits   limitsSpec    `json:"limits"`
-}
-
 const testHost = "a.example"
 
-var testLimits = limitsSpec{MaxHeaderBytes: 8192, MaxBodyBytes: 65536, HeaderTimeoutMs: 500, IdleTimeoutMs: 3000}
+var testLimits = standin.Limits{MaxHeaderBytes: 8192, MaxBodyBytes: 65536, HeaderTimeoutMs: 500, IdleTimeoutMs: 3000}
 
-func singleRoute(path, kind, service string) routeSpec {
-	return routeSpec{
+func singleRoute(path, kind, service string) standin.Route {
+	return standin.Route{
 		Name: "r" + path, Host: testHost, PathPrefix: path, Kind: kind,
 		TimeoutMs: 2000, TargetLatencyMs: 500, Service: service, MaxAttempts: 2,
 	}
 }
 
-func gatherRoute(path string, shards ...string) routeSpec {
-	return routeSpec{
+func gatherRoute(path string, shards ...string) standin.Route {
+	return standin.Route{
 		Name: "r" + path, Host: testHost, PathPrefix: path, Kind: "safe",
 		TimeoutMs: 2000, TargetLatencyMs: 300, Gather: shards, MaxAttempts: 2, ResultCount: 3, MinVersion: 0.5,
 	}
 }
 
-func configuration(version uint64, routes ...routeSpec) configurationSpec {
-	return configurationSpec{Version: version, Routes: routes, Limits: testLimits}
+func configuration(version uint64, routes ...standin.Route) standin.Configuration {
+	return standin.Configuration{Version: version, Routes: routes, Limits: testLimits}
 }
 
 // newWorld starts a store with the configuration; the node starts with start.
-func newWorld(t *testing.T, config configurationSpec) *world {
+func newWorld(t *testing.T, config standin.Configuration) *world {
 	t.Helper()
 	store, err := standin.NewStore()
 	is.New(t).NoErr(err)
@@ -103,9 +63,9 @@
 	return world
 }
 
-func (world *world) configure(config configurationSpec) {
+func (world *world) configure(config standin.Configuration) {
 	world.t.Helper()
-	is.New(world.t).NoErr(world.store.Put("config", "main", config))
+	is.New(world.t).NoErr(world.store.Configure(config))
 }
 
 // serve starts a server and enters it into the store.
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -104,34 +104,6 @@
 	return name + strings.Repeat(".", 16-len(name))
 }
 
-type routeSpec struct {
-	Name            string   `json:"name"`
-	Host            string   `json:"host"`
-	PathPrefix      string   `json:"pathPrefix"`
-	Kind            string   `json:"kind"`
-	TimeoutMs       int      `json:"timeoutMs"`
-	TargetLatencyMs int      `json:"targetLatencyMs"`
-	Service         string   `json:"service,omitempty"`
-	Gather          []string `json:"gather,omitempty"`
-	MaxAttempts     int      `json:"maxAttempts"`
-	ResultCount     int      `json:"resultCount,omitempty"`
-	MinVersion      float64  `json:"minVersion,omitempty"`
-}
-
-type limitsSpec struct {
-	MaxHeaderBytes  int `json:"maxHeaderBytes"`
-	MaxBodyBytes    int `json:"maxBodyBytes"`
-	HeaderTimeoutMs int `json:"headerTimeoutMs"`
-	IdleTimeoutMs   int `json:"idleTimeoutMs"`
-}
-
-type configurationSpec struct {
-	Version  uint64      `json:"version"`
-	Routes   []routeSpec `json:"routes"`
-	Services []struct{}  `json:"services"`
-	Limits   limitsSpec  `json:"limits"`
-}
-
 // resultCount is the number of records of a gathered answer.
 const resultCount = 3
 
@@ -140,16 +112,16 @@
 func (world *world) configure(t *testing.T) {
 	t.Helper()
 	world.version++
-	route := func(path, kind string) routeSpec {
-		return routeSpec{Name: "r" + path, Host: host, PathPrefix: path, Kind: kind, TimeoutMs: 2000, TargetLatencyMs: 300, MaxAttempts: 2}
+	route := func(path, kind string) standin.Route {
+		return standin.Route{Name: "r" + path, Host: host, PathPrefix: path, Kind: kind, TimeoutMs: 2000, TargetLatencyMs: 300, MaxAttempts: 2}
 	}
 	gather, safe, unsafe, own := route(pathGather, "safe"), route(pathSafe, "safe"), route(pathUnsafe, "unsafe"), route(world.versionPath(), "safe")
 	gather.Gather, gather.ResultCount, gather.MinVersion = shards, resultCount, 0.5
 	safe.Service, unsafe.Service, own.Service = whole, whole, whole
-	err := world.store.Put("config", "main", configurationSpec{
+	err := world.store.Configure(standin.Configuration{
 		Version: world.version,
-		Routes:  []routeSpec{gather, safe, unsafe, own},
-		Limits:  limitsSpec{MaxHeaderBytes: 8192, MaxBodyBytes: 65536, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000},
+		Routes:  []standin.Route{gather, safe, unsafe, own},
+		Limits:  standin.Limits{MaxHeaderBytes: 8192, MaxBodyBytes: 65536, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000},
 	})
 	if err != nil {
 		t.Fatal(err)
