--- a/internal/endpoints/directory_test.go
+++ b/internal/endpoints/directory_test.go
@@ -73,6 +73,31 @@
 	is.Equal(choose(t, directory, demand(work), later).Server.ID, "near") // tried again after a while
 }
 
+func TestSlowServerIsTriedAgainWithOneRequest(t *testing.T) {
+	is := is.New(t)
+	directory := directoryOf(server("near", "near-1"), server("far", "far-1"))
+	work := NewEstimate(20 * time.Millisecond)
+	slow := directory.byID["near"]
+	slow.slowness, slow.slownessAt = 8, epoch
+	later := epoch.Add(2 * slownessHalfLife)
+	is.Equal(choose(t, directory, demand(work), later).Server.ID, "near")
+	is.Equal(choose(t, directory, demand(work), later).Server.ID, "far")
+}
+
+func TestFailedServerIsTriedAgainWithOneRequest(t *testing.T) {
+	is := is.New(t)
+	directory := directoryOf(server("near", "near-1"), server("far", "far-1"))
+	work := NewEstimate(20 * time.Millisecond)
+	directory.Finish(choose(t, directory, demand(work), epoch), work, ResultFailed, epoch)
+	later := epoch.Add(maximumBackoff)
+	probe := choose(t, directory, demand(work), later)
+	is.Equal(probe.Server.ID, "near")
+	is.Equal(choose(t, directory, demand(work), later).Server.ID, "far")
+	directory.Finish(probe, work, ResultAnswered, later)
+	is.Equal(choose(t, directory, demand(work), later).Server.ID, "near")
+	is.Equal(choose(t, directory, demand(work), later).Server.ID, "near")
+}
+
 func TestSilentServerIsAvoided(t *testing.T) {
 	is := is.New(t)
 	directory := directoryOf(server("near", "near-1"), server("far", "far-1"))
--- a/internal/endpoints/endpoint.go
+++ b/internal/endpoints/endpoint.go
@@ -88,7 +88,11 @@
 
 // predict returns the expected time until an answer, distance left out.
 func (endpoint *Endpoint) predict(work time.Duration, now time.Time) time.Duration {
-	expected := float64(work) * endpoint.currentSlowness(now)
+	slowness := endpoint.currentSlowness(now)
+	if endpoint.probed() {
+		slowness = max(slowness, endpoint.slowness)
+	}
+	expected := float64(work) * slowness
 	predicted := time.Duration(expected * (1 + endpoint.queueing()))
 	if age := endpoint.silence(now); float64(age) > stallFactor*expected {
 		predicted += age
@@ -126,8 +130,12 @@
 	return endpoint.answeredAt.Before(started)
 }
 
+// probed reports whether a request is under way. A server that was slow or failed
+// is tried again with one request at a time, until that is answered.
+func (endpoint *Endpoint) probed() bool { return len(endpoint.underWay) > 0 }
+
 func (endpoint *Endpoint) backsOff(now time.Time) bool {
-	return now.Before(endpoint.backoffUntil)
+	return now.Before(endpoint.backoffUntil) || endpoint.failures > 0 && endpoint.probed()
 }
 
 // open reports whether the server may get new requests.
