--- a/internal/endpoints/choose.go
+++ b/internal/endpoints/choose.go
@@ -124,8 +124,7 @@
 
 func (directory *Directory) cost(endpoint *Endpoint, demand Demand, now time.Time) time.Duration {
 	cost := directory.expected(endpoint, demand, now)
-	inTime := cost <= time.Duration(nearShare*float64(demand.Left))
-	if !inTime || !directory.topology.sameRegion(endpoint.Zone) {
+	if !directory.preferred(endpoint, demand, now) {
 		cost += farCost
 	}
 	if endpoint.backsOff(now) {
@@ -134,6 +133,13 @@
 	return cost
 }
 
+// preferred reports whether the server is near and fast enough to leave time for
+// another attempt.
+func (directory *Directory) preferred(endpoint *Endpoint, demand Demand, now time.Time) bool {
+	return directory.topology.sameRegion(endpoint.Zone) &&
+		directory.expected(endpoint, demand, now) <= time.Duration(nearShare*float64(demand.Left))
+}
+
 func (directory *Directory) reserve(endpoint *Endpoint, demand Demand, now time.Time) Choice {
 	choice := Choice{
 		Endpoint:   endpoint,
@@ -159,19 +165,19 @@
 // another region could take over, that is as late as leaves time for it.
 func (directory *Directory) lateAfter(endpoint *Endpoint, demand Demand, now time.Time) time.Duration {
 	late := endpoint.lateAfter(demand.Work, now) + directory.topology.RoundTrip(endpoint.Zone)
-	if directory.hasNear(demand, endpoint) {
+	if directory.hasNear(demand, endpoint, now) {
 		return late
 	}
 	needed := time.Duration(hedgeReserve*float64(demand.Work.Late())) + otherRegionRoundTrip + hedgeMargin
 	return max(late, demand.Left-needed)
 }
 
-// hasNear reports whether the own region has a server besides the one given and
+// hasNear reports whether a preferred server is there besides the one given and
 // those tried.
-func (directory *Directory) hasNear(demand Demand, except *Endpoint) bool {
+func (directory *Directory) hasNear(demand Demand, except *Endpoint, now time.Time) bool {
 	return slices.ContainsFunc(directory.service(demand.Service).endpoints, func(other *Endpoint) bool {
-		return other != except && other.open() &&
-			directory.topology.sameRegion(other.Zone) && !slices.Contains(demand.Tried, other)
+		return other != except && other.open() && !other.backsOff(now) &&
+			directory.preferred(other, demand, now) && !slices.Contains(demand.Tried, other)
 	})
 }
 
--- a/internal/endpoints/directory_test.go
+++ b/internal/endpoints/directory_test.go
@@ -231,6 +231,18 @@
 	is.True(alone.LateAfter < 150*time.Millisecond) // time for the other one is left
 }
 
+func TestSlowNearServerIsNoReasonToHedgeEarly(t *testing.T) {
+	is := is.New(t)
+	work := NewEstimate(20 * time.Millisecond)
+	directory := directoryOf(server("near", "near-1"), server("far", "far-1"))
+	slow := directory.byID["near"]
+	slow.slowness, slow.slownessAt = 20, epoch
+	choice := choose(t, directory, demand(work), epoch)
+	is.Equal(choice.Server.ID, "far")
+	alone := choose(t, directoryOf(server("far", "far-1")), demand(work), epoch)
+	is.Equal(choice.LateAfter, alone.LateAfter)
+}
+
 func TestEstimateFollowsTheWork(t *testing.T) {
 	is := is.New(t)
 	estimate := NewEstimate(100 * time.Millisecond)
