--- a/internal/members/announcer.go
+++ b/internal/members/announcer.go
@@ -9,22 +9,44 @@
 )
 
 const (
-	// announceInterval is how often a node announces itself. Calls to the
-	// registry are dear and the count may lag, so it is long.
+	// announceInterval is how often a node announces itself at the least number of
+	// nodes. Calls to the registry are dear and the count may lag, so it is long.
 	announceInterval = 20 * time.Second
-	// readInterval is how often a node reads the announcements.
+	// readInterval is how often a node reads the announcements at that number.
 	readInterval = 8 * time.Second
-	// startInterval is how long a node that has started waits before it counts.
+	// announceStep and readStep are what each node adds to the intervals where that
+	// is more: what all nodes read and write together grows no faster than their
+	// number.
+	announceStep = 200 * time.Millisecond
+	readStep     = 100 * time.Millisecond
+	// startInterval is how long a node that has started waits before its count is
+	// settled.
 	startInterval = 4 * time.Second
 	// callTimeout bounds one call to the registry.
 	callTimeout = time.Second
 	// retryInterval is the pause after a call that failed.
 	retryInterval = 2 * time.Second
-	// lifetime is how long an announcement that does not change counts: two
-	// announcements may be missed.
-	lifetime = 2*announceInterval + 2*readInterval
 )
 
+// intervals are the times of announcing and reading at a number of nodes.
+type intervals struct {
+	announce time.Duration
+	read     time.Duration
+}
+
+func intervalsAt(nodes int) intervals {
+	return intervals{
+		announce: max(announceInterval, time.Duration(nodes)*announceStep),
+		read:     max(readInterval, time.Duration(nodes)*readStep),
+	}
+}
+
+// lifetime is how long an announcement that does not change counts: two
+// announcements may be missed.
+func (intervals intervals) lifetime() time.Duration {
+	return 2*intervals.announce + 2*intervals.read
+}
+
 // Announcer keeps the node announced and the count of nodes current.
 type Announcer struct {
 	registry Registry
@@ -46,7 +68,7 @@
 	return &Announcer{
 		registry: registry,
 		member:   member,
-		table:    NewTable(member, lifetime),
+		table:    NewTable(member),
 		changed:  changed,
 	}
 }
@@ -84,7 +106,7 @@
 		announcer.announceAt = now.Add(retryInterval)
 		return
 	}
-	announcer.announceAt = now.Add(jittered(announceInterval))
+	announcer.announceAt = now.Add(jittered(announcer.intervals().announce))
 }
 
 func (announcer *Announcer) read(now time.Time) {
@@ -96,10 +118,10 @@
 	settled := !now.Before(announcer.trustedAt)
 	announcer.readAt = announcer.trustedAt
 	if settled {
-		announcer.readAt = now.Add(jittered(readInterval))
+		announcer.readAt = now.Add(jittered(announcer.intervals().read))
 	}
 	announcer.table.Observe(all, time.Now())
-	count := announcer.table.Count(time.Now())
+	count := announcer.table.Count(time.Now(), intervalsAt(len(all)).lifetime())
 	count.Settled = settled
 	if count != announcer.count {
 		klog.InfoS("members counted", "count", count.All, "in_zone", count.Zone, "settled", settled, "before", announcer.count.All)
@@ -108,6 +130,8 @@
 	}
 }
 
+func (announcer *Announcer) intervals() intervals { return intervalsAt(announcer.count.All) }
+
 // jittered spreads the calls of nodes that started together.
 func jittered(interval time.Duration) time.Duration {
 	return interval - rand.N(interval/8)
--- a/internal/members/announcer_test.go
+++ b/internal/members/announcer_test.go
@@ -93,7 +93,7 @@
 			is.Equal(counters[index].get(), 3)
 		}
 		stops[2]()
-		time.Sleep(lifetime + 2*readInterval)
+		time.Sleep(intervalsAt(3).lifetime() + 2*readInterval)
 		is.Equal(counters[0].get(), 2) // the stopped node no longer counts
 	})
 }
@@ -109,7 +109,7 @@
 		time.Sleep(startInterval + time.Second)
 		is.Equal(told.get(), 2)
 		shared.setDown(true)
-		time.Sleep(5 * lifetime)
+		time.Sleep(5 * intervalsAt(3).lifetime())
 		is.Equal(told.get(), 2) // nothing is concluded from silence
 	})
 }
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -31,15 +31,13 @@
 
 // Table is what a node knows of the others. It does no I/O and reads no clock.
 type Table struct {
-	own Member
-	// lifetime is how long an announcement that does not change counts.
-	lifetime  time.Duration
+	own       Member
 	sightings map[string]sighting
 }
 
 // NewTable returns a table that knows only the node itself.
-func NewTable(own Member, lifetime time.Duration) *Table {
-	return &Table{own: own, lifetime: lifetime, sightings: make(map[string]sighting)}
+func NewTable(own Member) *Table {
+	return &Table{own: own, sightings: make(map[string]sighting)}
 }
 
 // Observe takes a list of all announcements into account.
@@ -76,11 +74,12 @@
 	return count
 }
 
-// Count returns the number of live nodes, this one included.
-func (table *Table) Count(now time.Time) Count {
+// Count returns the number of live nodes, this one included: those whose
+// announcement has changed within the lifetime.
+func (table *Table) Count(now time.Time, lifetime time.Duration) Count {
 	count := Count{All: 1, Zone: 1}
 	for name, sighting := range table.sightings {
-		if name == table.own.Name || now.Sub(sighting.seen) >= table.lifetime {
+		if name == table.own.Name || now.Sub(sighting.seen) >= lifetime {
 			continue
 		}
 		count.All++
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -28,18 +28,24 @@
 		{"an expired one comes back", []observation{{0, []Member{other}, 2}, {31 * time.Second, []Member{other}, 1}, {32 * time.Second, []Member{renewed}, 2}}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			table := NewTable(Member{Name: "a", Zone: "z"}, 30*time.Second)
+			table := NewTable(Member{Name: "a", Zone: "z"})
 			for _, step := range test.steps {
 				now := start.Add(step.after)
 				table.Observe(step.members, now)
-				is.New(t).Equal(table.Count(now).All, step.want)
+				is.New(t).Equal(table.Count(now, 30*time.Second).All, step.want)
 			}
 		})
 	}
 }
 
 func TestCountOfTheZone(t *testing.T) {
-	table := NewTable(Member{Name: "a", Zone: "z"}, time.Minute)
+	table := NewTable(Member{Name: "a", Zone: "z"})
 	table.Observe([]Member{{Name: "a", Zone: "z"}, {Name: "b", Zone: "z"}, {Name: "c", Zone: "y"}}, time.Unix(1, 0))
-	is.New(t).Equal(table.Count(time.Unix(2, 0)), Count{All: 3, Zone: 2})
+	is.New(t).Equal(table.Count(time.Unix(2, 0), time.Minute), Count{All: 3, Zone: 2})
+}
+
+func TestIntervalsGrowWithTheNodes(t *testing.T) {
+	is := is.New(t)
+	is.Equal(intervalsAt(9), intervals{announce: announceInterval, read: readInterval})
+	is.Equal(intervalsAt(3600), intervals{announce: 12 * time.Minute, read: 6 * time.Minute})
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -36,8 +36,11 @@
 	askTimeout = 500 * time.Millisecond
 	// askInterval is the pause after a round of questions.
 	askInterval = 300 * time.Millisecond
-	// patience is how long the store has to itself before peers are asked.
-	patience = 150 * time.Millisecond
+	// patience, and a random part of patienceSpread, is how long the store has to
+	// itself before peers are asked: many nodes that start together must not all
+	// turn to the same few.
+	patience       = 350 * time.Millisecond
+	patienceSpread = 350 * time.Millisecond
 	// maximumSnapshotBytes bounds an answer.
 	maximumSnapshotBytes = 64 << 20
 	idleTimeout          = 10 * time.Second
@@ -122,7 +125,7 @@
 
 // Run returns when the node knows enough, or when ctx ends.
 func (starter Starter) Run(ctx context.Context) {
-	pause := patience
+	pause := patience + rand.N(patienceSpread)
 	for {
 		select {
 		case <-ctx.Done():
