--- a/Makefile
+++ b/Makefile
@@ -45,3 +45,4 @@
 
 demo: build
 	$(BIN)/driftlab demo
+	$(BIN)/driftlab router
--- a/cmd/driftlab/main.go
+++ b/cmd/driftlab/main.go
@@ -56,6 +56,7 @@
 			loadCommand(),
 			scaleCommand(),
 			demoCommand(),
+			routerDemoCommand(),
 			experimentCommand(),
 		},
 	}
--- /dev/null
+++ b/cmd/driftlab/router.go
@@ -0,0 +1,170 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v4"
+
+	"github.com/driftstage/driftstage/platform/standin"
+)
+
+const (
+	routerDemoTimeout = 30 * time.Second
+	routerDemoHost    = "demo.example"
+	// routerDemoWait is how long the demo's client waits for an answer.
+	routerDemoWait = 2 * time.Second
+)
+
+func routerDemoCommand() *ff.Command {
+	flags := ff.NewFlagSet("router")
+	hold := flags.BoolLong("hold", "keep the system running after the requests, until SIGINT or SIGTERM")
+	return &ff.Command{
+		Name:      "router",
+		Usage:     "driftlab router [FLAGS]",
+		ShortHelp: "start driftrouter with stand-ins of the users' platform on loopback, ask it, stop it",
+		Flags:     flags,
+		Exec: func(ctx context.Context, args []string) error {
+			if err := wantNoArguments(args); err != nil {
+				return err
+			}
+			return routerDemo(ctx, *hold)
+		},
+	}
+}
+
+func routerDemo(interrupted context.Context, hold bool) error {
+	ctx, cancel := context.WithTimeout(interrupted, routerDemoTimeout)
+	defer cancel()
+	store, closeAll, err := startRouterWorld()
+	if err != nil {
+		return err
+	}
+	defer closeAll()
+	router, err := startRouter(ctx, store.Address())
+	if err != nil {
+		return err
+	}
+	err = router.show(ctx)
+	if err == nil && hold {
+		fmt.Println("held at", router.address, "until SIGINT or SIGTERM")
+		<-interrupted.Done()
+	}
+	return errors.CombineErrors(err, router.stop())
+}
+
+// startRouterWorld starts a store with a configuration, and servers: two shards of
+// two servers each, and one service for whole requests.
+func startRouterWorld() (*standin.Store, func(), error) {
+	store, err := standin.NewStore()
+	if err != nil {
+		return nil, nil, err
+	}
+	closers := []func(){store.Close}
+	closeAll := func() {
+		for _, closer := range closers {
+			closer()
+		}
+	}
+	for _, service := range []string{"shard-a", "shard-b", "whole"} {
+		for index := range 2 {
+			id := fmt.Sprintf("i-%s-%d", service, index)
+			server, err := standin.NewServer(standin.ServerOptions{
+				ID: id, Service: service, Zone: "zone-1", Work: 5 * time.Millisecond,
+				Body: fmt.Appendf(nil, "%-16s%-16s", service+" first", service+" second"),
+			})
+			if err == nil {
+				closers = append(closers, server.Close)
+				err = store.Put("servers", id, server.Spec())
+			}
+			if err != nil {
+				closeAll()
+				return nil, nil, err
+			}
+		}
+	}
+	return store, closeAll, store.Configure(routerDemoConfiguration())
+}
+
+func routerDemoConfiguration() standin.Configuration {
+	return standin.Configuration{
+		Version: 1,
+		Routes: []standin.Route{
+			{Name: "all", Host: routerDemoHost, PathPrefix: "/all/", Kind: "safe", TimeoutMs: 2000, TargetLatencyMs: 250,
+				Gather: []string{"shard-a", "shard-b"}, MaxAttempts: 2, ResultCount: 3, MinVersion: 0.5},
+			{Name: "one", Host: routerDemoHost, PathPrefix: "/one/", Kind: "unsafe", TimeoutMs: 2000, TargetLatencyMs: 250,
+				Service: "whole", MaxAttempts: 2},
+		},
+		Limits: standin.Limits{MaxHeaderBytes: 16384, MaxBodyBytes: 262144, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000},
+	}
+}
+
+// routerProcess is the driftrouter of the demo.
+type routerProcess struct {
+	command   *exec.Cmd
+	address   string
+	readiness string
+}
+
+func startRouter(ctx context.Context, store string) (*routerProcess, error) {
+	executable, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	process := &routerProcess{}
+	for _, address := range []*string{&process.address, &process.readiness} {
+		if *address, err = freeLoopbackAddress(); err != nil {
+			return nil, err
+		}
+	}
+	process.command = exec.Command(filepath.Join(filepath.Dir(executable), "driftrouter"),
+		"--name", "demo-1", "--zone", "zone-1", "--region", "region-1", "--store-address", store,
+		"--listen-address", process.address, "--readiness-address", process.readiness,
+		"--stop-timeout", "1s", "--log-sample", "1")
+	process.command.Stdout, process.command.Stderr = os.Stdout, os.Stderr
+	if err := process.command.Start(); err != nil {
+		return nil, errors.Wrap(err, "start driftrouter (make build puts it beside driftlab)")
+	}
+	for !standin.Ready(ctx, process.readiness) {
+		if ctx.Err() != nil {
+			return nil, errors.CombineErrors(ctx.Err(), process.stop())
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return process, nil
+}
+
+func freeLoopbackAddress() (string, error) {
+	listen, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer listen.Close()
+	return listen.Addr().String(), nil
+}
+
+// show asks one request of each route and prints the answers.
+func (process *routerProcess) show(ctx context.Context) error {
+	for _, path := range []string{"/all/x", "/one/x"} {
+		answer, err := standin.Ask(ctx, process.address, routerDemoHost, path, "demo"+path[1:4], routerDemoWait)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("%s: status %d, %d shards missing, signed by %v\n    %q\n", path, answer.Status, answer.Missing, answer.Seals, answer.Body)
+	}
+	return nil
+}
+
+func (process *routerProcess) stop() error {
+	if err := process.command.Process.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	return process.command.Wait()
+}
