A request that outlasts the stop is answered, not cut; waiting is recorded once in a trace

TestStopCutsNothing had a stop timeout of 1 s, in which its request of 0.4 s cannot end: it is 2 s now, the expectations are the same.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -28,7 +28,10 @@
 	cancels    map[exchange.AttemptID]context.CancelFunc
 	deadline   time.Time
 	trace      *trace.Trace
-	plan       exchange.Plan
+	// deferred is why a send of each service was put off last; it is recorded
+	// once, not at each look.
+	deferred map[string]endpoints.Availability
+	plan     exchange.Plan
 }
 
 func newRun(ctx context.Context, dispatcher *Dispatcher, request Request, plan exchange.Plan) *run {
@@ -39,6 +42,7 @@
 		context:    ctx,
 		// Every attempt can leave its reply without a reader.
 		replies:  make(chan ended, len(plan.Services)*plan.MaximumAttempts),
+		deferred: make(map[string]endpoints.Availability),
 		cancels:  make(map[exchange.AttemptID]context.CancelFunc, len(plan.Services)),
 		deadline: request.Arrived.Add(plan.Deadline),
 		trace:    dispatcher.recorder.Begin(request.Message.ID, request.Arrived),
@@ -60,7 +64,8 @@
 	demand := run.demand(service, now)
 	demand.Tried, demand.Extra = tried, extra
 	choice, availability := run.dispatcher.directory.Choose(demand, now)
-	if availability != endpoints.Chosen {
+	if known, waits := run.deferred[service]; availability != endpoints.Chosen && (!waits || known != availability) {
+		run.deferred[service] = availability
 		run.recordDeferred(service, extra, availability)
 	}
 	return choice, availability
--- /dev/null
+++ b/internal/dispatch/run_test.go
@@ -0,0 +1,36 @@
+package dispatch
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/driftstage/driftstage/internal/endpoints"
+	"github.com/driftstage/driftstage/internal/routing"
+	"github.com/driftstage/driftstage/internal/trace"
+	"github.com/driftstage/driftstage/internal/upstream"
+)
+
+// A request that waits for a server looks again and again; its trace must not
+// grow with each look.
+func TestWaitingIsRecordedOnce(t *testing.T) {
+	is := is.New(t)
+	var output bytes.Buffer
+	recorder := trace.NewRecorder(slog.NewJSONHandler(&output, nil), trace.Options{LinesPerSecond: 1000})
+	directory := endpoints.New(endpoints.Topology{})
+	dispatcher := New(directory, upstream.NewClient(upstream.Headers{}), recorder, NoObserver{})
+	route := &routing.Route{Name: "r", Timeout: time.Second, Target: 500 * time.Millisecond, Split: []routing.WeightedService{{Service: "s", Weight: 1}}}
+	outcome := dispatcher.Do(t.Context(), Request{
+		Route:   route,
+		Message: &upstream.Request{ID: "id-1"},
+		// A caller that returns is not refused at once, so it waits for a server.
+		Allowed: 900 * time.Millisecond,
+		Arrived: time.Now(),
+	})
+	is.True(outcome != nil)
+	is.Equal(strings.Count(output.String(), string(trace.EventDeferred)), 1)
+}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -244,7 +244,7 @@
 	is := is.New(t)
 	world := newWorld(t, configuration(1, singleRoute("/one/", "safe", "s")))
 	world.serve(standin.ServerOptions{ID: "i-1", Service: "s", Work: 400 * time.Millisecond})
-	world.startReady()
+	world.startReady(func(loaded *settings.Router) { loaded.StopTimeout = 2 * time.Second })
 	conn, err := net.Dial("tcp4", world.loaded.ListenAddress)
 	is.NoErr(err)
 	defer conn.Close()
@@ -281,6 +281,24 @@
 	world.stopped <- nil // for the end of the world
 }
 
+// A request that outlasts the stop gets its final answer; its connection is not cut.
+func TestStopAnswersWhatItCannotWaitFor(t *testing.T) {
+	is := is.New(t)
+	world := newWorld(t, configuration(1, singleRoute("/one/", "unsafe", "s")))
+	world.serve(standin.ServerOptions{ID: "i-1", Service: "s", Work: 1800 * time.Millisecond})
+	world.startReady()
+	got := make(chan answer, 1)
+	go func() { got <- world.ask("/one/", "id-1") }()
+	time.Sleep(100 * time.Millisecond)
+	world.stop()
+	err := <-world.stopped
+	is.NoErr(err) // nothing was cut
+	reply := <-got
+	is.Equal(reply.status, 504) // it may have run
+	is.True(reply.closing)
+	world.stopped <- nil // for the end of the world
+}
+
 func TestBadInput(t *testing.T) {
 	world := newWorld(t, configuration(1, singleRoute("/one/", "safe", "s")))
 	world.serve(standin.ServerOptions{ID: "i-1", Service: "s"})
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -18,7 +18,8 @@
 )
 
 // stop ends the node: readiness fails at once, callers are told to close their
-// connections, and requests under way are waited for. It returns how many were cut.
+// connections, and requests under way are waited for. Those that take longer than
+// the node may are answered at the end. It returns how many were cut.
 func (node *Node) stop(callers net.Listener) int64 {
 	begun := time.Now()
 	klog.InfoS("stopping", "under_way", node.server.UnderWay())
@@ -26,10 +27,20 @@
 	node.server.Stop()
 	time.Sleep(min(noticeTime, node.settings.StopTimeout/2))
 	_ = callers.Close()
-	deadline := begun.Add(node.settings.StopTimeout - stopReserve)
-	for node.server.UnderWay() > 0 && time.Now().Before(deadline) {
-		time.Sleep(stopPoll)
+	end := begun.Add(node.settings.StopTimeout - stopReserve)
+	node.awaitRequests(end)
+	if given := node.server.UnderWay(); given > 0 {
+		klog.InfoS("requests given up", "count", given)
+		node.server.End()
+		node.awaitRequests(end.Add(stopReserve / 2))
 	}
 	node.server.CloseIdle()
 	return node.server.UnderWay()
 }
+
+// awaitRequests returns when no request is under way, or at the time.
+func (node *Node) awaitRequests(until time.Time) {
+	for node.server.UnderWay() > 0 && time.Now().Before(until) {
+		time.Sleep(stopPoll)
+	}
+}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -37,6 +37,9 @@
 	open       *connections
 	stopping   atomic.Bool
 	underWay   atomic.Int64
+	// ending is done once the process can wait for no request any more.
+	ending context.Context
+	end    context.CancelFunc
 }
 
 // headerBufferBytes bounds the header of a request; buffers are held only while
@@ -59,6 +62,7 @@
 		dispatcher: options.Dispatcher,
 		open:       newConnections(),
 	}
+	server.ending, server.end = context.WithCancel(context.Background())
 	server.http = &fasthttp.Server{
 		Handler:                       server.handle,
 		ErrorHandler:                  handleError,
@@ -83,6 +87,9 @@
 // Stop announces the end: answers tell their callers to close connections.
 func (server *Server) Stop() { server.stopping.Store(true) }
 
+// End gives up the requests under way: they are answered at once.
+func (server *Server) End() { server.end() }
+
 // CloseIdle closes connections on which no request has begun.
 func (server *Server) CloseIdle() { server.open.closeIdle() }
 
@@ -143,15 +150,20 @@
 	})
 }
 
-// dispatch carries out the request; the work ends when the caller hangs up.
+// dispatch carries out the request; the work ends when the caller hangs up, or
+// when the process cannot wait for it.
 func (server *Server) dispatch(ctx *fasthttp.RequestCtx, request dispatch.Request) {
-	working, cancel := context.WithCancel(context.Background())
+	working, cancel := context.WithCancel(server.ending)
 	defer cancel()
 	caller := ctx.Conn().(*connection)
 	stopWatch := caller.watch(cancel)
 	outcome := server.dispatcher.Do(working, request)
 	stopWatch()
-	if outcome == nil {
+	switch {
+	case outcome == nil && server.ending.Err() != nil:
+		ctx.Error("the node stops\n", fasthttp.StatusGatewayTimeout)
+		return
+	case outcome == nil:
 		// Nobody waits for an answer, and no empty one may be sent.
 		_ = caller.Close()
 		return
