Idle connections are shared by region, dealt to subsets of nodes, and count in the choice of a server

Cause: on the grown deployments servers stand in one zone of each region. Sends to another region took 68 to 105 ms, of which 55 ms were the new connection, so hedges to them came too late for a target of 107 ms (383 of 1,141 missing parts).

Ruled out: the servers' own work (10 to 62 ms in the region, both first sends and hedges), the retry budget (spent in a tenth of the cases).

Now: near is the region; where the share of a far server's connections is below one, each node keeps one to a subset of the servers (rendezvous hashing); the choice, the time of a hedge and what is learned of a server count what a new connection takes.

--- a/internal/dispatch/run_test.go
+++ b/internal/dispatch/run_test.go
@@ -21,7 +21,7 @@
 	is := is.New(t)
 	var output bytes.Buffer
 	recorder := trace.NewRecorder(slog.NewJSONHandler(&output, nil), trace.Options{LinesPerSecond: 1000})
-	directory := endpoints.New(endpoints.Topology{})
+	directory := endpoints.New(endpoints.Topology{}, nil)
 	dispatcher := New(directory, upstream.NewClient(upstream.Headers{}), recorder, NoObserver{})
 	route := &routing.Route{Name: "r", Timeout: time.Second, Target: 500 * time.Millisecond, Split: []routing.WeightedService{{Service: "s", Weight: 1}}}
 	outcome := dispatcher.Do(t.Context(), Request{
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -49,11 +49,12 @@
 
 // presumedCount is the least number of nodes that are taken to share what is
 // shared until the count is settled.
-var presumedCount = members.Count{All: 10, Zone: 4}
+var presumedCount = members.Count{All: 10, Region: 4}
 
 // Node is one process of the query tier.
 type Node struct {
 	settings  settings.Router
+	topology  endpoints.Topology
 	started   time.Time
 	store     Store
 	state     *state
@@ -82,15 +83,18 @@
 // New wires the parts; nothing runs yet.
 func New(loaded settings.Router, names ingress.Names, store Store, logs Logs) *Node {
 	topology := endpoints.Topology{
+		Node:    loaded.Name,
 		Own:     endpoints.Place{Zone: loaded.Zone, Region: loaded.Region},
 		Regions: loaded.Regions,
 	}
+	client := upstream.NewClient(names.Headers)
 	node := &Node{
 		settings:  loaded,
+		topology:  topology,
 		started:   time.Now(),
 		store:     store,
-		directory: endpoints.New(topology),
-		client:    upstream.NewClient(names.Headers),
+		directory: endpoints.New(topology, client),
+		client:    client,
 	}
 	node.metrics = newMetrics(node, logs)
 	node.shareAmong(presumedCount)
@@ -147,7 +151,7 @@
 	servers := catalog.NewFollower(feedServers, node.store.Servers(), serverSink{node.state}, node.metrics)
 	tasks.Go(func() { tables.Run(ctx) })
 	tasks.Go(func() { servers.Run(ctx) })
-	announcer := members.NewAnnouncer(node.store, node.member(), node.shareAmong)
+	announcer := members.NewAnnouncer(node.store, node.member(), node.topology.Near, node.shareAmong)
 	tasks.Go(func() { announcer.Run(ctx) })
 	starter := peers.Starter{Addresses: node.settings.Seeds, Known: node.state.complete, Adopt: node.state.adoptSnapshot}
 	tasks.Go(func() { starter.Run(ctx) })
@@ -187,8 +191,8 @@
 		FillAt:   node.started.Add(node.settings.RetryWindow),
 	}
 	node.directory.Share(budget, endpoints.Sharers{
-		Near: count.Zone + spareNodes/2,
-		Far:  count.All - count.Zone + spareNodes/2,
+		Near: count.Region + spareNodes/2,
+		Far:  count.All - count.Region + spareNodes/2,
 	}, time.Now())
 }
 
--- a/internal/endpoints/choose.go
+++ b/internal/endpoints/choose.go
@@ -14,6 +14,8 @@
 	Expected time.Duration
 	// LateAfter is the time after which the answer is taken for late.
 	LateAfter time.Duration
+	// Connecting is what a new connection adds, as long as there is no idle one.
+	Connecting time.Duration
 	// UnderWay is how many requests this node had at the server before.
 	UnderWay int
 	// BudgetLeft is what is left of the service's retry budget.
@@ -85,7 +87,13 @@
 
 // expected returns the predicted time until an answer, round trip included.
 func (directory *Directory) expected(endpoint *Endpoint, demand Demand, now time.Time) time.Duration {
-	return endpoint.predict(demand.Work.Mean(), now) + directory.topology.RoundTrip(endpoint.Zone)
+	return endpoint.predict(demand.Work.Mean(), now) + directory.travel(endpoint)
+}
+
+// travel returns the time of the round trip to the endpoint, a new connection
+// included where there is no idle one.
+func (directory *Directory) travel(endpoint *Endpoint) time.Duration {
+	return directory.topology.RoundTrip(endpoint.Zone) + directory.connecting(endpoint)
 }
 
 // best returns the server with the least cost, or why there is none.
@@ -136,7 +144,7 @@
 // preferred reports whether the server is near and fast enough to leave time for
 // another attempt.
 func (directory *Directory) preferred(endpoint *Endpoint, demand Demand, now time.Time) bool {
-	return directory.topology.sameRegion(endpoint.Zone) &&
+	return directory.topology.Near(endpoint.Zone) &&
 		directory.expected(endpoint, demand, now) <= time.Duration(nearShare*float64(demand.Left))
 }
 
@@ -146,6 +154,7 @@
 		Server:     endpoint.Server,
 		Expected:   directory.expected(endpoint, demand, now),
 		LateAfter:  directory.lateAfter(endpoint, demand, now),
+		Connecting: directory.connecting(endpoint),
 		UnderWay:   len(endpoint.underWay),
 		BudgetLeft: directory.service(endpoint.Service).bucket.Tokens(),
 		Reserved:   now,
@@ -164,14 +173,29 @@
 // lateAfter returns when an answer is taken for late. Where only a server of
 // another region could take over, that is as late as leaves time for it.
 func (directory *Directory) lateAfter(endpoint *Endpoint, demand Demand, now time.Time) time.Duration {
-	late := endpoint.lateAfter(demand.Work, now) + directory.topology.RoundTrip(endpoint.Zone)
+	late := endpoint.lateAfter(demand.Work, now) + directory.travel(endpoint)
 	if directory.hasNear(demand, endpoint, now) {
 		return late
 	}
-	needed := time.Duration(hedgeReserve*float64(demand.Work.Late())) + otherRegionRoundTrip + hedgeMargin
+	needed := time.Duration(hedgeReserve*float64(demand.Work.Late())) + directory.farTravel(demand, endpoint) + hedgeMargin
 	return max(late, demand.Left-needed)
 }
 
+// farTravel returns the least travel to a server besides the one given and those
+// tried, that of another region with an idle connection if there is no other.
+func (directory *Directory) farTravel(demand Demand, except *Endpoint) time.Duration {
+	least := time.Duration(0)
+	for _, other := range directory.service(demand.Service).endpoints {
+		if other == except || !other.open() || slices.Contains(demand.Tried, other) {
+			continue
+		}
+		if travel := directory.travel(other); least == 0 || travel < least {
+			least = travel
+		}
+	}
+	return max(least, otherRegionRoundTrip)
+}
+
 // hasNear reports whether a preferred server is there besides the one given and
 // those tried.
 func (directory *Directory) hasNear(demand Demand, except *Endpoint, now time.Time) bool {
@@ -218,7 +242,7 @@
 	defer directory.mutex.Unlock()
 	endpoint := choice.Endpoint
 	endpoint.end(choice.Reserved)
-	elapsed := now.Sub(choice.Reserved) - directory.topology.RoundTrip(endpoint.Zone)
+	elapsed := now.Sub(choice.Reserved) - directory.topology.RoundTrip(endpoint.Zone) - choice.Connecting
 	ratio := float64(elapsed) / float64(max(estimate.Mean(), time.Millisecond))
 	switch result {
 	case ResultAnswered:
--- a/internal/endpoints/directory.go
+++ b/internal/endpoints/directory.go
@@ -10,7 +10,7 @@
 
 // Sharers are the nodes that share the connections of a server.
 type Sharers struct {
-	// Near are those of the server's own zone, Far all others.
+	// Near are those of the server's own region, Far all others.
 	Near int
 	Far  int
 }
@@ -18,6 +18,8 @@
 // Directory holds the endpoints of all services. It is safe for concurrent use.
 type Directory struct {
 	topology Topology
+	// connections may be nil: then no request needs a new connection.
+	connections Connections
 
 	mutex    sync.Mutex
 	budget   retrybudget.Limits
@@ -33,13 +35,14 @@
 	maxConnections int
 }
 
-// New returns an empty directory without retry budget.
-func New(topology Topology) *Directory {
+// New returns an empty directory without retry budget. The connections may be nil.
+func New(topology Topology, connections Connections) *Directory {
 	return &Directory{
-		topology: topology,
-		sharers:  Sharers{Near: 1, Far: 1},
-		byID:     make(map[string]*Endpoint),
-		services: make(map[string]*service),
+		topology:    topology,
+		connections: connections,
+		sharers:     Sharers{Near: 1, Far: 1},
+		byID:        make(map[string]*Endpoint),
+		services:    make(map[string]*service),
 	}
 }
 
@@ -133,45 +136,6 @@
 	}
 }
 
-const (
-	// busyShare is the part of a server's connections that a single node may use
-	// at a time. Nodes are not equally busy, and servers queue fewer requests than
-	// they accept connections; where it is too much, servers reset connections and
-	// the limit of the endpoint is cut.
-	busyShare = 0.4
-	// nearIdleShare and farIdleShare are the parts of a server's connections that
-	// nodes of its zone, and all others, may keep idle.
-	nearIdleShare = 0.45
-	farIdleShare  = 0.5
-)
-
-// NoLimit is the idle limit of servers whose connections are not bounded.
-const NoLimit = -1
-
-// ceiling returns how many requests the node may have at a server; 0 for no bound.
-func (directory *Directory) ceiling(maxConnections int) float64 {
-	if maxConnections == 0 {
-		return 0
-	}
-	return max(busyShare*float64(maxConnections), 1)
-}
-
-// IdleLimit returns how many idle connections the node may keep to the server: one
-// at least in its own zone, perhaps none elsewhere.
-func (directory *Directory) IdleLimit(server Server) int {
-	directory.mutex.Lock()
-	defer directory.mutex.Unlock()
-	maximum := float64(directory.service(server.Service).maxConnections)
-	switch {
-	case maximum == 0:
-		return NoLimit
-	case server.Zone == directory.topology.Own.Zone:
-		return max(int(nearIdleShare*maximum/float64(max(directory.sharers.Near, 1))), 1)
-	default:
-		return int(farIdleShare * maximum / float64(max(directory.sharers.Far, 1)))
-	}
-}
-
 func (directory *Directory) service(name string) *service {
 	owner, found := directory.services[name]
 	if !found {
--- a/internal/endpoints/directory_test.go
+++ b/internal/endpoints/directory_test.go
@@ -14,6 +14,7 @@
 
 func testTopology() Topology {
 	return Topology{
+		Node:    "node",
 		Own:     Place{Zone: "near-1", Region: "near"},
 		Regions: map[string]string{"near-1": "near", "near-2": "near", "far-1": "far"},
 	}
@@ -24,7 +25,7 @@
 }
 
 func directoryOf(servers ...Server) *Directory {
-	directory := New(testTopology())
+	directory := New(testTopology(), nil)
 	directory.Share(retrybudget.Limits{Ratio: 1, Capacity: 10}, Sharers{Near: 1, Far: 1}, epoch)
 	for _, server := range servers {
 		directory.Put(server, epoch)
@@ -182,7 +183,8 @@
 	directory.Configure(table, epoch)
 	directory.Share(retrybudget.Limits{}, Sharers{Near: 2, Far: 6}, epoch)
 	is.Equal(directory.IdleLimit(server("only", "near-1")), 2)
-	is.Equal(directory.IdleLimit(server("other", "far-1")), 0) // less than one each
+	is.Equal(directory.IdleLimit(server("beside", "near-2")), 2) // another zone of the region
+	is.Equal(directory.IdleLimit(server("other", "far-1")), 0)   // less than one each
 	work := NewEstimate(20 * time.Millisecond)
 	var choices []Choice
 	for range 4 { // two fifths of ten
--- a/internal/endpoints/server.go
+++ b/internal/endpoints/server.go
@@ -35,7 +35,9 @@
 
 // Topology tells how far servers are from this node.
 type Topology struct {
-	Own Place
+	// Node is this node's name.
+	Node string
+	Own  Place
 	// Regions is the region of each zone.
 	Regions map[string]string
 }
@@ -45,13 +47,14 @@
 	switch {
 	case zone == topology.Own.Zone:
 		return sameZoneRoundTrip
-	case topology.sameRegion(zone):
+	case topology.Near(zone):
 		return sameRegionRoundTrip
 	default:
 		return otherRegionRoundTrip
 	}
 }
 
-func (topology Topology) sameRegion(zone string) bool {
+// Near reports whether the zone is in this node's region.
+func (topology Topology) Near(zone string) bool {
 	return topology.Regions[zone] == topology.Own.Region
 }
--- /dev/null
+++ b/internal/endpoints/share.go
@@ -0,0 +1,113 @@
+package endpoints
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// busyShare is the part of a server's connections that a single node may use
+	// at a time. Nodes are not equally busy, and servers queue fewer requests than
+	// they accept connections; where it is too much, servers reset connections and
+	// the limit of the endpoint is cut.
+	busyShare = 0.4
+	// nearIdleShare and farIdleShare are the parts of a server's connections that
+	// nodes of its region, and all others, may keep idle.
+	nearIdleShare = 0.45
+	farIdleShare  = 0.5
+)
+
+// NoLimit is the idle limit of servers whose connections are not bounded.
+const NoLimit = -1
+
+// Connections tells what connections to servers this node has.
+type Connections interface {
+	// HasIdle reports whether a request to the server needs no new connection.
+	HasIdle(serverID string) bool
+}
+
+// connectWork is what servers take to accept a connection, besides the round trip.
+const connectWork = 5 * time.Millisecond
+
+// connecting returns what a new connection to the endpoint adds; zero if there is
+// an idle one.
+func (directory *Directory) connecting(endpoint *Endpoint) time.Duration {
+	if directory.connections == nil || directory.connections.HasIdle(endpoint.ID) {
+		return 0
+	}
+	return directory.topology.RoundTrip(endpoint.Zone) + connectWork
+}
+
+// ceiling returns how many requests the node may have at a server; 0 for no bound.
+func (directory *Directory) ceiling(maxConnections int) float64 {
+	if maxConnections == 0 {
+		return 0
+	}
+	return max(busyShare*float64(maxConnections), 1)
+}
+
+// IdleLimit returns how many idle connections the node may keep to the server.
+// Where the nodes of a region have less than one each, every node keeps them to a
+// subset of the service's servers there.
+func (directory *Directory) IdleLimit(server Server) int {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	share := directory.idleShare(server)
+	switch {
+	case share < 0:
+		return NoLimit
+	case share >= 1:
+		return int(share)
+	case directory.inSubset(server, share):
+		return 1
+	default:
+		return 0
+	}
+}
+
+// idleShare returns the node's part of the server's idle connections, negative
+// if they are not bounded.
+func (directory *Directory) idleShare(server Server) float64 {
+	maximum := float64(directory.service(server.Service).maxConnections)
+	switch {
+	case maximum == 0:
+		return NoLimit
+	case directory.topology.Near(server.Zone):
+		return nearIdleShare * maximum / float64(max(directory.sharers.Near, 1))
+	default:
+		return farIdleShare * maximum / float64(max(directory.sharers.Far, 1))
+	}
+}
+
+// inSubset reports whether the server is among those to which this node keeps a
+// connection when its share of each is below one: the first ones in the node's
+// own order, as many as the shares add up to. Each node has another order, so
+// servers get about equally many nodes.
+func (directory *Directory) inSubset(server Server, share float64) bool {
+	own := directory.rank(server)
+	near := directory.topology.Near(server.Zone)
+	peers, before := 0, 0
+	for _, other := range directory.service(server.Service).endpoints {
+		if directory.topology.Near(other.Zone) != near {
+			continue
+		}
+		peers++
+		if directory.rank(other.Server) > own {
+			before++
+		}
+	}
+	whole, part := math.Modf(share * float64(peers))
+	return before < int(whole) || before == int(whole) && fraction(own) < part
+}
+
+// rank orders servers for this node (rendezvous hashing).
+func (directory *Directory) rank(server Server) uint64 {
+	return xxhash.Sum64String(directory.topology.Node + "\x00" + server.ID)
+}
+
+// fraction maps the low bits of a rank to 0 until 1, apart from its order.
+func fraction(rank uint64) float64 {
+	return float64(uint32(rank)) / (1 << 32)
+}
--- /dev/null
+++ b/internal/endpoints/share_test.go
@@ -0,0 +1,110 @@
+package endpoints
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/driftstage/driftstage/internal/retrybudget"
+	"github.com/driftstage/driftstage/internal/routing"
+)
+
+// idle is a set of servers to which there are idle connections.
+type idle map[string]bool
+
+func (idle idle) HasIdle(serverID string) bool { return idle[serverID] }
+
+// sharedDirectory is the directory of one of many nodes, with servers of the
+// service that accept so many connections.
+func sharedDirectory(t *testing.T, node string, connections int, sharers Sharers, servers []Server) *Directory {
+	t.Helper()
+	topology := testTopology()
+	topology.Node = node
+	directory := New(topology, nil)
+	table, err := routing.NewTable(1, routing.Limits{}, []routing.Service{{Name: "s", MaximumConnections: connections}}, nil)
+	is.New(t).NoErr(err)
+	directory.Configure(table, epoch)
+	directory.Share(retrybudget.Limits{}, sharers, epoch)
+	for _, server := range servers {
+		directory.Put(server, epoch)
+	}
+	return directory
+}
+
+func TestFarConnectionsAreDealtToSubsets(t *testing.T) {
+	is := is.New(t)
+	const nodes, connections = 46, 67 // 0.73 of each far server's connections
+	far := []Server{server("f1", "far-1"), server("f2", "far-1")}
+	kept := make(map[string]int)
+	for number := range nodes {
+		directory := sharedDirectory(t, fmt.Sprint("node-", number), connections, Sharers{Near: 24, Far: nodes}, far)
+		own := 0
+		for _, server := range far {
+			limit := directory.IdleLimit(server)
+			own += limit
+			kept[server.ID] += limit
+		}
+		is.True(own >= 1) // each node has one to some server
+	}
+	for _, server := range far {
+		is.True(kept[server.ID] >= 27)
+		is.True(kept[server.ID] <= 40) // 33.5 expected, beside 30 of the near ones
+	}
+}
+
+func TestNearConnectionsOfVeryManyNodes(t *testing.T) {
+	is := is.New(t)
+	const nodes, connections = 300, 40
+	near := []Server{server("n1", "near-1")}
+	kept := 0
+	for number := range nodes {
+		kept += sharedDirectory(t, fmt.Sprint("node-", number), connections, Sharers{Near: nodes, Far: 1}, near).IdleLimit(near[0])
+	}
+	is.True(kept >= 8)
+	is.True(kept <= 30) // 18 expected
+}
+
+func TestServersWithAnIdleConnectionComeFirst(t *testing.T) {
+	is := is.New(t)
+	directory := New(testTopology(), idle{"b": true})
+	directory.Share(retrybudget.Limits{Ratio: 1, Capacity: 10}, Sharers{Near: 1, Far: 1}, epoch)
+	for _, id := range []string{"a", "b", "c"} {
+		directory.Put(server(id, "far-1"), epoch)
+	}
+	work := NewEstimate(20 * time.Millisecond)
+	first := choose(t, directory, demand(work), epoch)
+	is.Equal(first.Server.ID, "b")
+	is.Equal(first.Connecting, time.Duration(0))
+	second := choose(t, directory, demand(work, first.Endpoint), epoch)
+	is.Equal(second.Connecting, otherRegionRoundTrip+connectWork)
+	is.Equal(second.Expected, first.Expected+second.Connecting)
+}
+
+// What a connection takes to come up says nothing about the server.
+func TestNewConnectionsAreNoSlowness(t *testing.T) {
+	is := is.New(t)
+	directory := New(testTopology(), idle{})
+	directory.Put(server("a", "far-1"), epoch)
+	work := NewEstimate(20 * time.Millisecond)
+	choice := choose(t, directory, demand(work), epoch)
+	now := epoch.Add(20*time.Millisecond + 2*otherRegionRoundTrip + connectWork)
+	directory.Finish(choice, work, ResultAnswered, now)
+	is.Equal(choice.Endpoint.currentSlowness(now), 1.0)
+	is.Equal(work.Mean(), 20*time.Millisecond)
+}
+
+func TestHedgeLeavesTimeForANewConnection(t *testing.T) {
+	is := is.New(t)
+	work := NewEstimate(20 * time.Millisecond)
+	servers := []Server{server("near", "near-1"), server("far", "far-1")}
+	late := func(connections Connections) time.Duration {
+		directory := New(testTopology(), connections)
+		for _, server := range servers {
+			directory.Put(server, epoch)
+		}
+		return choose(t, directory, demand(work), epoch).LateAfter
+	}
+	is.Equal(late(idle{"near": true, "far": true})-late(idle{"near": true}), otherRegionRoundTrip+connectWork)
+}
--- a/internal/members/announcer.go
+++ b/internal/members/announcer.go
@@ -63,12 +63,13 @@
 	trustedAt time.Time
 }
 
-// NewAnnouncer returns an announcer for the node.
-func NewAnnouncer(registry Registry, member Member, changed func(count Count)) *Announcer {
+// NewAnnouncer returns an announcer for the node; near reports whether a zone is
+// in the node's region.
+func NewAnnouncer(registry Registry, member Member, near func(zone string) bool, changed func(count Count)) *Announcer {
 	return &Announcer{
 		registry: registry,
 		member:   member,
-		table:    NewTable(member),
+		table:    NewTable(member, near),
 		changed:  changed,
 	}
 }
@@ -124,7 +125,7 @@
 	count := announcer.table.Count(time.Now(), intervalsAt(len(all)).lifetime())
 	count.Settled = settled
 	if count != announcer.count {
-		klog.InfoS("members counted", "count", count.All, "in_zone", count.Zone, "settled", settled, "before", announcer.count.All)
+		klog.InfoS("members counted", "count", count.All, "in_region", count.Region, "settled", settled, "before", announcer.count.All)
 		announcer.count = count
 		announcer.changed(count)
 	}
--- a/internal/members/announcer_test.go
+++ b/internal/members/announcer_test.go
@@ -83,7 +83,7 @@
 		for index := range counters {
 			nodeContext, stop := context.WithCancel(ctx)
 			stops[index] = stop
-			announcer := NewAnnouncer(shared, Member{Name: string(rune('a' + index))}, counters[index].set)
+			announcer := NewAnnouncer(shared, Member{Name: string(rune('a' + index))}, everywhere, counters[index].set)
 			go announcer.Run(nodeContext)
 		}
 		time.Sleep(startInterval - time.Second)
@@ -105,7 +105,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		var told counter
-		go NewAnnouncer(shared, Member{Name: "own"}, told.set).Run(ctx)
+		go NewAnnouncer(shared, Member{Name: "own"}, everywhere, told.set).Run(ctx)
 		time.Sleep(startInterval + time.Second)
 		is.Equal(told.get(), 2)
 		shared.setDown(true)
@@ -121,12 +121,12 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		told := make(chan Count, 8)
-		go NewAnnouncer(shared, Member{Name: "a"}, func(count Count) { told <- count }).Run(ctx)
-		is.Equal(<-told, Count{All: 3, Zone: 3})
-		is.Equal(<-told, Count{All: 3, Zone: 3, Settled: true})
+		go NewAnnouncer(shared, Member{Name: "a"}, everywhere, func(count Count) { told <- count }).Run(ctx)
+		is.Equal(<-told, Count{All: 3, Region: 3})
+		is.Equal(<-told, Count{All: 3, Region: 3, Settled: true})
 	})
 }
 
 func TestAtLeast(t *testing.T) {
-	is.New(t).Equal(Count{All: 60, Zone: 2, Settled: true}.AtLeast(Count{All: 10, Zone: 4}), Count{All: 60, Zone: 4, Settled: true})
+	is.New(t).Equal(Count{All: 60, Region: 2, Settled: true}.AtLeast(Count{All: 10, Region: 4}), Count{All: 60, Region: 4, Settled: true})
 }
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -32,12 +32,14 @@
 // Table is what a node knows of the others. It does no I/O and reads no clock.
 type Table struct {
 	own       Member
+	near      func(zone string) bool
 	sightings map[string]sighting
 }
 
-// NewTable returns a table that knows only the node itself.
-func NewTable(own Member) *Table {
-	return &Table{own: own, sightings: make(map[string]sighting)}
+// NewTable returns a table that knows only the node itself; near reports whether
+// a zone is in its region.
+func NewTable(own Member, near func(zone string) bool) *Table {
+	return &Table{own: own, near: near, sightings: make(map[string]sighting)}
 }
 
 // Observe takes a list of all announcements into account.
@@ -60,8 +62,8 @@
 // Count is a number of nodes.
 type Count struct {
 	All int
-	// Zone are the nodes in the zone of the one that counts.
-	Zone int
+	// Region are the nodes in the region of the one that counts.
+	Region int
 	// Settled is set once nodes that started together have had time to announce
 	// themselves; before that the count may be too small.
 	Settled bool
@@ -70,21 +72,21 @@
 // AtLeast returns the count, or the other one where that is larger.
 func (count Count) AtLeast(other Count) Count {
 	count.All = max(count.All, other.All)
-	count.Zone = max(count.Zone, other.Zone)
+	count.Region = max(count.Region, other.Region)
 	return count
 }
 
 // Count returns the number of live nodes, this one included: those whose
 // announcement has changed within the lifetime.
 func (table *Table) Count(now time.Time, lifetime time.Duration) Count {
-	count := Count{All: 1, Zone: 1}
+	count := Count{All: 1, Region: 1}
 	for name, sighting := range table.sightings {
 		if name == table.own.Name || now.Sub(sighting.seen) >= lifetime {
 			continue
 		}
 		count.All++
-		if sighting.member.Zone == table.own.Zone {
-			count.Zone++
+		if table.near(sighting.member.Zone) {
+			count.Region++
 		}
 	}
 	return count
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -7,6 +7,9 @@
 	"github.com/matryer/is"
 )
 
+// everywhere is a region that holds all zones.
+func everywhere(string) bool { return true }
+
 func TestCount(t *testing.T) {
 	start := time.Unix(1000, 0)
 	own, other, third := Member{Name: "a", Sequence: 1}, Member{Name: "b", Sequence: 1}, Member{Name: "c", Sequence: 1}
@@ -28,7 +31,7 @@
 		{"an expired one comes back", []observation{{0, []Member{other}, 2}, {31 * time.Second, []Member{other}, 1}, {32 * time.Second, []Member{renewed}, 2}}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			table := NewTable(Member{Name: "a", Zone: "z"})
+			table := NewTable(Member{Name: "a", Zone: "z"}, everywhere)
 			for _, step := range test.steps {
 				now := start.Add(step.after)
 				table.Observe(step.members, now)
@@ -38,10 +41,11 @@
 	}
 }
 
-func TestCountOfTheZone(t *testing.T) {
-	table := NewTable(Member{Name: "a", Zone: "z"})
-	table.Observe([]Member{{Name: "a", Zone: "z"}, {Name: "b", Zone: "z"}, {Name: "c", Zone: "y"}}, time.Unix(1, 0))
-	is.New(t).Equal(table.Count(time.Unix(2, 0), time.Minute), Count{All: 3, Zone: 2})
+func TestCountOfTheRegion(t *testing.T) {
+	near := func(zone string) bool { return zone == "z" || zone == "y" }
+	table := NewTable(Member{Name: "a", Zone: "z"}, near)
+	table.Observe([]Member{{Name: "a", Zone: "z"}, {Name: "b", Zone: "z"}, {Name: "c", Zone: "y"}, {Name: "d", Zone: "x"}}, time.Unix(1, 0))
+	is.New(t).Equal(table.Count(time.Unix(2, 0), time.Minute), Count{All: 4, Region: 3})
 }
 
 func TestIntervalsGrowWithTheNodes(t *testing.T) {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -47,6 +47,9 @@
 // Idle returns the number of idle connections to servers.
 func (client *Client) Idle() int { return client.pool.count() }
 
+// HasIdle reports whether there is an idle connection to the server.
+func (client *Client) HasIdle(serverID string) bool { return client.pool.has(serverID) }
+
 // Sweep closes connections that have rested too long.
 func (client *Client) Sweep(now time.Time) { client.pool.sweep(now) }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -69,6 +69,12 @@
 	return true
 }
 
+func (pool *pool) has(serverID string) bool {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	return len(pool.idle[serverID]) > 0
+}
+
 func (pool *pool) count() int {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
