Two slow answers in a row count in full; known slow servers are preferred less

With a weight of 0.3 for each answer and a half-life of 2 s, half of the first sends (0.50 to 0.69) went on to servers that were 7 times slower for 8 s, and the retry budget could not hedge them all (60 to 107 times no_budget a second).

Ruled out: hedges that are too late (a far hedge has an idle connection by now), the total retry budget (0.08 of 0.18 used; it is the buckets of the slow shards that are empty).

Now: the slowness is the median of the moving average and the two latest independent answers (the second sent after the first had ended, so one pause is one observation); what two have in common lasts 4 s instead of 2; slow near servers are preferred only if they answer within a quarter of the time left.

--- a/internal/endpoints/choose.go
+++ b/internal/endpoints/choose.go
@@ -128,6 +128,9 @@
 	// nearShare is the part of the time left within which a near server has to be
 	// expected to answer to be preferred.
 	nearShare = 0.5
+	// slowNearShare is nearShare for slow servers: the budget does not last for a
+	// hedge to each of their requests.
+	slowNearShare = 0.25
 )
 
 func (directory *Directory) cost(endpoint *Endpoint, demand Demand, now time.Time) time.Duration {
@@ -144,8 +147,12 @@
 // preferred reports whether the server is near and fast enough to leave time for
 // another attempt.
 func (directory *Directory) preferred(endpoint *Endpoint, demand Demand, now time.Time) bool {
+	share := nearShare
+	if endpoint.currentSlowness(now) >= slowRatio {
+		share = slowNearShare
+	}
 	return directory.topology.Near(endpoint.Zone) &&
-		directory.expected(endpoint, demand, now) <= time.Duration(nearShare*float64(demand.Left))
+		directory.expected(endpoint, demand, now) <= time.Duration(share*float64(demand.Left))
 }
 
 func (directory *Directory) reserve(endpoint *Endpoint, demand Demand, now time.Time) Choice {
@@ -247,10 +254,10 @@
 	switch result {
 	case ResultAnswered:
 		endpoint.succeeded(now)
-		endpoint.learn(ratio, now)
+		endpoint.learn(ratio, choice.Reserved, now)
 		estimate.observe(elapsed)
 	case ResultAbandoned:
-		endpoint.learnAtLeast(ratio, now)
+		endpoint.learnAtLeast(ratio, choice.Reserved, now)
 		if endpoint.silentSince(choice.Reserved) {
 			endpoint.failed(now)
 		}
--- a/internal/endpoints/endpoint.go
+++ b/internal/endpoints/endpoint.go
@@ -7,8 +7,12 @@
 
 const (
 	// slownessHalfLife is the time in which half of a server's learned slowness
-	// is forgotten, so that a server that was slow is tried again.
+	// is forgotten, so that a server that was slow is tried again. It doubles up to
+	// longestHalfLife each time that the server is found slow once more.
 	slownessHalfLife = 2 * time.Second
+	longestHalfLife  = 4 * time.Second
+	// slowRatio is the ratio of actual to usual time from which an answer is slow.
+	slowRatio = 3.0
 	// maximumSlowness bounds what a single stall teaches.
 	maximumSlowness = 30.0
 	// stallFactor is how many times its expected time a request may be under way
@@ -36,11 +40,16 @@
 	// limit bounds the requests under way; 0 for unbounded.
 	limit float64
 	// ceiling is the limit while the server resets no new connections.
-	ceiling      float64
-	limitAt      time.Time
-	underWay     []time.Time
-	slowness     float64
-	slownessAt   time.Time
+	ceiling    float64
+	limitAt    time.Time
+	underWay   []time.Time
+	slowness   float64
+	slownessAt time.Time
+	halfLife   time.Duration
+	// ratio is the latest observation that was independent of the one before it,
+	// ratioAt when it was made.
+	ratio        float64
+	ratioAt      time.Time
 	coldUntil    time.Time
 	failures     int
 	backoffUntil time.Time
@@ -55,6 +64,8 @@
 		Server:     server,
 		slowness:   1,
 		slownessAt: now,
+		halfLife:   slownessHalfLife,
+		ratio:      1,
 		coldUntil:  now.Add(server.ColdRemaining),
 	}
 }
@@ -62,7 +73,7 @@
 // currentSlowness returns the learned slowness, forgotten in part.
 func (endpoint *Endpoint) currentSlowness(now time.Time) float64 {
 	age := now.Sub(endpoint.slownessAt)
-	kept := math.Exp2(-float64(age) / float64(slownessHalfLife))
+	kept := math.Exp2(-float64(age) / float64(endpoint.halfLife))
 	slowness := 1 + (endpoint.slowness-1)*kept
 	if now.Before(endpoint.coldUntil) {
 		slowness = max(slowness, coldFactor)
@@ -70,19 +81,42 @@
 	return slowness
 }
 
-// learn moves the slowness towards one observed ratio of actual to usual time.
-func (endpoint *Endpoint) learn(ratio float64, now time.Time) {
+// learn moves the slowness towards one observed ratio of actual to usual time, of
+// a request that was sent at the given time. A single observation may be a long
+// request or a pause, so it counts for little; a second one that began after the
+// first had ended counts in full.
+func (endpoint *Endpoint) learn(ratio float64, sent, now time.Time) {
 	ratio = min(max(ratio, 0.25), maximumSlowness)
 	current := endpoint.currentSlowness(now)
 	endpoint.slowness = current + slownessWeight*(ratio-current)
 	endpoint.slownessAt = now
+	if sent.Before(endpoint.ratioAt) {
+		return
+	}
+	endpoint.slowness = median(endpoint.slowness, endpoint.ratio, ratio)
+	endpoint.remember(min(endpoint.ratio, ratio))
+	endpoint.ratio, endpoint.ratioAt = ratio, now
+}
+
+// remember sets how long the slowness lasts by what the two latest independent
+// observations have in common.
+func (endpoint *Endpoint) remember(ratio float64) {
+	if ratio < slowRatio {
+		endpoint.halfLife = slownessHalfLife
+		return
+	}
+	endpoint.halfLife = min(2*endpoint.halfLife, longestHalfLife)
+}
+
+func median(a, b, c float64) float64 {
+	return max(min(a, b), min(max(a, b), c))
 }
 
 // learnAtLeast is learn for a request that was given up: the true ratio is not
 // below the one observed.
-func (endpoint *Endpoint) learnAtLeast(ratio float64, now time.Time) {
+func (endpoint *Endpoint) learnAtLeast(ratio float64, sent, now time.Time) {
 	if ratio > endpoint.currentSlowness(now) {
-		endpoint.learn(ratio, now)
+		endpoint.learn(ratio, sent, now)
 	}
 }
 
--- /dev/null
+++ b/internal/endpoints/learn_test.go
@@ -0,0 +1,76 @@
+package endpoints
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// observation is one answer: when its request was sent, when it ended, and the
+// ratio of its time to the usual one.
+type observation struct {
+	sent, ended time.Duration
+	ratio       float64
+}
+
+func TestSlownessAfterAnswers(t *testing.T) {
+	const ms = time.Millisecond
+	for _, test := range []struct {
+		name         string
+		observations []observation
+		low, high    float64
+	}{
+		{"one long answer counts for little", []observation{{0, 100 * ms, 8}}, 2, 4},
+		{"a second slow one counts in full", []observation{{0, 100 * ms, 8}, {110 * ms, 200 * ms, 7}}, 6.9, 7.1},
+		{"answers held up by one pause are one observation",
+			[]observation{{0, 300 * ms, 8}, {50 * ms, 300 * ms, 7}}, 2, 5},
+		{"two quick answers in a row end it",
+			[]observation{{0, 100 * ms, 8}, {110 * ms, 200 * ms, 7}, {210 * ms, 220 * ms, 1}, {230 * ms, 240 * ms, 1}}, 0.9, 1.1},
+		{"one quick answer does not",
+			[]observation{{0, 100 * ms, 8}, {110 * ms, 200 * ms, 7}, {210 * ms, 220 * ms, 1}}, 4, 7},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			endpoint := newEndpoint(server("a", "near-1"), epoch)
+			now := epoch
+			for _, seen := range test.observations {
+				now = epoch.Add(seen.ended)
+				endpoint.learn(seen.ratio, epoch.Add(seen.sent), now)
+			}
+			got := endpoint.currentSlowness(now)
+			is.True(got >= test.low)
+			is.True(got <= test.high)
+		})
+	}
+}
+
+func TestServerThatStaysSlowIsTriedLessOften(t *testing.T) {
+	is := is.New(t)
+	endpoint := newEndpoint(server("a", "near-1"), epoch)
+	now := epoch
+	for range 4 {
+		sent := now
+		now = now.Add(100 * time.Millisecond)
+		endpoint.learn(8, sent, now)
+	}
+	is.Equal(endpoint.halfLife, longestHalfLife)
+	for range 2 {
+		sent := now
+		now = now.Add(10 * time.Millisecond)
+		endpoint.learn(1, sent, now)
+	}
+	is.Equal(endpoint.halfLife, slownessHalfLife)
+}
+
+func TestKnownSlowNearServerIsPreferredLess(t *testing.T) {
+	is := is.New(t)
+	directory := directoryOf(server("near", "near-1"), server("far", "far-1"))
+	work := NewEstimate(20 * time.Millisecond)
+	slow := directory.byID["near"]
+	slow.slowness, slow.slownessAt = 4, epoch // 80 ms of 200 that are left
+	is.Equal(choose(t, directory, demand(work), epoch).Server.ID, "far")
+	patient := demand(work)
+	patient.Left = time.Second
+	is.Equal(choose(t, directory, patient, epoch).Server.ID, "near")
+}
