--- /dev/null
+++ b/bench/deployment/main.go
@@ -0,0 +1,177 @@
+// Command deployment derives a deployment from one that the users' bench can
+// play, so that driftrouter is measured on deployments that nobody has tuned it
+// for.
+//
+//	go run ./bench/deployment SITE VARIANT[,VARIANT...] > own.toml
+//
+// The variants are listed by -help. The result goes to standard output.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/BurntSushi/toml"
+)
+
+// table is a table of a site file; only the fields that a variant changes are known.
+type table = map[string]any
+
+// variant changes a site file in place.
+type variant struct {
+	name  string
+	help  string
+	apply func(site table)
+}
+
+var variants = []variant{
+	{"machines-3", "one machine a zone", func(site table) { setMachines(site, 1) }},
+	{"machines-6", "two machines a zone", func(site table) { setMachines(site, 2) }},
+	{"machines-20", "seven machines a zone", func(site table) { setMachines(site, 7) }},
+	{"machines-60", "twenty machines a zone", func(site table) { setMachines(site, 20) }},
+	{"machines-150", "fifty machines a zone", func(site table) { setMachines(site, 50) }},
+	{"one-region", "all zones in one region", oneRegion},
+	{"two-servers", "one server fewer for each shard", twoServers},
+	{"tight", "a third of the connections at each server", func(site table) { scale(site, "services", "conn_cap", 1.0/3) }},
+	{"few-slots", "two slots fewer at each server of a shard", fewSlots},
+	{"weak", "a quarter of the processor", func(site table) { scale(site, "machines", "cpu_share", 1.0/4) }},
+	{"small-memory", "64 MB a machine", func(site table) { set(site, "machines", "memory_mb", int64(64)) }},
+	{"unsafe", "requests for one server may run once at most", unsafe},
+	{"slow-store", "a tenth of the store's rates", slowStore},
+	{"far", "40 ms between regions", func(site table) { site["net"].(table)["cross_region_ms"] = 40.0 }},
+	{"busy", "half as many requests more", busy},
+}
+
+func main() {
+	flag.Usage = usage
+	flag.Parse()
+	if flag.NArg() != 2 {
+		usage()
+		os.Exit(2)
+	}
+	if err := run(flag.Arg(0), strings.Split(flag.Arg(1), ",")); err != nil {
+		fmt.Fprintln(os.Stderr, "deployment:", err)
+		os.Exit(1)
+	}
+}
+
+func usage() {
+	fmt.Fprintln(os.Stderr, "usage: deployment SITE VARIANT[,VARIANT...]")
+	for _, variant := range variants {
+		fmt.Fprintf(os.Stderr, "  %-14s %s\n", variant.name, variant.help)
+	}
+}
+
+func run(path string, names []string) error {
+	site := make(table)
+	if _, err := toml.DecodeFile(path, &site); err != nil {
+		return err
+	}
+	for _, name := range names {
+		index := slices.IndexFunc(variants, func(known variant) bool { return known.name == name })
+		if index < 0 {
+			return fmt.Errorf("no variant %q", name)
+		}
+		variants[index].apply(site)
+	}
+	site["name"] = "own-" + strings.Join(names, "-")
+	// The wire file of the site stands beside it.
+	wire, err := filepath.Abs(filepath.Join(filepath.Dir(path), site["wire"].(string)))
+	if err != nil {
+		return err
+	}
+	site["wire"] = wire
+	return toml.NewEncoder(os.Stdout).Encode(site)
+}
+
+// entries returns the tables of a list.
+func entries(parent table, key string) []table {
+	switch list := parent[key].(type) {
+	case []table:
+		return list
+	case []any:
+		tables := make([]table, len(list))
+		for index, item := range list {
+			tables[index] = item.(table)
+		}
+		return tables
+	}
+	return nil
+}
+
+func set(site table, list, key string, value any) {
+	for _, entry := range entries(site, list) {
+		entry[key] = value
+	}
+}
+
+func scale(site table, list, key string, factor float64) {
+	for _, entry := range entries(site, list) {
+		switch value := entry[key].(type) {
+		case int64:
+			entry[key] = max(int64(float64(value)*factor), 1)
+		case float64:
+			entry[key] = value * factor
+		}
+	}
+}
+
+// setMachines gives each zone so many machines; spare ones stay.
+func setMachines(site table, count int64) {
+	set(site, "machines", "count", count)
+}
+
+func oneRegion(site table) {
+	zones := entries(site, "zones")
+	set(site, "zones", "region", zones[0]["region"])
+}
+
+func twoServers(site table) {
+	for _, service := range shardServices(site) {
+		servers := entries(service, "servers")
+		service["servers"] = servers[:len(servers)-1]
+	}
+}
+
+func fewSlots(site table) {
+	for _, service := range shardServices(site) {
+		service["slots"] = max(service["slots"].(int64)-2, 1)
+	}
+}
+
+// shardServices returns the services that are copied into shards.
+func shardServices(site table) []table {
+	var shards []table
+	for _, service := range entries(site, "services") {
+		if service["copies"] != nil {
+			shards = append(shards, service)
+		}
+	}
+	return shards
+}
+
+func unsafe(site table) {
+	for _, class := range entries(site, "classes") {
+		if class["gather"] == nil {
+			class["kind"] = "unsafe"
+		}
+	}
+}
+
+func slowStore(site table) {
+	store := site["platform"].(table)
+	for _, key := range []string{"reads_per_s", "writes_per_s"} {
+		store[key] = store[key].(float64) / 10
+	}
+}
+
+func busy(site table) {
+	scale(site, "traffic", "per_s", 1.5)
+	for _, day := range entries(site, "day") {
+		scale(day, "traffic", "per_s", 1.5)
+	}
+}
