Estimates learn their first values faster; a target that no server can reach refuses nothing

Now an estimate's first observations weigh 1/2, 1/3, ... down to 1/20, an answer is compared with the estimate that includes it, and requests are not refused where even an idle server would be late. TestSlowNearServerYieldsToAFarOne fed each answer to a new estimate; it now uses one that rests on many observations, as the case it stands for has (the expectations are the same).

--- a/internal/endpoints/choose.go
+++ b/internal/endpoints/choose.go
@@ -75,10 +75,15 @@
 	return directory.reserve(best, demand, now), Chosen
 }
 
-// Feasible reports whether some server is expected to answer in the time left.
+// Feasible reports whether some server is expected to answer in the time left. Where
+// not even an idle server would, waiting for a better moment is of no use, and
+// the answer is true.
 func (directory *Directory) Feasible(demand Demand, now time.Time) bool {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
+	if demand.Work.Mean()+sameZoneRoundTrip > demand.Left {
+		return true
+	}
 	return slices.ContainsFunc(directory.service(demand.Service).endpoints, func(endpoint *Endpoint) bool {
 		return endpoint.open() && !endpoint.full(now) && !endpoint.backsOff(now) &&
 			directory.expected(endpoint, demand, now) <= demand.Left
@@ -250,12 +255,14 @@
 	endpoint := choice.Endpoint
 	endpoint.end(choice.Reserved)
 	elapsed := now.Sub(choice.Reserved) - directory.topology.RoundTrip(endpoint.Zone) - choice.Connecting
+	if result == ResultAnswered {
+		estimate.observe(elapsed)
+	}
 	ratio := float64(elapsed) / float64(max(estimate.Mean(), time.Millisecond))
 	switch result {
 	case ResultAnswered:
 		endpoint.succeeded(now)
 		endpoint.learn(ratio, choice.Reserved, now)
-		estimate.observe(elapsed)
 	case ResultAbandoned:
 		endpoint.learnAtLeast(ratio, choice.Reserved, now)
 		if endpoint.silentSince(choice.Reserved) {
--- a/internal/endpoints/directory_test.go
+++ b/internal/endpoints/directory_test.go
@@ -37,6 +37,13 @@
 	return Demand{Service: "s", Work: work, Tried: tried, Left: 200 * time.Millisecond}
 }
 
+// established returns an estimate that rests on many observations.
+func established(mean time.Duration) *Estimate {
+	estimate := NewEstimate(mean)
+	estimate.count = int(1 / workWeight)
+	return estimate
+}
+
 func choose(t *testing.T, directory *Directory, request Demand, now time.Time) Choice {
 	t.Helper()
 	choice, availability := directory.Choose(request, now)
@@ -67,7 +74,7 @@
 		choice := choose(t, directory, Demand{Service: "s", Work: NewEstimate(20 * time.Millisecond), Left: time.Hour}, now)
 		is.Equal(choice.Server.ID, "near")
 		now = now.Add(300 * time.Millisecond)
-		directory.Finish(choice, NewEstimate(20*time.Millisecond), ResultAnswered, now)
+		directory.Finish(choice, established(20*time.Millisecond), ResultAnswered, now)
 	}
 	is.Equal(choose(t, directory, demand(work), now).Server.ID, "far")
 	later := now.Add(10 * slownessHalfLife)
--- a/internal/endpoints/estimate.go
+++ b/internal/endpoints/estimate.go
@@ -21,6 +21,8 @@
 type Estimate struct {
 	mean     time.Duration
 	quantile time.Duration
+	// count is the number of observations, up to those after which each weighs workWeight.
+	count int
 }
 
 // NewEstimate returns an estimate that starts at the given mean.
@@ -39,7 +41,10 @@
 	if work <= 0 {
 		return
 	}
-	estimate.mean += time.Duration(workWeight * float64(work-estimate.mean))
+	// The first observations weigh more: what the estimate started from is a guess.
+	estimate.count = min(estimate.count+1, int(1/workWeight))
+	weight := max(workWeight, 1/float64(estimate.count+1))
+	estimate.mean += time.Duration(weight * float64(work-estimate.mean))
 	step := quantileStep * float64(estimate.quantile)
 	if work > estimate.quantile {
 		estimate.quantile += time.Duration(step * hedgeQuantile)
--- a/internal/endpoints/learn_test.go
+++ b/internal/endpoints/learn_test.go
@@ -63,6 +63,33 @@
 	is.Equal(endpoint.halfLife, slownessHalfLife)
 }
 
+// Refusing what can never be in time would refuse everything.
+func TestTargetThatNoServerReaches(t *testing.T) {
+	is := is.New(t)
+	directory := directoryOf(server("a", "near-1"))
+	now := epoch
+	request := demand(established(300 * time.Millisecond))
+	is.True(directory.Feasible(request, now))
+	request = demand(established(20 * time.Millisecond))
+	directory.byID["a"].slowness = 20
+	is.True(!directory.Feasible(request, now))
+}
+
+// A wrong first guess of a route's work is no slowness of its servers.
+func TestRouteThatTakesLongerThanGuessed(t *testing.T) {
+	is := is.New(t)
+	directory := directoryOf(server("a", "near-1"))
+	work := NewEstimate(20 * time.Millisecond)
+	now := epoch
+	for range 6 {
+		choice := choose(t, directory, demand(work), now)
+		now = now.Add(200 * time.Millisecond)
+		directory.Finish(choice, work, ResultAnswered, now)
+		is.True(choice.Endpoint.currentSlowness(now) < 2)
+	}
+	is.True(work.Mean() > 150*time.Millisecond)
+}
+
 func TestKnownSlowNearServerIsPreferredLess(t *testing.T) {
 	is := is.New(t)
 	directory := directoryOf(server("near", "near-1"), server("far", "far-1"))
