One node of a large region reads the store and relays; a node that the store fails follows another

Now: in a region of 8 nodes or more the first node in a common order (one more for each 48) reads the store, every 0.6 s at most and without lag every 5 s, and the others follow it over the peers' address (catalog.Log, peers.Link, peers.Selector). A node that does not answer is passed over for 2 s to 1 min, and the next one in order reads. A node whose own calls fail follows any other that has recent answers, on small sites too.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -31,6 +31,9 @@
 type Changes[T any] struct {
 	Changes  []Change[T]
 	Revision Revision
+	// Age is how long ago the store itself told of this revision; zero for
+	// answers of the store. FreshAge is the same for its answers that may not lag.
+	Age, FreshAge time.Duration
 }
 
 // WatchRequest asks for the changes after a revision.
@@ -51,11 +54,31 @@
 	// List returns the objects after a name, or the first ones without a name, not
 	// older than the call.
 	List(ctx context.Context, after string) (Page[T], error)
+	Watcher[T]
+}
+
+// Watcher tells what happens to one kind of objects.
+type Watcher[T any] interface {
 	// Watch returns the changes after a revision, as soon as there are any, or
 	// none after the wait.
 	Watch(ctx context.Context, request WatchRequest) (Changes[T], error)
 }
 
+// Relay lets the nodes that read the store spare the others from it: a follower
+// takes changes from another node where there is one to follow, and publishes
+// what it learns from the store.
+type Relay[T any] interface {
+	// Source returns another node to follow; nil if the store is to be asked.
+	Source() Watcher[T]
+	// Publish is told the changes after a revision that the store has answered,
+	// and whether the answer could not lag.
+	Publish(after Revision, changes Changes[T], fresh bool)
+	// StoreFailed is told that the store did not answer.
+	StoreFailed()
+	// Followed reports whether other nodes follow this one.
+	Followed() bool
+}
+
 // Sink takes the state that a follower learns.
 type Sink[T any] interface {
 	Replace(items []T)
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -12,14 +12,21 @@
 const (
 	// watchWait is how long a watch rests without changes.
 	watchWait = 3 * time.Second
-	// watchTimeout is when a watch that says nothing is taken for lost.
-	watchTimeout = watchWait + 900*time.Millisecond
+	// watchReserve is how much longer a watch may take before it is taken for lost.
+	watchReserve = 900 * time.Millisecond
 	// freshInterval is how often a watch may not lag behind the store. The others
 	// may, which costs a tenth: the store's lag is small unless it is disturbed,
 	// and this bounds what a larger one does.
 	freshInterval = 14 * time.Second
 	// pageTimeout bounds the read of one page.
 	pageTimeout = time.Second
+	// relayWait takes the place of watchWait where other nodes follow this one: it
+	// bounds how old what they are told may be.
+	relayWait = 600 * time.Millisecond
+	// relayTimeout is when a node that is followed is taken for lost.
+	relayTimeout = relayWait + 400*time.Millisecond
+	// relayFreshInterval takes the place of freshInterval there.
+	relayFreshInterval = 5 * time.Second
 	// firstPause is the pause after a failed call; it doubles up to longestPause.
 	firstPause   = 100 * time.Millisecond
 	longestPause = 400 * time.Millisecond
@@ -43,6 +50,10 @@
 	failures int
 	// freshAt is when the state was last known not to lag.
 	freshAt time.Time
+	// relay may be nil: then the store alone is asked.
+	relay Relay[T]
+	// settle is the pause after changes, in which more of them gather.
+	settle time.Duration
 }
 
 // NewFollower returns a follower; the name is used in logs.
@@ -50,6 +61,13 @@
 	return &Follower[T]{name: name, feed: feed, sink: sink, observer: observer}
 }
 
+// Share lets the follower and those of other nodes spare the store.
+func (follower *Follower[T]) Share(relay Relay[T]) { follower.relay = relay }
+
+// Settle sets a pause after changes, in which more of them gather: a call for all
+// of them costs as much as one for each.
+func (follower *Follower[T]) Settle(pause time.Duration) { follower.settle = pause }
+
 // Run follows the feed until ctx ends.
 func (follower *Follower[T]) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -66,12 +84,58 @@
 }
 
 func (follower *Follower[T]) step(ctx context.Context) error {
+	if follower.revision > 0 && follower.followNode(ctx) {
+		return nil
+	}
+	err := follower.ask(ctx)
+	if err != nil && follower.relay != nil {
+		follower.relay.StoreFailed()
+	}
+	return err
+}
+
+// ask makes one call to the store.
+func (follower *Follower[T]) ask(ctx context.Context) error {
 	if !follower.listed {
 		return follower.list(ctx)
 	}
 	return follower.watch(ctx)
 }
 
+// followNode takes changes from another node. It returns false if there is none
+// to follow, or none that answers: then the store has to be asked at once.
+func (follower *Follower[T]) followNode(ctx context.Context) bool {
+	if follower.relay == nil {
+		return false
+	}
+	source := follower.relay.Source()
+	if source == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	begun := time.Now()
+	changes, err := source.Watch(ctx, WatchRequest{After: follower.revision, Wait: relayWait})
+	if err != nil {
+		return false
+	}
+	follower.apply(changes)
+	follower.freshAt = begun.Add(-changes.FreshAge)
+	return true
+}
+
+func (follower *Follower[T]) apply(changes Changes[T]) {
+	for _, change := range changes.Changes {
+		follower.sink.Apply(change)
+	}
+	follower.revision = max(follower.revision, changes.Revision)
+}
+
+// followed reports whether other nodes follow this one.
+func (follower *Follower[T]) followed() bool {
+	return follower.relay != nil && follower.relay.Followed()
+}
+
 func (follower *Follower[T]) list(ctx context.Context) error {
 	begun := time.Now()
 	items, revision, err := follower.readPages(ctx)
@@ -113,28 +177,39 @@
 }
 
 func (follower *Follower[T]) watch(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
-	defer cancel()
+	wait, fresh := watchWait, freshInterval
+	if follower.followed() {
+		wait, fresh = relayWait, relayFreshInterval
+	}
 	request := WatchRequest{
 		After: follower.revision,
-		Wait:  watchWait,
-		Stale: time.Since(follower.freshAt) < freshInterval,
+		Wait:  wait,
+		Stale: time.Since(follower.freshAt) < fresh,
 	}
-	changes, err := follower.feed.Watch(ctx, request)
+	changes, err := follower.callWatch(ctx, request)
 	if err != nil {
 		follower.listed = false
 		return err
 	}
-	for _, change := range changes.Changes {
-		follower.sink.Apply(change)
-	}
-	follower.revision = max(follower.revision, changes.Revision)
+	follower.apply(changes)
 	if !request.Stale {
 		follower.freshAt = time.Now()
 	}
+	if follower.relay != nil {
+		follower.relay.Publish(request.After, changes, !request.Stale)
+	}
+	if len(changes.Changes) > 0 {
+		sleep(ctx, follower.settle)
+	}
 	return nil
 }
 
+func (follower *Follower[T]) callWatch(ctx context.Context, request WatchRequest) (Changes[T], error) {
+	ctx, cancel := context.WithTimeout(ctx, request.Wait+watchReserve)
+	defer cancel()
+	return follower.feed.Watch(ctx, request)
+}
+
 // report logs when the feed is lost and when it is regained.
 func (follower *Follower[T]) report(err error) {
 	switch {
@@ -152,6 +227,11 @@
 func (follower *Follower[T]) pause(ctx context.Context) {
 	pause := min(firstPause<<min(follower.failures-1, 10), longestPause)
 	pause = pause/2 + rand.N(pause/2)
+	sleep(ctx, pause)
+}
+
+// sleep returns after the pause, or when ctx ends.
+func sleep(ctx context.Context, pause time.Duration) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(pause):
--- /dev/null
+++ b/internal/catalog/log.go
@@ -0,0 +1,60 @@
+package catalog
+
+// maxLogged is how many changes a Log keeps.
+const maxLogged = 512
+
+// Log keeps the latest changes of a kind of objects, so that others can follow
+// them without the store. The zero value is a log that knows nothing. It does no
+// I/O, reads no clock and is not safe for concurrent use.
+type Log[T any] struct {
+	batches []Changes[T]
+	// base is the revision before the first batch, last the one after the latest.
+	base, last Revision
+	size       int
+}
+
+// Reset drops all changes: the state was listed at the revision.
+func (l *Log[T]) Reset(revision Revision) {
+	*l = Log[T]{base: revision, last: revision}
+}
+
+// Append adds the changes that lead from one revision to another. If they do not
+// follow the latest one, all earlier ones are dropped.
+func (l *Log[T]) Append(after Revision, changes Changes[T]) {
+	if after != l.last {
+		l.Reset(after)
+	}
+	l.last = max(l.last, changes.Revision)
+	if len(changes.Changes) == 0 {
+		return
+	}
+	l.batches = append(l.batches, changes)
+	l.size += len(changes.Changes)
+	for l.size > maxLogged && len(l.batches) > 1 {
+		l.drop()
+	}
+}
+
+// drop forgets the oldest batch.
+func (l *Log[T]) drop() {
+	oldest := l.batches[0]
+	l.base = oldest.Revision
+	l.size -= len(oldest.Changes)
+	l.batches = append([]Changes[T](nil), l.batches[1:]...)
+}
+
+// Since returns what happened after a revision. Changes of the batch that holds
+// the revision are given once more. It returns ErrHistoryGone for a revision
+// before the first one kept.
+func (l *Log[T]) Since(after Revision) (Changes[T], error) {
+	found := Changes[T]{Revision: l.last}
+	if after < l.base {
+		return found, ErrHistoryGone
+	}
+	for _, batch := range l.batches {
+		if batch.Revision > after {
+			found.Changes = append(found.Changes, batch.Changes...)
+		}
+	}
+	return found, nil
+}
--- /dev/null
+++ b/internal/catalog/relay_test.go
@@ -0,0 +1,149 @@
+package catalog
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// memoryRelay follows a feed that stands for another node.
+type memoryRelay struct {
+	mutex     sync.Mutex
+	source    *memoryFeed
+	followed  bool
+	failed    int
+	published []Changes[string]
+}
+
+func (relay *memoryRelay) Source() Watcher[string] {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	if relay.source == nil {
+		return nil
+	}
+	return relay.source
+}
+
+func (relay *memoryRelay) Publish(_ Revision, changes Changes[string], _ bool) {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	relay.published = append(relay.published, changes)
+}
+
+func (relay *memoryRelay) StoreFailed() {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	relay.failed++
+}
+
+func (relay *memoryRelay) Followed() bool {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	return relay.followed
+}
+
+// relayed runs a follower beside a store and another node that knows the same.
+func relayed(t *testing.T, relay *memoryRelay, test func(is *is.I, store *memoryFeed, sink *memorySink)) {
+	synctest.Test(t, func(t *testing.T) {
+		store, sink := newMemoryFeed(), &memorySink{}
+		store.set("main", "one")
+		if relay.source != nil {
+			relay.source = newMemoryFeed()
+			relay.source.set("main", "one")
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		follower := NewFollower("test", store, sink, uncounted{})
+		follower.Share(relay)
+		go follower.Run(ctx)
+		synctest.Wait()
+		test(is.New(t), store, sink)
+	})
+}
+
+func TestFollowerOfANodeSparesTheStore(t *testing.T) {
+	relay := &memoryRelay{source: newMemoryFeed()}
+	relayed(t, relay, func(is *is.I, store *memoryFeed, sink *memorySink) {
+		relay.source.set("main", "two")
+		synctest.Wait()
+		is.Equal(sink.get(), "two")
+		time.Sleep(time.Minute)
+		store.configure(func() { is.Equal(store.lists+store.fresh+store.stale, 1) }) // the first list
+	})
+}
+
+// When the node that is followed falls silent or fails at any moment, a change is
+// taken from the store in good time.
+func TestSilentNodeIsReplacedByTheStore(t *testing.T) {
+	for delay := time.Duration(0); delay < 2*time.Second; delay += 130 * time.Millisecond {
+		for _, trouble := range []func(feed *memoryFeed){
+			func(feed *memoryFeed) { feed.hang = true },
+			func(feed *memoryFeed) { feed.fail = true },
+		} {
+			relay := &memoryRelay{source: newMemoryFeed()}
+			relayed(t, relay, func(is *is.I, store *memoryFeed, sink *memorySink) {
+				time.Sleep(delay)
+				relay.source.configure(func() { trouble(relay.source) })
+				store.set("main", "two")
+				time.Sleep(relayWait + relayTimeout + 10*time.Millisecond)
+				is.Equal(sink.get(), "two")
+			})
+		}
+	}
+}
+
+func TestFollowedNodeAsksTheStoreOften(t *testing.T) {
+	relay := &memoryRelay{followed: true}
+	relayed(t, relay, func(is *is.I, store *memoryFeed, sink *memorySink) {
+		time.Sleep(time.Minute)
+		store.configure(func() {
+			is.True(store.stale+store.fresh >= int(time.Minute/relayWait)-1)
+			is.True(store.fresh >= int(time.Minute/relayFreshInterval)-2)
+		})
+	})
+	if len(relay.published) < 90 {
+		t.Fatal("what the store said was not published", len(relay.published))
+	}
+}
+
+func TestNodeWithoutStoreFollowsAnother(t *testing.T) {
+	relay := &memoryRelay{}
+	relayed(t, relay, func(is *is.I, store *memoryFeed, sink *memorySink) {
+		store.configure(func() { store.fail = true })
+		time.Sleep(2 * watchWait)
+		other := newMemoryFeed()
+		other.set("main", "one")
+		other.set("main", "two")
+		relay.mutex.Lock()
+		is.True(relay.failed > 0)
+		relay.source = other
+		relay.mutex.Unlock()
+		time.Sleep(time.Second)
+		is.Equal(sink.get(), "two")
+	})
+}
+
+func TestChangesGatherBeforeTheNextCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		feed, sink := newMemoryFeed(), &memorySink{}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		follower := NewFollower("test", feed, sink, uncounted{})
+		follower.Settle(250 * time.Millisecond)
+		go follower.Run(ctx)
+		synctest.Wait()
+		for range 100 { // a change every 10 ms
+			feed.set("main", "again")
+			time.Sleep(10 * time.Millisecond)
+		}
+		feed.set("main", "last")
+		time.Sleep(300 * time.Millisecond)
+		is.Equal(sink.get(), "last")
+		feed.configure(func() { is.True(feed.stale+feed.fresh <= 8) })
+	})
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -45,6 +45,8 @@
 	retryReserve = 0.02
 	// sweepInterval is how often idle connections are looked at.
 	sweepInterval = time.Second
+	// serversSettle is how long changes of servers gather before they are read.
+	serversSettle = 250 * time.Millisecond
 )
 
 // presumedCount is the least number of nodes that are taken to share what is
@@ -63,6 +65,10 @@
 	server    *ingress.Server
 	readiness *readiness
 	metrics   *metrics
+	// selector picks the node to follow in place of the store.
+	selector   *peers.Selector
+	tableLink  *peers.Link[*routing.Table]
+	serverLink *peers.Link[endpoints.Server]
 }
 
 // Logs are where the node writes what happens to requests; the zero value is
@@ -96,6 +102,9 @@
 		directory: endpoints.New(topology, client),
 		client:    client,
 	}
+	node.selector = peers.NewSelector(node.member(), topology.Near)
+	node.tableLink = peers.NewLink(feedTables, peers.TableCodec{}, node.selector)
+	node.serverLink = peers.NewLink(feedServers, peers.ServerCodec{}, node.selector)
 	node.metrics = newMetrics(node, logs)
 	node.shareAmong(presumedCount)
 	node.state = &state{directory: node.directory, client: node.client}
@@ -148,10 +157,13 @@
 // follow keeps the configuration and the servers current.
 func (node *Node) follow(ctx context.Context, tasks *sync.WaitGroup) {
 	tables := catalog.NewFollower(feedTables, node.store.Tables(), tableSink{node.state}, node.metrics)
+	tables.Share(node.tableLink)
 	servers := catalog.NewFollower(feedServers, node.store.Servers(), serverSink{node.state}, node.metrics)
+	servers.Share(node.serverLink)
+	servers.Settle(serversSettle)
 	tasks.Go(func() { tables.Run(ctx) })
 	tasks.Go(func() { servers.Run(ctx) })
-	announcer := members.NewAnnouncer(node.store, node.member(), node.topology.Near, node.shareAmong)
+	announcer := members.NewAnnouncer(node.store, node.member(), node.topology.Near, memberObserver{node})
 	tasks.Go(func() { announcer.Run(ctx) })
 	starter := peers.Starter{Addresses: node.settings.Seeds, Known: node.state.complete, Adopt: node.state.adoptSnapshot}
 	tasks.Go(func() { starter.Run(ctx) })
@@ -167,7 +179,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
-	server := peers.NewServer(node.state.snapshot)
+	server := peers.NewServer(node.state.snapshot, node.tableLink, node.serverLink)
 	go func() { failed <- server.Serve(listener) }()
 	return nil
 }
@@ -196,6 +208,19 @@
 	}, time.Now())
 }
 
+// memberObserver tells the node who else is there.
+type memberObserver struct{ node *Node }
+
+// MembersRead implements members.Observer.
+func (observer memberObserver) MembersRead(live []members.Member) {
+	observer.node.selector.SetMembers(live)
+}
+
+// MembersCounted implements members.Observer.
+func (observer memberObserver) MembersCounted(count members.Count) {
+	observer.node.shareAmong(count)
+}
+
 func (node *Node) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
--- a/internal/members/announcer.go
+++ b/internal/members/announcer.go
@@ -17,8 +17,8 @@
 	// announceStep and readStep are what each node adds to the intervals where that
 	// is more: what all nodes read and write together grows no faster than their
 	// number.
-	announceStep = 200 * time.Millisecond
-	readStep     = 100 * time.Millisecond
+	announceStep = 500 * time.Millisecond
+	readStep     = 200 * time.Millisecond
 	// startInterval is how long a node that has started waits before its count is
 	// settled.
 	startInterval = 4 * time.Second
@@ -47,14 +47,21 @@
 	return 2*intervals.announce + 2*intervals.read
 }
 
+// Observer is told who else is there. Its methods do not block.
+type Observer interface {
+	// MembersRead is told the live nodes after each read, this one included.
+	MembersRead(live []Member)
+	// MembersCounted is told their number whenever it changes.
+	MembersCounted(count Count)
+}
+
 // Announcer keeps the node announced and the count of nodes current.
 type Announcer struct {
 	registry Registry
 	member   Member
 	table    *Table
-	// changed is told the count whenever it changes.
-	changed func(count Count)
-	count   Count
+	observer Observer
+	count    Count
 
 	announceAt time.Time
 	readAt     time.Time
@@ -65,12 +72,12 @@
 
 // NewAnnouncer returns an announcer for the node; near reports whether a zone is
 // in the node's region.
-func NewAnnouncer(registry Registry, member Member, near func(zone string) bool, changed func(count Count)) *Announcer {
+func NewAnnouncer(registry Registry, member Member, near func(zone string) bool, observer Observer) *Announcer {
 	return &Announcer{
 		registry: registry,
 		member:   member,
 		table:    NewTable(member, near),
-		changed:  changed,
+		observer: observer,
 	}
 }
 
@@ -122,12 +129,14 @@
 		announcer.readAt = now.Add(jittered(announcer.intervals().read))
 	}
 	announcer.table.Observe(all, time.Now())
-	count := announcer.table.Count(time.Now(), intervalsAt(len(all)).lifetime())
+	lifetime := intervalsAt(len(all)).lifetime()
+	announcer.observer.MembersRead(announcer.table.Live(time.Now(), lifetime))
+	count := announcer.table.Count(time.Now(), lifetime)
 	count.Settled = settled
 	if count != announcer.count {
 		klog.InfoS("members counted", "count", count.All, "in_region", count.Region, "settled", settled, "before", announcer.count.All)
 		announcer.count = count
-		announcer.changed(count)
+		announcer.observer.MembersCounted(count)
 	}
 }
 
--- a/internal/members/announcer_test.go
+++ b/internal/members/announcer_test.go
@@ -57,7 +57,9 @@
 	count int
 }
 
-func (counter *counter) set(count Count) {
+func (counter *counter) MembersRead([]Member) {}
+
+func (counter *counter) MembersCounted(count Count) {
 	counter.mutex.Lock()
 	defer counter.mutex.Unlock()
 	counter.count = 0
@@ -72,6 +74,13 @@
 	return counter.count
 }
 
+// channel is an observer that hands on counts.
+type channel chan Count
+
+func (channel channel) MembersRead([]Member) {}
+
+func (channel channel) MembersCounted(count Count) { channel <- count }
+
 func TestNodesThatStartTogetherCountEachOther(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -83,7 +92,7 @@
 		for index := range counters {
 			nodeContext, stop := context.WithCancel(ctx)
 			stops[index] = stop
-			announcer := NewAnnouncer(shared, Member{Name: string(rune('a' + index))}, everywhere, counters[index].set)
+			announcer := NewAnnouncer(shared, Member{Name: string(rune('a' + index))}, everywhere, &counters[index])
 			go announcer.Run(nodeContext)
 		}
 		time.Sleep(startInterval - time.Second)
@@ -105,7 +114,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		var told counter
-		go NewAnnouncer(shared, Member{Name: "own"}, everywhere, told.set).Run(ctx)
+		go NewAnnouncer(shared, Member{Name: "own"}, everywhere, &told).Run(ctx)
 		time.Sleep(startInterval + time.Second)
 		is.Equal(told.get(), 2)
 		shared.setDown(true)
@@ -121,7 +130,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		told := make(chan Count, 8)
-		go NewAnnouncer(shared, Member{Name: "a"}, everywhere, func(count Count) { told <- count }).Run(ctx)
+		go NewAnnouncer(shared, Member{Name: "a"}, everywhere, channel(told)).Run(ctx)
 		is.Equal(<-told, Count{All: 3, Region: 3})
 		is.Equal(<-told, Count{All: 3, Region: 3, Settled: true})
 	})
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -76,16 +76,24 @@
 	return count
 }
 
-// Count returns the number of live nodes, this one included: those whose
-// announcement has changed within the lifetime.
-func (table *Table) Count(now time.Time, lifetime time.Duration) Count {
-	count := Count{All: 1, Region: 1}
+// Live returns this node and those whose announcement has changed within the
+// lifetime.
+func (table *Table) Live(now time.Time, lifetime time.Duration) []Member {
+	live := []Member{table.own}
 	for name, sighting := range table.sightings {
-		if name == table.own.Name || now.Sub(sighting.seen) >= lifetime {
-			continue
+		if name != table.own.Name && now.Sub(sighting.seen) < lifetime {
+			live = append(live, sighting.member)
 		}
-		count.All++
-		if table.near(sighting.member.Zone) {
+	}
+	return live
+}
+
+// Count returns the number of live nodes, this one included.
+func (table *Table) Count(now time.Time, lifetime time.Duration) Count {
+	live := table.Live(now, lifetime)
+	count := Count{All: len(live)}
+	for _, member := range live {
+		if member.Name == table.own.Name || table.near(member.Zone) {
 			count.Region++
 		}
 	}
--- /dev/null
+++ b/internal/peers/link_test.go
@@ -0,0 +1,132 @@
+package peers
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/driftstage/driftstage/internal/catalog"
+	"github.com/driftstage/driftstage/internal/endpoints"
+	"github.com/driftstage/driftstage/internal/members"
+	"github.com/driftstage/driftstage/internal/routing"
+)
+
+// put is the change that a server was written.
+func put(id string) catalog.Change[endpoints.Server] {
+	return catalog.Change[endpoints.Server]{Name: id, Value: endpoints.Server{ID: id, Service: "s", Slots: 3, Draining: true}}
+}
+
+func told(revision catalog.Revision, changes ...catalog.Change[endpoints.Server]) catalog.Changes[endpoints.Server] {
+	return catalog.Changes[endpoints.Server]{Changes: changes, Revision: revision}
+}
+
+func TestPublisherAnswersAtOnceWhenSomethingChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var publisher Publisher[endpoints.Server]
+		publisher.Publish(5, told(7), true)
+		go func() {
+			time.Sleep(200 * time.Millisecond)
+			publisher.Publish(7, told(9, put("a")), false)
+		}()
+		begun := time.Now()
+		got, err := publisher.answer(t.Context(), question{after: 7, wait: time.Second, oldest: time.Second})
+		is.NoErr(err)
+		is.Equal(time.Since(begun), 200*time.Millisecond)
+		is.Equal(got.Revision, catalog.Revision(9))
+		is.Equal(got.Age, time.Duration(0))
+		is.Equal(got.FreshAge, 200*time.Millisecond)
+		is.Equal(len(got.Changes), 1)
+		is.True(publisher.Followed())
+		time.Sleep(followedFor)
+		is.True(!publisher.Followed())
+	})
+}
+
+// A node that has lost the store tells so as soon as what it knows is too old, not
+// at the end of the wait.
+func TestPublisherThatHearsNothingSaysSo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var publisher Publisher[endpoints.Server]
+		publisher.Publish(5, told(7), true)
+		begun := time.Now()
+		_, err := publisher.answer(t.Context(), question{after: 7, wait: time.Hour, oldest: time.Second})
+		is.True(errors.Is(err, errNotReading))
+		is.True(time.Since(begun) < time.Second+10*time.Millisecond)
+		_, err = publisher.answer(t.Context(), question{after: 7, wait: time.Hour, oldest: time.Second})
+		is.True(errors.Is(err, errNotReading))
+	})
+}
+
+func TestPublisherThatNeverReadIsNotFollowed(t *testing.T) {
+	var publisher Publisher[endpoints.Server]
+	_, err := publisher.answer(t.Context(), question{wait: time.Second, oldest: time.Hour})
+	is.New(t).True(errors.Is(err, errNotReading))
+}
+
+// linked returns a link that reads and the source by which another one follows it.
+func linked[T any](t *testing.T, codec Codec[T]) (reader *Link[T], source catalog.Watcher[T], selector *Selector) {
+	t.Helper()
+	reader = NewLink("kind", codec, NewSelector(members.Member{Name: "reader"}, inRegion))
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	server := NewServer(func() (Snapshot, bool) { return Snapshot{}, false }, reader)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { listener.Close() })
+	selector = NewSelector(members.Member{Name: "own"}, inRegion)
+	selector.SetMembers([]members.Member{{Name: "reader", Zone: "near", Address: listener.Addr().String()}})
+	selector.StoreFailed(time.Now())
+	return reader, NewLink("kind", codec, selector).Source(), selector
+}
+
+func TestServersArriveAtFollowers(t *testing.T) {
+	is := is.New(t)
+	reader, source, selector := linked(t, ServerCodec{})
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	reader.Publish(5, told(7, put("a"), catalog.Change[endpoints.Server]{Name: "b", Removed: true}), true)
+	got, err := source.Watch(ctx, catalog.WatchRequest{After: 5, Wait: time.Second})
+	is.NoErr(err)
+	is.Equal(got.Revision, catalog.Revision(7))
+	is.Equal(got.Changes, []catalog.Change[endpoints.Server]{put("a"), {Name: "b", Removed: true}})
+	got, err = source.Watch(ctx, catalog.WatchRequest{After: 7, Wait: 20 * time.Millisecond})
+	is.NoErr(err)
+	is.Equal(len(got.Changes), 0)
+	_, err = source.Watch(ctx, catalog.WatchRequest{After: 2, Wait: time.Second})
+	is.True(errors.Is(err, catalog.ErrHistoryGone))
+	_, found := selector.Pick(time.Now())
+	is.True(!found) // it is passed over for a while
+}
+
+func TestConfigurationsArriveAtFollowers(t *testing.T) {
+	is := is.New(t)
+	reader, source, _ := linked(t, TableCodec{})
+	route := routing.Route{Name: "r", Host: "a.example", PathPrefix: "/a/", Shards: []string{"s", "u"}, Timeout: time.Second, Repeatable: true}
+	table, err := routing.NewTable(3, routing.Limits{MaximumBodyBytes: 5}, []routing.Service{{Name: "s", MaximumConnections: 4}}, []routing.Route{route})
+	is.NoErr(err)
+	reader.Publish(5, catalog.Changes[*routing.Table]{Revision: 7, Changes: []catalog.Change[*routing.Table]{{Name: "main", Value: table}}}, true)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	got, err := source.Watch(ctx, catalog.WatchRequest{After: 5, Wait: time.Second})
+	is.NoErr(err)
+	is.Equal(got.Changes[0].Value.Document(), table.Document())
+}
+
+func TestWrongQuestionsAreRejected(t *testing.T) {
+	for _, query := range []string{"", "after=x&wait=1s&age=1s", "after=1&wait=1&age=1s", "after=1&wait=1s", "after=-1&wait=1s&age=1s"} {
+		is := is.New(t)
+		_, source, _ := linked(t, ServerCodec{})
+		address := source.(interface{ address() string }).address()
+		status, _, err := newClient(address, 1).Get(nil, "http://"+address+changesPath+"kind?"+query)
+		is.NoErr(err)
+		is.Equal(status, 400)
+	}
+}
+
+func (s source[T]) address() string { return s.member.Address }
--- /dev/null
+++ b/internal/peers/publisher.go
@@ -0,0 +1,105 @@
+package peers
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/driftstage/driftstage/internal/catalog"
+)
+
+const (
+	// followedFor is how long after a question a node counts as followed.
+	followedFor = 3 * time.Second
+	//
+
+)
+
+// errNotReading means that this node has not heard of the store for too long to
+// be followed.
+var errNotReading = errors.New("this node has no recent answer of the store")
+
+// Publisher tells other nodes what this one learns from the store of one kind of
+// objects. The zero value has learned nothing. It is safe for concurrent use.
+type Publisher[T any] struct {
+	mutex sync.Mutex
+	log   catalog.Log[T]
+	// toldAt is when the store answered last, freshAt when it did so without lag.
+	toldAt, freshAt time.Time
+	askedAt         time.Time
+	// changed is closed when the log grows.
+	changed chan struct{}
+}
+
+// Publish takes over what the store has answered.
+func (p *Publisher[T]) Publish(after catalog.Revision, changes catalog.Changes[T], fresh bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.log.Append(after, changes)
+	p.toldAt = time.Now()
+	if fresh {
+		p.freshAt = p.toldAt
+	}
+	if len(changes.Changes) > 0 && p.changed != nil {
+		close(p.changed)
+		p.changed = nil
+	}
+}
+
+// Followed reports whether other nodes follow this one.
+func (p *Publisher[T]) Followed() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return time.Since(p.askedAt) < followedFor
+}
+
+// question is what a follower asks.
+type question struct {
+	after catalog.Revision
+	// wait is how long it waits for changes.
+	wait time.Duration
+	// oldest is the greatest age of an answer that is of use.
+	oldest time.Duration
+}
+
+// answer returns the changes after a revision as soon as there are any, none
+// after the wait, or an error once what is known has become too old.
+func (p *Publisher[T]) answer(ctx context.Context, q question) (catalog.Changes[T], error) {
+	end := time.Now().Add(q.wait)
+	for {
+		changes, changed, err := p.look(q)
+		if err != nil || len(changes.Changes) > 0 {
+			return changes, err
+		}
+		pause := min(time.Until(end), q.oldest-changes.Age+time.Millisecond)
+		if time.Until(end) <= 0 {
+			return changes, nil
+		}
+		select {
+		case <-ctx.Done():
+			return changes, ctx.Err()
+		case <-changed:
+		case <-time.After(pause):
+		}
+	}
+}
+
+// look returns what is known now, and a channel that is closed when there is more.
+func (p *Publisher[T]) look(q question) (catalog.Changes[T], <-chan struct{}, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	now := time.Now()
+	p.askedAt = now
+	if p.toldAt.IsZero() || now.Sub(p.toldAt) > q.oldest {
+		return catalog.Changes[T]{}, nil, errNotReading
+	}
+	changes, err := p.log.Since(q.after)
+	changes.Age = now.Sub(p.toldAt)
+	changes.FreshAge = now.Sub(p.freshAt)
+	if p.changed == nil {
+		p.changed = make(chan struct{})
+	}
+	return changes, p.changed, err
+}
--- /dev/null
+++ b/internal/peers/selector.go
@@ -0,0 +1,152 @@
+package peers
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/driftstage/driftstage/internal/members"
+)
+
+const (
+	// relayNodes is the least number of nodes in a region from which some read the
+	// store for all: with fewer, their calls cost little.
+	relayNodes = 8
+	// readerNodes is how many nodes of a region share a reader.
+	readerNodes = 48
+	// firstAvoidance is how long a node that did not answer is not asked; it
+	// doubles up to longestAvoidance.
+	firstAvoidance   = 2 * time.Second
+	longestAvoidance = time.Minute
+	// storeAvoidance is how long other nodes are followed after the store failed.
+	storeAvoidance = 2 * time.Second
+)
+
+// avoidance is a node that did not answer.
+type avoidance struct {
+	until  time.Time
+	length time.Duration
+}
+
+// Selector picks the node that this one follows in place of the store. All nodes
+// of a region order its members alike; the first ones read the store, the others
+// follow one of these. A node that does not answer is passed over, so that the
+// next one in order reads. It does no I/O and reads no clock; it is safe for
+// concurrent use.
+type Selector struct {
+	own  members.Member
+	near func(zone string) bool
+
+	mutex sync.Mutex
+	// region are the live members of the own region, others all besides, both in
+	// the common order.
+	region, others []members.Member
+	avoided        map[string]avoidance
+	storeFailedAt  time.Time
+}
+
+// NewSelector returns a selector that knows no other node; near reports whether a
+// zone is in the own region.
+func NewSelector(own members.Member, near func(zone string) bool) *Selector {
+	return &Selector{own: own, near: near, avoided: make(map[string]avoidance)}
+}
+
+// SetMembers replaces the live members, this node included or not.
+func (s *Selector) SetMembers(live []members.Member) {
+	ordered := slices.Clone(live)
+	slices.SortFunc(ordered, func(a, b members.Member) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
+	})
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.region, s.others = nil, nil
+	for _, member := range ordered {
+		switch {
+		case member.Address == "" && member.Name != s.own.Name:
+		case s.near(member.Zone):
+			s.region = append(s.region, member)
+		default:
+			s.others = append(s.others, member)
+		}
+	}
+}
+
+// Pick returns the node to follow; false if the store is to be asked.
+func (s *Selector) Pick(now time.Time) (members.Member, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if now.Sub(s.storeFailedAt) < storeAvoidance {
+		return s.anyone(now)
+	}
+	if len(s.region) < relayNodes {
+		return members.Member{}, false
+	}
+	return s.reader(now)
+}
+
+// reader returns the reader of the region that this node follows; false if it is
+// one itself.
+func (s *Selector) reader(now time.Time) (members.Member, bool) {
+	count := 1 + len(s.region)/readerNodes
+	readers := make([]members.Member, 0, count)
+	for _, member := range s.region {
+		if member.Name == s.own.Name {
+			return members.Member{}, false
+		}
+		if !s.avoids(member, now) {
+			readers = append(readers, member)
+		}
+		if len(readers) == count {
+			return readers[xxhash.Sum64String(s.own.Name)%uint64(count)], true
+		}
+	}
+	return members.Member{}, false
+}
+
+// anyone returns a node to follow while the store does not answer this one.
+func (s *Selector) anyone(now time.Time) (members.Member, bool) {
+	for _, group := range [][]members.Member{s.region, s.others} {
+		for _, member := range group {
+			if member.Name != s.own.Name && !s.avoids(member, now) {
+				return member, true
+			}
+		}
+	}
+	return members.Member{}, false
+}
+
+func (s *Selector) avoids(member members.Member, now time.Time) bool {
+	return now.Before(s.avoided[member.Name].until)
+}
+
+// StoreFailed makes the node follow any other for a while.
+func (s *Selector) StoreFailed(now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.storeFailedAt = now
+}
+
+// StoreFails reports whether the store has failed lately.
+func (s *Selector) StoreFails(now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return now.Sub(s.storeFailedAt) < storeAvoidance
+}
+
+// Failed is told that a node did not answer.
+func (s *Selector) Failed(name string, now time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	length := min(max(2*s.avoided[name].length, firstAvoidance), longestAvoidance)
+	s.avoided[name] = avoidance{until: now.Add(length), length: length}
+}
+
+// Answered is told that a node answered.
+func (s *Selector) Answered(name string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.avoided, name)
+}
