A node without enough processor time sends callers to others, and sends nothing to a server that left meanwhile

It sent requests to servers chosen 3 s before, which had begun to drain, hedged because of its own delay, and learned servers to be slow.

An attempt is withheld if its server has left between choice and send (it has not run, so another server may get it). Hedges and what is learned of servers leave out the node's own delay.

--- a/cmd/driftrouter/main.go
+++ b/cmd/driftrouter/main.go
@@ -25,9 +25,6 @@
 	exitSettings = 2
 )
 
-// garbageCollectionPercent trades processor time for memory, which is dearer.
-const garbageCollectionPercent = 30
-
 // logBufferBytes bounds log lines that wait for a slow reader.
 const logBufferBytes = 256 << 10
 
@@ -55,7 +52,7 @@
 }
 
 func serve(loaded settings.Router) int {
-	debug.SetGCPercent(garbageCollectionPercent)
+	debug.SetGCPercent(edge.GCPercent)
 	output := telemetry.NewAsyncWriter(os.Stdout, logBufferBytes)
 	defer output.Close()
 	handler := telemetry.SetupLogs(output, loaded.Name, loaded.LogVerbosity)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -4,11 +4,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/driftstage/driftstage/internal/endpoints"
 	"github.com/driftstage/driftstage/internal/exchange"
+	"github.com/driftstage/driftstage/internal/overload"
 	"github.com/driftstage/driftstage/internal/routing"
 	"github.com/driftstage/driftstage/internal/trace"
 	"github.com/driftstage/driftstage/internal/upstream"
@@ -23,6 +25,8 @@
 	answerMargin = 9 * time.Millisecond
 	// answerShare is kept from the target besides, for the work of this node.
 	answerShare = 0.03
+	// negligibleDelay is a wait for the processor as it comes now and then.
+	negligibleDelay = 15 * time.Millisecond
 	// deadlineMargin is kept from the caller's deadline.
 	deadlineMargin = 15 * time.Millisecond
 )
@@ -45,16 +49,24 @@
 	client    *upstream.Client
 	recorder  *trace.Recorder
 	observer  Observer
+	load      Load
 
 	mutex     sync.Mutex
 	estimates map[string]*endpoints.Estimate
 	turns     map[string]uint64
 }
 
+// Load tells how busy this node is.
+type Load interface {
+	// Delay returns how long a goroutine that can run waits for its turn.
+	Delay() time.Duration
+}
+
 // New returns a dispatcher over the directory and the client. A nil recorder
 // writes no traces.
-func New(directory *endpoints.Directory, client *upstream.Client, recorder *trace.Recorder, observer Observer) *Dispatcher {
+func New(directory *endpoints.Directory, client *upstream.Client, recorder *trace.Recorder, observer Observer, load Load) *Dispatcher {
 	return &Dispatcher{
+		load:      load,
 		directory: directory,
 		client:    client,
 		recorder:  recorder,
@@ -70,13 +82,31 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	plan := dispatcher.plan(request)
+	run := newRun(ctx, dispatcher, request, plan)
+	if dispatcher.overloaded(plan) {
+		return run.refuse(exchange.CauseNodeOverloaded)
+	}
 	for _, service := range plan.Services {
 		dispatcher.directory.EarnRetries(service, request.Arrived)
 	}
-	run := newRun(ctx, dispatcher, request, plan)
 	return run.loop()
 }
 
+// delay returns how long this node's steps wait, as far as it matters for a
+// comparison with the times of servers.
+func (dispatcher *Dispatcher) delay() time.Duration {
+	if delay := dispatcher.load.Delay(); delay > negligibleDelay {
+		return delay
+	}
+	return 0
+}
+
+// overloaded decides whether this node refuses a request because it would be late
+// for want of processor time here.
+func (dispatcher *Dispatcher) overloaded(plan exchange.Plan) bool {
+	return rand.Float64() < overload.Refused(dispatcher.load.Delay(), plan.Returning)
+}
+
 func (dispatcher *Dispatcher) plan(request Request) exchange.Plan {
 	route := request.Route
 	plan := exchange.Plan{
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -17,7 +17,8 @@
 		slog.Bool("repeatable", run.plan.Repeatable),
 		slog.Int("least_shards", run.plan.LeastShards),
 		slog.Float64("target_ms", trace.Milliseconds(run.plan.Target)),
-		slog.Float64("deadline_ms", trace.Milliseconds(run.plan.Deadline)))
+		slog.Float64("deadline_ms", trace.Milliseconds(run.plan.Deadline)),
+		slog.Float64("node_delay_ms", trace.Milliseconds(run.dispatcher.load.Delay())))
 }
 
 func (run *run) recordDeferred(service string, extra bool, availability endpoints.Availability) {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -76,9 +76,18 @@
 		Service: service,
 		Work:    run.estimate,
 		Left:    run.plan.Target - now.Sub(run.request.Arrived),
+		Delay:   run.dispatcher.delay(),
 	}
 }
 
+// refuse ends the request before anything is sent.
+func (run *run) refuse(cause exchange.Cause) *exchange.Outcome {
+	outcome := &exchange.Outcome{Status: exchange.StatusRefused, Cause: cause, Missing: len(run.plan.Services)}
+	run.recordAccepted()
+	run.recordFinished(outcome)
+	return outcome
+}
+
 func (run *run) since() time.Duration {
 	return time.Since(run.request.Arrived)
 }
@@ -123,14 +132,18 @@
 
 // attempt makes one attempt and reports its end.
 func (run *run) attempt(ctx context.Context, send exchange.Send) {
+	choice := send.Choice
 	reply := run.dispatcher.client.Do(ctx, upstream.Call{
 		Request:   run.request.Message,
 		ServerID:  send.Choice.Server.ID,
 		Address:   send.Choice.Server.Address,
 		Deadline:  run.deadline,
 		IdleLimit: run.dispatcher.directory.IdleLimit(send.Choice.Server),
+		BodyOnly:  run.plan.Gather,
+		Permitted: func() bool { return run.dispatcher.directory.Open(choice.Endpoint) },
 	})
-	run.dispatcher.directory.Finish(send.Choice, run.estimate, result(reply), time.Now())
+	choice.Delay = max(choice.Delay, run.dispatcher.delay())
+	run.dispatcher.directory.Finish(choice, run.estimate, result(reply), time.Now())
 	run.replies <- ended{id: send.ID, reason: send.Reason, reply: reply}
 }
 
@@ -140,6 +153,8 @@
 		return endpoints.ResultAnswered
 	case upstream.Refused:
 		return endpoints.ResultRefused
+	case upstream.Withheld:
+		return endpoints.ResultUnused
 	case upstream.Foreign:
 		return endpoints.ResultForeign
 	case upstream.Unreachable:
--- a/internal/dispatch/run_test.go
+++ b/internal/dispatch/run_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/driftstage/driftstage/internal/endpoints"
+	"github.com/driftstage/driftstage/internal/overload"
 	"github.com/driftstage/driftstage/internal/routing"
 	"github.com/driftstage/driftstage/internal/trace"
 	"github.com/driftstage/driftstage/internal/upstream"
@@ -22,7 +23,7 @@
 	var output bytes.Buffer
 	recorder := trace.NewRecorder(slog.NewJSONHandler(&output, nil), trace.Options{LinesPerSecond: 1000})
 	directory := endpoints.New(endpoints.Topology{}, nil)
-	dispatcher := New(directory, upstream.NewClient(upstream.Headers{}), recorder, NoObserver{})
+	dispatcher := New(directory, upstream.NewClient(upstream.Headers{}), recorder, NoObserver{}, overload.NewMeter(100))
 	route := &routing.Route{Name: "r", Timeout: time.Second, Target: 500 * time.Millisecond, Split: []routing.WeightedService{{Service: "s", Weight: 1}}}
 	outcome := dispatcher.Do(t.Context(), Request{
 		Route:   route,
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -17,6 +17,7 @@
 	"github.com/driftstage/driftstage/internal/endpoints"
 	"github.com/driftstage/driftstage/internal/ingress"
 	"github.com/driftstage/driftstage/internal/members"
+	"github.com/driftstage/driftstage/internal/overload"
 	"github.com/driftstage/driftstage/internal/peers"
 	"github.com/driftstage/driftstage/internal/retrybudget"
 	"github.com/driftstage/driftstage/internal/routing"
@@ -49,6 +50,9 @@
 	serversSettle = 250 * time.Millisecond
 )
 
+// GCPercent trades processor time for memory, which is dearer.
+const GCPercent = 30
+
 // presumedCount is the least number of nodes that are taken to share what is
 // shared until the count is settled.
 var presumedCount = members.Count{All: 10, Region: 4}
@@ -62,6 +66,7 @@
 	state     *state
 	directory *endpoints.Directory
 	client    *upstream.Client
+	load      *overload.Meter
 	server    *ingress.Server
 	readiness *readiness
 	metrics   *metrics
@@ -101,17 +106,19 @@
 		store:     store,
 		directory: endpoints.New(topology, client),
 		client:    client,
+		load:      overload.NewMeter(GCPercent),
 	}
 	node.selector = peers.NewSelector(node.member(), topology.Near)
 	node.tableLink = peers.NewLink(feedTables, peers.TableCodec{}, node.selector)
 	node.serverLink = peers.NewLink(feedServers, peers.ServerCodec{}, node.selector)
 	node.metrics = newMetrics(node, logs)
 	node.shareAmong(presumedCount)
-	node.state = &state{directory: node.directory, client: node.client}
+	node.state = &state{directory: node.directory, client: node.client, load: node.load}
 	node.server = ingress.New(ingress.Options{
 		Names:      names,
 		Table:      node.state.Table,
-		Dispatcher: dispatch.New(node.directory, node.client, logs.Recorder, node.metrics),
+		Overloaded: node.state.shedsCallers,
+		Dispatcher: dispatch.New(node.directory, node.client, logs.Recorder, node.metrics, node.load),
 	})
 	node.readiness = newReadiness(names.ReadinessPath, node.state.ready)
 	return node
@@ -168,6 +175,7 @@
 	starter := peers.Starter{Addresses: node.settings.Seeds, Known: node.state.complete, Adopt: node.state.adoptSnapshot}
 	tasks.Go(func() { starter.Run(ctx) })
 	tasks.Go(func() { node.sweep(ctx) })
+	tasks.Go(func() { node.load.Run(ctx) })
 }
 
 // servePeers tells other nodes what this one knows, if it has an address for that.
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -14,10 +14,17 @@
 	"github.com/driftstage/driftstage/internal/upstream"
 )
 
+// load tells how busy the node is.
+type load interface {
+	// Busy returns for how long the node has been overloaded; zero if it is not.
+	Busy() time.Duration
+}
+
 // state is what the node believes: the configuration and the servers.
 type state struct {
 	directory *endpoints.Directory
 	client    *upstream.Client
+	load      load
 	table     atomic.Pointer[routing.Table]
 	// adopting keeps two sources from going back on each other's versions.
 	adopting sync.Mutex
@@ -45,10 +52,20 @@
 		return "no configuration is known yet"
 	case !state.serversKnown.Load():
 		return "the servers are not known yet"
+	case state.load.Busy() > 0:
+		return "the node is overloaded"
 	}
 	return ""
 }
 
+// noticeOverload is how long after the beginning of overload callers are sent to
+// other nodes: before that the platform would hand them back to this one.
+const noticeOverload = 2500 * time.Millisecond
+
+// shedsCallers reports whether callers should open their connections anew, to
+// another node.
+func (state *state) shedsCallers() bool { return state.load.Busy() > noticeOverload }
+
 // version returns the version of the configuration in force; 0 for none.
 func (state *state) version() uint64 {
 	if table := state.table.Load(); table != nil {
--- a/internal/edge/world_test.go
+++ b/internal/edge/world_test.go
@@ -21,7 +21,7 @@
 
 // world is a node with stand-ins of the store and of servers around it.
 type world struct {
-	t       *testing.T
+	t       testing.TB
 	store   *standin.Store
 	servers map[string]*standin.Server
 	node    *edge.Node
@@ -53,7 +53,7 @@
 }
 
 // newWorld starts a store with the configuration; the node starts with start.
-func newWorld(t *testing.T, config standin.Configuration) *world {
+func newWorld(t testing.TB, config standin.Configuration) *world {
 	t.Helper()
 	store, err := standin.NewStore()
 	is.New(t).NoErr(err)
@@ -86,7 +86,7 @@
 	return server
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	listen, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.New(t).NoErr(err)
--- a/internal/endpoints/choose.go
+++ b/internal/endpoints/choose.go
@@ -16,6 +16,8 @@
 	LateAfter time.Duration
 	// Connecting is what a new connection adds, as long as there is no idle one.
 	Connecting time.Duration
+	// Delay is how long this node's own steps waited for the processor.
+	Delay time.Duration
 	// UnderWay is how many requests this node had at the server before.
 	UnderWay int
 	// BudgetLeft is what is left of the service's retry budget.
@@ -53,6 +55,8 @@
 	Extra bool
 	// Work is the learned time of work of such requests.
 	Work *Estimate
+	// Delay is how long this node's own steps wait for the processor.
+	Delay time.Duration
 	// Left is the time until the answer loses most of its value; it may be negative.
 	Left time.Duration
 }
@@ -167,6 +171,7 @@
 		Expected:   directory.expected(endpoint, demand, now),
 		LateAfter:  directory.lateAfter(endpoint, demand, now),
 		Connecting: directory.connecting(endpoint),
+		Delay:      demand.Delay,
 		UnderWay:   len(endpoint.underWay),
 		BudgetLeft: directory.service(endpoint.Service).bucket.Tokens(),
 		Reserved:   now,
@@ -175,6 +180,10 @@
 	return choice
 }
 
+// waitingSteps is how many times an attempt waits for this node's processor: to be
+// sent and to be read.
+const waitingSteps = 2
+
 const (
 	// hedgeMargin is what a hedge needs besides the times of work and travel.
 	hedgeMargin = 10 * time.Millisecond
@@ -185,7 +194,7 @@
 // lateAfter returns when an answer is taken for late. Where only a server of
 // another region could take over, that is as late as leaves time for it.
 func (directory *Directory) lateAfter(endpoint *Endpoint, demand Demand, now time.Time) time.Duration {
-	late := endpoint.lateAfter(demand.Work, now) + directory.travel(endpoint)
+	late := endpoint.lateAfter(demand.Work, now) + directory.travel(endpoint) + waitingSteps*demand.Delay
 	if directory.hasNear(demand, endpoint, now) {
 		return late
 	}
@@ -225,6 +234,13 @@
 	return time.Duration(float64(estimate.Late()) * factor)
 }
 
+// Open reports whether the endpoint still takes requests.
+func (directory *Directory) Open(endpoint *Endpoint) bool {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	return endpoint.open() && directory.byID[endpoint.ID] == endpoint
+}
+
 // Result tells how a reserved request ended.
 type Result uint8
 
@@ -254,7 +270,7 @@
 	defer directory.mutex.Unlock()
 	endpoint := choice.Endpoint
 	endpoint.end(choice.Reserved)
-	elapsed := now.Sub(choice.Reserved) - directory.topology.RoundTrip(endpoint.Zone) - choice.Connecting
+	elapsed := now.Sub(choice.Reserved) - directory.topology.RoundTrip(endpoint.Zone) - choice.Connecting - waitingSteps*choice.Delay
 	if result == ResultAnswered {
 		estimate.observe(elapsed)
 	}
--- a/internal/endpoints/share_test.go
+++ b/internal/endpoints/share_test.go
@@ -108,3 +108,18 @@
 	}
 	is.Equal(late(idle{"near": true, "far": true})-late(idle{"near": true}), otherRegionRoundTrip+connectWork)
 }
+
+func TestOpenUntilTheServerLeaves(t *testing.T) {
+	is := is.New(t)
+	directory := directoryOf(server("a", "near-1"), server("b", "near-1"))
+	first := choose(t, directory, demand(NewEstimate(20*time.Millisecond)), epoch)
+	is.True(directory.Open(first.Endpoint))
+	draining := first.Server
+	draining.Draining = true
+	directory.Put(draining, epoch)
+	is.True(!directory.Open(first.Endpoint))
+	second := directory.byID["b"]
+	is.True(directory.Open(second))
+	directory.Remove("b")
+	is.True(!directory.Open(second))
+}
--- a/internal/exchange/core_test.go
+++ b/internal/exchange/core_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/driftstage/driftstage/internal/upstream"
+	"github.com/driftstage/driftstage/internal/verdict"
 )
 
 const ms = time.Millisecond
@@ -238,3 +239,13 @@
 }
 
 var _ Servers = (*fleet)(nil)
+
+// A request that was withheld has not run, so that even one that must not be
+// repeated goes to another server.
+func TestWithheldRequestGoesToAnotherServer(t *testing.T) {
+	is := is.New(t)
+	withheld := upstream.Reply{Kind: upstream.Withheld, Verdict: verdict.NotRun}
+	core := New(singlePlan(false), &fleet{servers: map[string]int{"a": 2}, budget: 1})
+	core.Start(0)
+	is.Equal(ids(core.Reply(AttemptID{0, 0}, withheld, ms)), []AttemptID{{0, 1}})
+}
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -127,4 +127,6 @@
 	CauseNoServers    Cause = "no_servers"
 	CauseOverloaded   Cause = "overloaded"
 	CauseServerFailed Cause = "server_failed"
+	// CauseNodeOverloaded is a lack of processor time on this node.
+	CauseNodeOverloaded Cause = "node_overloaded"
 )
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -26,6 +26,8 @@
 	// Table returns the configuration in force; nil if none is known yet.
 	Table      func() *routing.Table
 	Dispatcher Dispatcher
+	// Overloaded reports whether callers should be sent to other nodes.
+	Overloaded func() bool
 }
 
 // Server answers callers.
@@ -33,6 +35,7 @@
 	names      Names
 	table      func() *routing.Table
 	dispatcher Dispatcher
+	overloaded func() bool
 	http       *fasthttp.Server
 	open       *connections
 	stopping   atomic.Bool
@@ -60,6 +63,7 @@
 		names:      options.Names,
 		table:      options.Table,
 		dispatcher: options.Dispatcher,
+		overloaded: options.Overloaded,
 		open:       newConnections(),
 	}
 	server.ending, server.end = context.WithCancel(context.Background())
@@ -116,7 +120,7 @@
 	server.underWay.Add(1)
 	defer server.underWay.Add(-1)
 	server.answer(ctx, time.Now())
-	if server.stopping.Load() {
+	if server.stopping.Load() || server.overloaded() {
 		ctx.SetConnectionClose()
 	}
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -91,6 +91,9 @@
 	if left < time.Millisecond {
 		return failure(ctx, call, Expired, verdict.NotRun, errors.New("no time left to send")), false
 	}
+	if call.Permitted != nil && !call.Permitted() {
+		return Reply{Kind: Withheld, Verdict: verdict.NotRun, Err: errWithheld}, conn.used
+	}
 	sent := client.send(conn, call, left)
 	if err := sent.failed(); err != nil {
 		return failure(ctx, call, lostKind(conn, err), verdict.MayHaveRun, err), false
@@ -111,6 +114,8 @@
 	return reply, reusable
 }
 
+var errWithheld = errors.New("the server takes no more requests")
+
 // lostKind tells a reset of a new connection from other losses.
 func lostKind(conn *connection, err error) Kind {
 	if !conn.used && (errors.Is(err, unix.ECONNRESET) || errors.Is(err, unix.EPIPE)) {
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -229,3 +229,29 @@
 	is.Equal(reply.Verdict, verdict.MayHaveRun)
 	is.True(reply.Kind != upstream.Refused)
 }
+
+// A request that waited for its connection while the server began to drain is not
+// sent any more.
+func TestWithheldRequestIsNotSent(t *testing.T) {
+	is := is.New(t)
+	server := startServer(t, standin.ServerOptions{})
+	withheld := call(server, "id-1", "")
+	withheld.Permitted = func() bool { return false }
+	reply := newClient().Do(t.Context(), withheld)
+	is.Equal(reply.Kind, upstream.Withheld)
+	is.Equal(reply.Verdict, verdict.NotRun)
+	is.Equal(len(server.Runs()), 0)
+}
+
+func TestBodyOnlyLeavesTheHeadersOut(t *testing.T) {
+	is := is.New(t)
+	server := startServer(t, standin.ServerOptions{})
+	client := newClient()
+	is.True(len(client.Do(t.Context(), call(server, "id-1", "")).Fields) > 0)
+	bodyOnly := call(server, "id-2", "")
+	bodyOnly.BodyOnly = true
+	reply := client.Do(t.Context(), bodyOnly)
+	is.Equal(len(reply.Fields), 0)
+	is.Equal(string(reply.Body), answerBody)
+	is.Equal(reply.Seal, server.Seal("id-2"))
+}
--- a/internal/upstream/doc.go
+++ b/internal/upstream/doc.go
@@ -50,6 +50,11 @@
 	Address  string
 	// Deadline is when the caller of the request stops waiting.
 	Deadline time.Time
+	// BodyOnly leaves out the headers of the answer.
+	BodyOnly bool
+	// Permitted is asked right before the request is written; if it returns false,
+	// nothing is sent. It may be nil.
+	Permitted func() bool
 	// IdleLimit bounds the idle connections kept to the server; negative for no bound.
 	IdleLimit int
 }
@@ -73,11 +78,13 @@
 	Lost
 	// Malformed is an answer that is not whole, not HTTP, or not a server's.
 	Malformed
+	// Withheld is an attempt that was no longer permitted when it could be sent.
+	Withheld
 	// Expired is an attempt that ran into its deadline or was canceled.
 	Expired
 )
 
-var kindNames = [...]string{"answered", "refused", "foreign", "reset", "unreachable", "lost", "malformed", "expired"}
+var kindNames = [...]string{"answered", "refused", "foreign", "reset", "unreachable", "lost", "malformed", "withheld", "expired"}
 
 // String returns the name used in logs and metrics.
 func (kind Kind) String() string { return kindNames[kind] }
--- a/internal/upstream/receive.go
+++ b/internal/upstream/receive.go
@@ -43,7 +43,7 @@
 			return broken(reader, err), framing{}
 		}
 		if client.belongs(response, call, reused) {
-			return client.interpret(response), framingOf(response)
+			return client.interpret(response, call), framingOf(response)
 		}
 	}
 	return Reply{Kind: Malformed, Verdict: verdict.MayHaveRun, Err: errForeignAnswer}, framing{}
@@ -70,7 +70,7 @@
 	return string(id) == call.Request.ID
 }
 
-func (client *Client) interpret(response *fasthttp.Response) Reply {
+func (client *Client) interpret(response *fasthttp.Response, call Call) Reply {
 	reply := Reply{
 		Kind:    Answered,
 		Verdict: verdict.Ran,
@@ -90,7 +90,9 @@
 		reply.Err = errors.New("a success without the server's seal")
 	default:
 		reply.Body = append([]byte(nil), response.Body()...)
-		reply.Fields = endToEndFields(&response.Header)
+		if !call.BodyOnly {
+			reply.Fields = endToEndFields(&response.Header)
+		}
 	}
 	return reply
 }
