--- a/cmd/driftrouter/main.go
+++ b/cmd/driftrouter/main.go
@@ -13,6 +13,8 @@
 	"runtime/debug"
 	"syscall"
 
+	"k8s.io/klog/v2"
+
 	"github.com/driftstage/driftstage/internal/edge"
 	"github.com/driftstage/driftstage/internal/settings"
 	"github.com/driftstage/driftstage/internal/telemetry"
@@ -46,30 +48,49 @@
 	case settings.ModeCheck:
 		fmt.Println("settings are right")
 	default:
-		return serve(request.Settings)
+		return serve(request, args)
 	}
 	return 0
 }
 
-func serve(loaded settings.Router) int {
+func serve(request settings.Request[settings.Router], args []string) int {
+	loaded := request.Settings
 	debug.SetGCPercent(edge.GCPercent)
 	output := telemetry.NewAsyncWriter(os.Stdout, logBufferBytes)
 	defer output.Close()
 	handler := telemetry.SetupLogs(output, loaded.Name, loaded.LogVerbosity)
-	recorder := trace.NewRecorder(handler, trace.Options{
-		LinesPerSecond: loaded.LogLines,
-		SampleEvery:    loaded.LogSample,
-	})
+	recorder := trace.NewRecorder(handler, traceOptions(loaded))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
+	signal.Ignore(syscall.SIGPIPE)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	node := edge.New(loaded, platform.Names(), platform.NewStore(loaded.StoreAddress), edge.Logs{
 		Recorder: recorder,
 		Dropped:  output.Dropped,
 	})
+	if request.Path != "" {
+		go settings.Watch(ctx, request.Path, reloads, func() { reload(node, recorder, args) })
+	}
 	if err := node.Run(ctx); err != nil {
 		fmt.Fprintf(os.Stderr, "driftrouter: %v\n", err)
 		return exitFailure
 	}
 	return 0
 }
+
+// reload reads the settings once more. Wrong ones are reported, and the node goes
+// on by those it has.
+func reload(node *edge.Node, recorder *trace.Recorder, args []string) {
+	request, err := settings.LoadRouter(args)
+	if err != nil {
+		klog.ErrorS(err, "changed settings are wrong; the known ones stay in force")
+		return
+	}
+	recorder.SetOptions(traceOptions(request.Settings))
+	node.Reload(request.Settings)
+}
+
+func traceOptions(loaded settings.Router) trace.Options {
+	return trace.Options{LinesPerSecond: loaded.LogLines, SampleEvery: loaded.LogSample}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -59,7 +60,12 @@
 
 // Node is one process of the query tier.
 type Node struct {
-	settings  settings.Router
+	settings settings.Router
+	// live are the settings in force that may change while the node runs.
+	live atomic.Pointer[settings.Reloadable]
+	// shared is the number of nodes by which shares were set last.
+	shared    members.Count
+	sharing   sync.Mutex
 	topology  endpoints.Topology
 	started   time.Time
 	store     Store
@@ -111,6 +117,7 @@
 	node.selector = peers.NewSelector(node.member(), topology.Near)
 	node.tableLink = peers.NewLink(feedTables, peers.TableCodec{}, node.selector)
 	node.serverLink = peers.NewLink(feedServers, peers.ServerCodec{}, node.selector)
+	node.live.Store(&loaded.Reloadable)
 	node.metrics = newMetrics(node, logs)
 	node.shareAmong(presumedCount)
 	node.state = &state{directory: node.directory, client: node.client, load: node.load}
@@ -172,7 +179,7 @@
 	tasks.Go(func() { servers.Run(ctx) })
 	announcer := members.NewAnnouncer(node.store, node.member(), node.topology.Near, memberObserver{node})
 	tasks.Go(func() { announcer.Run(ctx) })
-	starter := peers.Starter{Addresses: node.settings.Seeds, Known: node.state.complete, Adopt: node.state.adoptSnapshot}
+	starter := peers.Starter{Addresses: func() []string { return node.live.Load().Seeds }, Known: node.state.complete, Adopt: node.state.adoptSnapshot}
 	tasks.Go(func() { starter.Run(ctx) })
 	tasks.Go(func() { node.sweep(ctx) })
 	tasks.Go(func() { node.load.Run(ctx) })
@@ -202,13 +209,17 @@
 
 // shareAmong divides what all nodes share among so many of them.
 func (node *Node) shareAmong(count members.Count) {
+	node.sharing.Lock()
+	defer node.sharing.Unlock()
+	node.shared = count
 	if !count.Settled {
 		count = count.AtLeast(presumedCount)
 	}
+	live := node.live.Load()
 	budget := retrybudget.Limits{
-		Ratio:    max(node.settings.RetryRatio-retryReserve, 0),
-		Capacity: max(node.settings.RetrySlack/float64(count.All+spareNodes), 1),
-		FillAt:   node.started.Add(node.settings.RetryWindow),
+		Ratio:    max(live.RetryRatio-retryReserve, 0),
+		Capacity: max(live.RetrySlack/float64(count.All+spareNodes), 1),
+		FillAt:   node.started.Add(live.RetryWindow),
 	}
 	node.directory.Share(budget, endpoints.Sharers{
 		Near: count.Region + spareNodes/2,
@@ -216,6 +227,19 @@
 	}, time.Now())
 }
 
+// Reload takes over the settings that may change while the node runs; the others
+// take effect with its next start.
+func (node *Node) Reload(newer settings.Router) {
+	changes := node.settings.Changes(newer)
+	node.live.Store(&newer.Reloadable)
+	node.sharing.Lock()
+	shared := node.shared
+	node.sharing.Unlock()
+	node.shareAmong(shared)
+	klog.InfoS("settings reloaded", "retry_ratio", newer.RetryRatio, "retry_slack", newer.RetrySlack,
+		"retry_window", newer.RetryWindow.String(), "stop_timeout", newer.StopTimeout.String(), "seeds", len(newer.Seeds), "needs_restart", changes.Restart)
+}
+
 // memberObserver tells the node who else is there.
 type memberObserver struct{ node *Node }
 
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -460,6 +460,25 @@
 	is.Equal(away.ask("/old/", "id-3").status, 404) // the version did not go back
 }
 
+func TestReloadedSeedsAreAsked(t *testing.T) {
+	is := is.New(t)
+	first := newWorld(t, configuration(7, singleRoute("/one/", "safe", "s")))
+	first.serve(standin.ServerOptions{ID: "i-1", Service: "s"})
+	peer := freeAddress(t)
+	first.startReady(func(loaded *settings.Router) { loaded.PeerAddress = peer })
+
+	away := newWorld(t, configuration(6, singleRoute("/old/", "safe", "s")))
+	away.store.SetFaults(standin.StoreFaults{Silent: true})
+	away.start()
+	time.Sleep(500 * time.Millisecond)
+	is.True(!away.ready())
+	newer := away.loaded
+	newer.Seeds = []string{peer}
+	away.node.Reload(newer)
+	away.eventually("ready", away.ready)
+	is.Equal(away.ask("/one/", "id-1").status, 200)
+}
+
 func TestNodesThatKnowNothingLearnNothingFromEachOther(t *testing.T) {
 	is := is.New(t)
 	world := newWorld(t, configuration(1, singleRoute("/one/", "safe", "s")))
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -21,13 +21,13 @@
 // connections, and requests under way are waited for. Those that take longer than
 // the node may are answered at the end. It returns how many were cut.
 func (node *Node) stop(callers net.Listener) int64 {
-	begun := time.Now()
+	begun, timeout := time.Now(), node.live.Load().StopTimeout
 	klog.InfoS("stopping", "under_way", node.server.UnderWay())
 	node.state.stopping.Store(true)
 	node.server.Stop()
-	time.Sleep(min(noticeTime, node.settings.StopTimeout/2))
+	time.Sleep(min(noticeTime, timeout/2))
 	_ = callers.Close()
-	end := begun.Add(node.settings.StopTimeout - stopReserve)
+	end := begun.Add(timeout - stopReserve)
 	node.awaitRequests(end)
 	if given := node.server.UnderWay(); given > 0 {
 		klog.InfoS("requests given up", "count", given)
--- a/internal/edge/world_test.go
+++ b/internal/edge/world_test.go
@@ -105,10 +105,12 @@
 		ListenAddress:    freeAddress(world.t),
 		ReadinessAddress: freeAddress(world.t),
 		StoreAddress:     world.store.Address(),
-		RetryRatio:       1,
-		RetrySlack:       1000,
-		RetryWindow:      time.Millisecond,
-		StopTimeout:      time.Second,
+		Reloadable: settings.Reloadable{
+			RetryRatio:  1,
+			RetrySlack:  1000,
+			RetryWindow: time.Millisecond,
+			StopTimeout: time.Second,
+		},
 	}
 	for _, apply := range change {
 		apply(&world.loaded)
--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fasthttp/router"
 	"github.com/valyala/fasthttp"
+	"k8s.io/klog/v2"
 
 	"github.com/driftstage/driftstage/internal/catalog"
 	"github.com/driftstage/driftstage/internal/members"
@@ -72,6 +73,8 @@
 	mutex sync.Mutex
 	// client calls the node that was followed last.
 	client *fasthttp.HostClient
+	// followed is the node that was picked last; empty for the store.
+	followed string
 }
 
 // NewLink returns a link for a kind of objects; the kind is part of the path.
@@ -93,12 +96,23 @@
 // Source implements catalog.Relay.
 func (l *Link[T]) Source() catalog.Watcher[T] {
 	member, found := l.selector.Pick(time.Now())
+	l.note(member.Name)
 	if !found {
 		return nil
 	}
 	return source[T]{link: l, member: member}
 }
 
+// note logs when another node is followed than before; empty for the store.
+func (l *Link[T]) note(name string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.followed != name {
+		klog.InfoS("node followed", "feed", l.kind, "peer", name, "before", l.followed)
+		l.followed = name
+	}
+}
+
 // Route adds the answers to other nodes' questions.
 func (l *Link[T]) Route(routes *router.Router) {
 	routes.GET(changesPath+l.kind, l.serve)
--- a/internal/peers/starter.go
+++ b/internal/peers/starter.go
@@ -64,8 +64,8 @@
 
 // Starter asks peers until the node knows enough.
 type Starter struct {
-	// Addresses are the peers; some may be stale or down.
-	Addresses []string
+	// Addresses returns the peers; some may be stale or down.
+	Addresses func() []string
 	// Known reports whether the node needs nothing more.
 	Known func() bool
 	// Adopt takes over what a peer knows.
@@ -91,11 +91,12 @@
 
 // askAll asks the peers in random order until one knows enough.
 func (starter Starter) askAll() {
-	for _, index := range rand.Perm(len(starter.Addresses)) {
+	addresses := starter.Addresses()
+	for _, index := range rand.Perm(len(addresses)) {
 		if starter.Known() {
 			return
 		}
-		address := starter.Addresses[index]
+		address := addresses[index]
 		snapshot, err := Ask(address)
 		if err == nil {
 			err = starter.Adopt(snapshot)
--- a/internal/settings/loader.go
+++ b/internal/settings/loader.go
@@ -28,6 +28,8 @@
 type Request[S any] struct {
 	Mode     Mode
 	Settings S
+	// Path is the settings file; empty for none.
+	Path string
 	// Help is the text of the help, for ModeHelp.
 	Help string
 }
@@ -44,7 +46,7 @@
 // names. The error joins one error for each wrong value.
 func (program program[S]) load(args []string) (Request[S], error) {
 	flags := ff.NewFlagSet(program.name)
-	flags.StringLong("config", "", "settings file (YAML, one key a line)")
+	path := flags.StringLong("config", "", "settings file (YAML, one key a line)")
 	version := flags.BoolLong("version", "print the version and exit")
 	check := flags.BoolLong("check-config", "check the settings and exit")
 	values := make([]*string, len(program.table))
@@ -73,7 +75,7 @@
 	if *check {
 		return Request[S]{Mode: ModeCheck, Settings: loaded}, nil
 	}
-	return Request[S]{Mode: ModeRun, Settings: loaded}, nil
+	return Request[S]{Mode: ModeRun, Settings: loaded, Path: *path}, nil
 }
 
 func (program program[S]) parse(values []*string) (S, error) {
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"strconv"
 	"strings"
 	"time"
@@ -26,6 +27,13 @@
 	MetricsAddress string
 	// StoreAddress is the platform's store (IP:port).
 	StoreAddress string
+	// MemoryMegabytes is the memory that the process may take; 0 for unbounded.
+	MemoryMegabytes int
+	Reloadable
+}
+
+// Reloadable are the settings that take effect while the program runs.
+type Reloadable struct {
 	// Seeds are peer addresses of some nodes; they may be stale.
 	Seeds []string
 	// RetryRatio is the number of extra sends allowed for each request of a service.
@@ -37,8 +45,6 @@
 	RetryWindow time.Duration
 	// StopTimeout is the time from the signal to stop to the end of the process.
 	StopTimeout time.Duration
-	// MemoryMegabytes is the memory that the process may take; 0 for unbounded.
-	MemoryMegabytes int
 	// LogVerbosity is klog's verbosity: 0 to 4.
 	LogVerbosity int
 	// LogLines bounds the log lines of requests a second.
@@ -129,6 +135,22 @@
 	})
 }
 
+// Changes are what a new settings file means for a running program.
+type Changes struct {
+	// Reloaded reports whether a setting changed that takes effect at once.
+	Reloaded bool
+	// Restart reports whether one changed that takes effect with the next start.
+	Restart bool
+}
+
+// Changes compares the settings with newer ones.
+func (loaded Router) Changes(newer Router) Changes {
+	changes := Changes{Reloaded: !reflect.DeepEqual(loaded.Reloadable, newer.Reloadable)}
+	loaded.Reloadable = newer.Reloadable
+	changes.Restart = !reflect.DeepEqual(loaded, newer)
+	return changes
+}
+
 // zones reads ZONE=REGION pairs.
 func zones(field *map[string]string, text string) error {
 	*field = make(map[string]string)
--- a/internal/settings/router_test.go
+++ b/internal/settings/router_test.go
@@ -27,6 +27,26 @@
 	is.Equal(loaded.MetricsAddress, "")
 }
 
+func TestChangesOfSettings(t *testing.T) {
+	load := func(args ...string) Router {
+		request, err := LoadRouter(append(requiredRouter(), args...))
+		is.New(t).NoErr(err)
+		return request.Settings
+	}
+	for _, test := range []struct {
+		args []string
+		want Changes
+	}{
+		{nil, Changes{}},
+		{[]string{"--retry-slack", "99"}, Changes{Reloaded: true}},
+		{[]string{"--seeds", "127.0.0.1:5"}, Changes{Reloaded: true}},
+		{[]string{"--listen-address", "127.0.0.1:5"}, Changes{Restart: true}},
+		{[]string{"--zones", "y=q", "--log-lines", "7"}, Changes{Reloaded: true, Restart: true}},
+	} {
+		is.New(t).Equal(load().Changes(load(test.args...)), test.want)
+	}
+}
+
 func TestRouterSettingsFromAFile(t *testing.T) {
 	is := is.New(t)
 	path := filepath.Join(t.TempDir(), "settings.yaml")
--- /dev/null
+++ b/internal/settings/watch_test.go
@@ -0,0 +1,44 @@
+package settings
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestWatchTellsOfChangesOnly(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	write := func(text string) { is.New(t).NoErr(os.WriteFile(path, []byte(text), 0o600)) }
+	write("zone: a")
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		signals, calls := make(chan os.Signal, 1), 0
+		go Watch(ctx, path, signals, func() { calls++ })
+		synctest.Wait()
+		signals <- os.Interrupt
+		time.Sleep(3 * watchInterval)
+		is.Equal(calls, 0) // a signal alone is no change
+		write("zone: b")
+		signals <- os.Interrupt
+		synctest.Wait()
+		is.Equal(calls, 1) // at once
+		write("zone: c")
+		time.Sleep(watchInterval)
+		synctest.Wait()
+		is.Equal(calls, 2) // without a signal
+		is.NoErr(os.Remove(path))
+		time.Sleep(2 * watchInterval)
+		is.Equal(calls, 2) // it is being replaced
+		write("zone: d")
+		time.Sleep(watchInterval)
+		synctest.Wait()
+		is.Equal(calls, 3)
+	})
+}
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -48,10 +48,10 @@
 // Recorder writes the traces of one node. It is safe for concurrent use.
 type Recorder struct {
 	handler slog.Handler
-	options Options
 	limiter *rate.Limiter
 
 	mutex    sync.Mutex
+	options  Options
 	ordinary int
 	// left counts requests that were left out since the last line.
 	left int
@@ -66,6 +66,15 @@
 	}
 }
 
+// SetOptions replaces the bounds.
+func (recorder *Recorder) SetOptions(options Options) {
+	recorder.mutex.Lock()
+	defer recorder.mutex.Unlock()
+	recorder.options = options
+	recorder.limiter.SetLimit(rate.Limit(options.LinesPerSecond))
+	recorder.limiter.SetBurst(burstSeconds * options.LinesPerSecond)
+}
+
 // step is one recorded decision.
 type step struct {
 	event Event
@@ -132,11 +141,11 @@
 }
 
 func (recorder *Recorder) sampled() bool {
+	recorder.mutex.Lock()
+	defer recorder.mutex.Unlock()
 	if recorder.options.SampleEvery == 0 {
 		return false
 	}
-	recorder.mutex.Lock()
-	defer recorder.mutex.Unlock()
 	recorder.ordinary++
 	return recorder.ordinary%recorder.options.SampleEvery == 0
 }
