--- a/test/soak/node_test.go
+++ b/test/soak/node_test.go
@@ -45,6 +45,8 @@
 	address   string
 	readiness string
 	log       *os.File
+	// storeLink is the proxy through which this node reaches the store.
+	storeLink *proxy
 
 	// injecting is held while a fault or a planned stop is under way.
 	injecting sync.Mutex
@@ -72,8 +74,21 @@
 	return listen.Addr().String()
 }
 
-func newNode(t *testing.T, index int, store, directory string, seeds string, peer string) *node {
+// place is where a node stands and whom it can reach.
+type place struct {
+	index int
+	// regions are the zones and their regions, as the settings take them.
+	regions string
+	// region is the node's own.
+	region string
+	store  string
+	// seeds are the peer addresses of all nodes, peer is the own one.
+	seeds, peer string
+}
+
+func newNode(t *testing.T, place place, directory string) *node {
 	t.Helper()
+	index := place.index
 	built := &node{name: fmt.Sprintf("node-%d", index), address: freeAddress(t), readiness: freeAddress(t)}
 	log, err := os.Create(filepath.Join(directory, built.name+".log"))
 	if err != nil {
@@ -81,11 +96,11 @@
 	}
 	t.Cleanup(func() { log.Close() })
 	built.log = log
+	built.storeLink = newProxy(t, place.store)
 	built.arguments = []string{
-		"--name", built.name, "--zone", zoneName(index), "--region", "region-" + zoneName(index),
-		"--zones", "zone-0=region-zone-0,zone-1=region-zone-1,zone-2=region-zone-2",
+		"--name", built.name, "--zone", zoneName(index), "--region", place.region, "--zones", place.regions,
 		"--listen-address", built.address, "--readiness-address", built.readiness,
-		"--peer-address", peer, "--seeds", seeds, "--store-address", store,
+		"--peer-address", place.peer, "--seeds", place.seeds, "--store-address", built.storeLink.address(),
 		"--retry-ratio", "0.3", "--retry-slack", "60", "--stop-timeout", "4s", "--log-lines", "2000",
 	}
 	return built
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"bytes"
 	"flag"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -17,7 +19,37 @@
 	soakSeed = flag.Uint64("seed", 1, "seed of the faults; 0 draws one")
 )
 
-const nodeCount = 3
+// layout is how the nodes of a run stand.
+type layout struct {
+	nodes int
+	// oneRegion puts all zones into one region.
+	oneRegion bool
+}
+
+// layoutOf returns the layout of a seed: for odd ones a few nodes in three regions,
+// which read the store by themselves; for even ones so many in one region that
+// they relay.
+func layoutOf(seed uint64) layout {
+	if seed%2 == 0 {
+		return layout{nodes: 9, oneRegion: true}
+	}
+	return layout{nodes: 3}
+}
+
+func (layout layout) region(zone string) string {
+	if layout.oneRegion {
+		return "region"
+	}
+	return "region-" + zone
+}
+
+func (layout layout) regions() string {
+	var pairs []string
+	for index := range 3 {
+		pairs = append(pairs, zoneName(index)+"="+layout.region(zoneName(index)))
+	}
+	return strings.Join(pairs, ",")
+}
 
 // injector disturbs nodes, store and servers at random.
 type injector struct {
@@ -43,7 +75,7 @@
 func (injector *injector) one(group *sync.WaitGroup) {
 	target := injector.nodes[injector.random.IntN(len(injector.nodes))]
 	span := time.Duration(200+injector.random.IntN(1500)) * time.Millisecond
-	switch injector.random.IntN(8) {
+	switch injector.random.IntN(12) {
 	case 0:
 		injector.alone(group, target, func() { injector.kill(target, span) })
 	case 1:
@@ -60,7 +92,26 @@
 		server := injector.world.servers[injector.random.IntN(len(injector.world.servers))]
 		resume := server.Pause()
 		time.AfterFunc(span, resume)
+	case 8, 9:
+		injector.link(injector.world.links[injector.random.IntN(len(injector.world.links))], span)
+	case 10, 11:
+		injector.link(target.storeLink, span)
+	}
+}
+
+// link disturbs the connections that pass a proxy, for the span where that has one.
+func (injector *injector) link(link *proxy, span time.Duration) {
+	faults := []linkFault{
+		{delay: time.Duration(1+injector.random.IntN(100)) * time.Millisecond},
+		{holdRequests: true}, {holdAnswers: true}, {holdRequests: true, holdAnswers: true},
+	}
+	kind := injector.random.IntN(len(faults) + 1)
+	if kind == len(faults) {
+		link.reset()
+		return
 	}
+	link.set(faults[kind])
+	time.AfterFunc(span, func() { link.set(linkFault{}) })
 }
 
 // alone does something to a node that nothing else is being done to.
@@ -158,7 +209,7 @@
 	t.Logf("seed %d, %v", seed, span)
 	random := newRandom(seed)
 	world := newWorld(t, random)
-	nodes := startNodes(t, world)
+	nodes := startNodes(t, world, layoutOf(seed))
 	sending, injecting := make(chan struct{}), make(chan struct{})
 	callers := &callers{nodes: nodes, random: random}
 	var group sync.WaitGroup
@@ -167,27 +218,37 @@
 	stopInjecting := time.AfterFunc(span, func() { close(injecting) })
 	defer stopInjecting.Stop()
 	injector.run(injecting)
+	for _, link := range world.links {
+		link.set(linkFault{})
+	}
+	for _, node := range nodes {
+		node.storeLink.set(linkFault{})
+	}
 	checkRecovery(t, world, nodes)
 	close(sending)
 	group.Wait()
 	checker := newChecker(world)
 	checker.check(callers.results)
 	report(t, checker, callers.results)
+	checkRelay(t, layoutOf(seed), nodes)
 	if t.Failed() {
 		t.Logf("seed %d", seed)
 	}
 }
 
-func startNodes(t *testing.T, world *world) []*node {
+func startNodes(t *testing.T, world *world, layout layout) []*node {
 	t.Helper()
 	directory := t.TempDir()
-	peers := make([]string, nodeCount)
+	peers := make([]string, layout.nodes)
 	for index := range peers {
 		peers[index] = freeAddress(t)
 	}
-	nodes := make([]*node, nodeCount)
+	nodes := make([]*node, layout.nodes)
 	for index := range nodes {
-		nodes[index] = newNode(t, index, world.store.Address(), directory, strings.Join(peers, ","), peers[index])
+		nodes[index] = newNode(t, place{
+			index: index, region: layout.region(zoneName(index)), regions: layout.regions(),
+			store: world.store.Address(), seeds: strings.Join(peers, ","), peer: peers[index],
+		}, directory)
 		if err := nodes[index].start(); err != nil {
 			t.Fatal(err)
 		}
@@ -227,6 +288,25 @@
 	}
 }
 
+// checkRelay: where there are many nodes, most of them have followed another one.
+func checkRelay(t *testing.T, layout layout, nodes []*node) {
+	t.Helper()
+	followers := 0
+	for _, node := range nodes {
+		log, err := os.ReadFile(node.log.Name())
+		if err != nil {
+			t.Error(err)
+		}
+		if bytes.Contains(log, []byte(`"peer":"node-`)) {
+			followers++
+		}
+	}
+	t.Logf("%d of %d nodes followed another one", followers, len(nodes))
+	if layout.oneRegion && followers < len(nodes)/2 {
+		t.Errorf("only %d of %d nodes ever followed another one", followers, len(nodes))
+	}
+}
+
 // recoveryID is not among the ids that callers use.
 func recoveryID(index int) string { return "recovery-" + string(rune('a'+index)) }
 
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -31,6 +31,8 @@
 	// records are the records of each server, by its id.
 	records map[string][]byte
 	version uint64
+	// links are the proxies before servers.
+	links []*proxy
 }
 
 // faulty draws a behavior for one request in twenty.
@@ -91,7 +93,11 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(server.Close)
-	if err := world.store.Put("servers", id, server.Spec()); err != nil {
+	link := newProxy(t, server.Address())
+	world.links = append(world.links, link)
+	spec := server.Spec()
+	spec.Address = link.address()
+	if err := world.store.Put("servers", id, spec); err != nil {
 		t.Fatal(err)
 	}
 	world.records[id] = body
