--- a/internal/endpoints/directory.go
+++ b/internal/endpoints/directory.go
@@ -33,6 +33,8 @@
 	endpoints      []*Endpoint
 	bucket         retrybudget.Bucket
 	maxConnections int
+	// askedAt is when a request for the service arrived last.
+	askedAt time.Time
 }
 
 // New returns an empty directory without retry budget. The connections may be nil.
@@ -163,9 +165,12 @@
 	return servers
 }
 
-// EarnRetries adds the allowance of one request to the service's retry budget.
+// EarnRetries adds the allowance of one request that has arrived to the service's
+// retry budget.
 func (directory *Directory) EarnRetries(name string, now time.Time) {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
-	directory.service(name).bucket.Earn(directory.budget, now)
+	owner := directory.service(name)
+	owner.askedAt = now
+	owner.bucket.Earn(directory.budget, now)
 }
--- a/internal/endpoints/share.go
+++ b/internal/endpoints/share.go
@@ -54,6 +54,10 @@
 func (directory *Directory) IdleLimit(server Server) int {
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
+	return directory.idleLimit(server)
+}
+
+func (directory *Directory) idleLimit(server Server) int {
 	share := directory.idleShare(server)
 	switch {
 	case share < 0:
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -6,6 +6,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,6 +30,8 @@
 	dialer  net.Dialer
 	pool    *pool
 	readers sync.Pool
+	// announced is the time of idleness that a server has announced last.
+	announced atomic.Int64
 }
 
 // NewClient returns a client that speaks the given headers.
@@ -50,6 +53,26 @@
 // HasIdle reports whether there is an idle connection to the server.
 func (client *Client) HasIdle(serverID string) bool { return client.pool.has(serverID) }
 
+// Connect opens an idle connection to the server, for a later call.
+func (client *Client) Connect(ctx context.Context, serverID, address string, idleLimit int) error {
+	opened, err := client.dialer.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return err
+	}
+	conn := &connection{Conn: opened, expires: time.Now().Add(client.idleTimeout() - idleMargin)}
+	client.pool.put(serverID, conn, idleLimit)
+	return nil
+}
+
+// idleTimeout returns how long servers keep idle connections, as one of them has
+// announced last.
+func (client *Client) idleTimeout() time.Duration {
+	if announced := client.announced.Load(); announced > 0 {
+		return time.Duration(announced)
+	}
+	return presumedIdleTimeout
+}
+
 // Sweep closes connections that have rested too long.
 func (client *Client) Sweep(now time.Time) { client.pool.sweep(now) }
 
@@ -111,6 +134,7 @@
 	reusable := framing.keep && reader.Buffered() == 0 && sent.complete()
 	conn.used = true
 	conn.expires = time.Now().Add(framing.idle - idleMargin)
+	client.announced.Store(int64(framing.idle))
 	return reply, reusable
 }
 
--- a/internal/upstream/receive.go
+++ b/internal/upstream/receive.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"math/rand/v2"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+	"k8s.io/klog/v2"
 
 	"github.com/driftstage/driftstage/internal/verdict"
 )
@@ -126,5 +128,8 @@
 			result.idle = time.Duration(count) * time.Second
 		}
 	}
+	if rand.IntN(300) == 0 {
+		klog.InfoS("KA", "v", string(response.Header.Peek("Keep-Alive")), "close", response.ConnectionClose())
+	}
 	return result
 }
