--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -109,7 +109,7 @@
 	{"log-verbosity", "0", "how much is logged, 0 to 4", func(s *Router, text string) error {
 		return integer(&s.LogVerbosity, text, 0, 4)
 	}},
-	{"log-lines", "4000", "most log lines of requests a second, 1 to 100000", func(s *Router, text string) error {
+	{"log-lines", "200", "most log lines of requests a second, 1 to 100000", func(s *Router, text string) error {
 		return integer(&s.LogLines, text, 1, 100_000)
 	}},
 	{"log-sample", "100", "ordinary requests of which one is logged, 0 (none) to 1000000", func(s *Router, text string) error {
--- a/internal/upstream/receive.go
+++ b/internal/upstream/receive.go
@@ -2,14 +2,12 @@
 
 import (
 	"bufio"
-	"math/rand/v2"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
-	"k8s.io/klog/v2"
 
 	"github.com/driftstage/driftstage/internal/verdict"
 )
@@ -128,8 +126,5 @@
 			result.idle = time.Duration(count) * time.Second
 		}
 	}
-	if rand.IntN(300) == 0 {
-		klog.InfoS("KA", "v", string(response.Header.Peek("Keep-Alive")), "close", response.ConnectionClose())
-	}
 	return result
 }
