--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -75,8 +75,6 @@
 		if ctx.Err() != nil {
 			return
 		}
-		follower.observer.StoreCalled(follower.name, err)
-		follower.report(err)
 		if err != nil {
 			follower.pause(ctx)
 		}
@@ -88,6 +86,11 @@
 		return nil
 	}
 	err := follower.ask(ctx)
+	if ctx.Err() != nil {
+		return err
+	}
+	follower.observer.StoreCalled(follower.name, err)
+	follower.report(err)
 	if err != nil && follower.relay != nil {
 		follower.relay.StoreFailed()
 	}
--- a/internal/catalog/relay_test.go
+++ b/internal/catalog/relay_test.go
@@ -96,6 +96,38 @@
 	}
 }
 
+// counted counts the calls that ended well.
+type counted struct {
+	mutex sync.Mutex
+	good  int
+}
+
+func (counted *counted) StoreCalled(_ string, err error) {
+	counted.mutex.Lock()
+	defer counted.mutex.Unlock()
+	if err == nil {
+		counted.good++
+	}
+}
+
+// What another node tells is no answer of the store.
+func TestFollowingIsNotCountedAsCallsToTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, other, calls := newMemoryFeed(), newMemoryFeed(), &counted{}
+		store.set("main", "one")
+		other.set("main", "one")
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		follower := NewFollower("test", store, &memorySink{}, calls)
+		follower.Share(&memoryRelay{source: other})
+		go follower.Run(ctx)
+		time.Sleep(time.Minute)
+		calls.mutex.Lock()
+		defer calls.mutex.Unlock()
+		is.New(t).Equal(calls.good, 1)
+	})
+}
+
 func TestFollowedNodeAsksTheStoreOften(t *testing.T) {
 	relay := &memoryRelay{followed: true}
 	relayed(t, relay, func(is *is.I, store *memoryFeed, sink *memorySink) {
