--- a/cmd/driftlab/main.go
+++ b/cmd/driftlab/main.go
@@ -57,6 +57,7 @@
 			scaleCommand(),
 			demoCommand(),
 			routerDemoCommand(),
+			failureCommand(),
 			experimentCommand(),
 		},
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/driftstage/driftstage/internal/endpoints"
 	"github.com/driftstage/driftstage/internal/exchange"
 	"github.com/driftstage/driftstage/internal/overload"
@@ -76,8 +78,17 @@
 	}
 }
 
+// Causes for which a request is given up before it has an answer.
+var (
+	// ErrCallerGone means that the caller has hung up.
+	ErrCallerGone = errors.New("caller_hung_up")
+	// ErrStopping means that the node stops and can wait no longer.
+	ErrStopping = errors.New("node_stopped")
+)
+
 // Do carries out the request. It returns at the deadline, or soon after ctx
-// ends, at the latest; the outcome is nil if ctx ended first.
+// ends, at the latest; the outcome is nil if ctx ended first, whose cause is then
+// recorded.
 func (dispatcher *Dispatcher) Do(ctx context.Context, request Request) *exchange.Outcome {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"log/slog"
 	"time"
 
@@ -75,10 +76,10 @@
 	run.trace.End(outcome.Status != exchange.StatusAnswered || outcome.Missing > 0 || late || extra)
 }
 
-func (run *run) recordHungUp() {
+func (run *run) recordGivenUp() {
 	run.dispatcher.observer.RequestAbandoned(run.plan.Gather)
 	run.trace.Add(trace.EventFinished, time.Now(),
 		slog.String("status", "abandoned"),
-		slog.String("cause", "caller_hung_up"))
+		slog.String("cause", context.Cause(run.context).Error()))
 	run.trace.End(true)
 }
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -111,7 +111,7 @@
 		case <-timer.C:
 			batch = run.core.Tick(run.since())
 		case <-run.context.Done():
-			run.recordHungUp()
+			run.recordGivenUp()
 			return nil
 		}
 	}
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -23,6 +23,8 @@
 	servers Servers
 	shards  []shard
 	done    bool
+	// withoutBudget is set once a shard is lost for want of retry budget.
+	withoutBudget bool
 }
 
 // New returns the core of a request that has just arrived.
@@ -174,20 +176,25 @@
 func (core *Core) wait(shard *shard, availability endpoints.Availability, now time.Duration) {
 	if shard.underWay() == 0 && now >= core.patience(shard, availability) {
 		shard.lost = true
+		core.withoutBudget = core.withoutBudget || availability == endpoints.NoBudget
 		return
 	}
 	shard.nextAt = now + retryPause
 }
 
-// patience returns until when a shard waits for a server to take its request. A
-// service without servers may get one soon; one whose servers have all been tried
-// has nothing to wait for.
+// patience returns until when a shard waits for a server to take its request. Busy
+// servers will have room. A service whose servers have all been tried has nothing
+// to wait for. Without retry budget a shard's part is of use until the target, when
+// the answer is given without it; a whole request is answered early, because its
+// caller can ask again, which is no extra send.
 func (core *Core) patience(shard *shard, availability endpoints.Availability) time.Duration {
 	switch {
-	case availability != endpoints.NoServer:
+	case availability == endpoints.Busy:
 		return core.plan.Deadline
-	case len(shard.attempts) > 0:
+	case availability == endpoints.NoServer && len(shard.attempts) > 0:
 		return 0
+	case availability == endpoints.NoBudget && core.plan.Gather:
+		return core.plan.Target
 	}
 	return time.Duration(refusalShare * float64(core.plan.Target))
 }
--- a/internal/exchange/core_test.go
+++ b/internal/exchange/core_test.go
@@ -249,3 +249,39 @@
 	core.Start(0)
 	is.Equal(ids(core.Reply(AttemptID{0, 0}, withheld, ms)), []AttemptID{{0, 1}})
 }
+
+// A request whose retry is not allowed gets its final answer soon, not at its
+// deadline: the caller may ask again.
+func TestRequestWithoutBudgetIsAnsweredSoon(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		plan    Plan
+		servers *fleet
+		// reply ends the first attempt, if one could be sent.
+		reply upstream.Reply
+		// limit is when the final answer has to be there.
+		limit time.Duration
+		want  Status
+	}{
+		{"refused, no budget", singlePlan(false), &fleet{servers: map[string]int{"a": 2}}, refused, testTarget / 4, StatusRefused},
+		{"lost, no budget", singlePlan(true), &fleet{servers: map[string]int{"a": 2}}, lost, testTarget / 4, StatusFailed},
+		{"shard without budget", gatherPlan("a"), &fleet{servers: map[string]int{"a": 2}}, lost, testTarget + retryPause, StatusFailed},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			core := New(test.plan, test.servers)
+			now := time.Duration(0)
+			batch := core.Start(now)
+			if len(batch.Sends) > 0 {
+				batch = core.Reply(AttemptID{0, 0}, test.reply, now)
+			}
+			for batch.Outcome == nil && now < testDeadline {
+				now = batch.Wake
+				batch = core.Tick(now)
+			}
+			is.Equal(batch.Outcome.Status, test.want)
+			is.Equal(batch.Outcome.Cause, CauseNoBudget)
+			is.True(now <= test.limit)
+		})
+	}
+}
--- a/internal/exchange/decide.go
+++ b/internal/exchange/decide.go
@@ -71,8 +71,11 @@
 	case cause == CauseDeadline:
 		status = StatusExpired
 	}
-	if core.Sends() == 0 {
+	switch {
+	case core.Sends() == 0:
 		cause = CauseNoServers
+	case cause == CauseShardsLost && core.withoutBudget:
+		cause = CauseNoBudget
 	}
 	return &Outcome{Status: status, Cause: cause, Missing: len(core.shards)}
 }
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -127,6 +127,8 @@
 	CauseNoServers    Cause = "no_servers"
 	CauseOverloaded   Cause = "overloaded"
 	CauseServerFailed Cause = "server_failed"
+	// CauseNoBudget is a retry that was needed and not allowed.
+	CauseNoBudget Cause = "no_budget"
 	// CauseNodeOverloaded is a lack of processor time on this node.
 	CauseNodeOverloaded Cause = "node_overloaded"
 )
--- a/internal/ingress/connection.go
+++ b/internal/ingress/connection.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"context"
 	"net"
 	"sync"
 	"time"
@@ -174,7 +173,7 @@
 
 // watch reads ahead until stop is called. It calls hungUp if the caller closes
 // the connection meanwhile.
-func (conn *connection) watch(hungUp context.CancelFunc) (stop func()) {
+func (conn *connection) watch(hungUp func()) (stop func()) {
 	conn.mutex.Lock()
 	conn.phase = phaseServing
 	pipelined := conn.hasAhead
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -42,7 +42,7 @@
 	underWay   atomic.Int64
 	// ending is done once the process can wait for no request any more.
 	ending context.Context
-	end    context.CancelFunc
+	end    context.CancelCauseFunc
 }
 
 // headerBufferBytes bounds the header of a request; buffers are held only while
@@ -66,7 +66,7 @@
 		overloaded: options.Overloaded,
 		open:       newConnections(),
 	}
-	server.ending, server.end = context.WithCancel(context.Background())
+	server.ending, server.end = context.WithCancelCause(context.Background())
 	server.http = &fasthttp.Server{
 		Handler:                       server.handle,
 		ErrorHandler:                  handleError,
@@ -92,7 +92,7 @@
 func (server *Server) Stop() { server.stopping.Store(true) }
 
 // End gives up the requests under way: they are answered at once.
-func (server *Server) End() { server.end() }
+func (server *Server) End() { server.end(dispatch.ErrStopping) }
 
 // CloseIdle closes connections on which no request has begun.
 func (server *Server) CloseIdle() { server.open.closeIdle() }
@@ -157,10 +157,10 @@
 // dispatch carries out the request; the work ends when the caller hangs up, or
 // when the process cannot wait for it.
 func (server *Server) dispatch(ctx *fasthttp.RequestCtx, request dispatch.Request) {
-	working, cancel := context.WithCancel(server.ending)
-	defer cancel()
+	working, cancel := context.WithCancelCause(server.ending)
+	defer cancel(nil)
 	caller := ctx.Conn().(*connection)
-	stopWatch := caller.watch(cancel)
+	stopWatch := caller.watch(func() { cancel(dispatch.ErrCallerGone) })
 	outcome := server.dispatcher.Do(working, request)
 	stopWatch()
 	switch {
