--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -28,7 +28,7 @@
 	// answerShare is kept from the target besides, for the work of this node.
 	answerShare = 0.03
 	// negligibleDelay is a wait for the processor as it comes now and then.
-	negligibleDelay = 15 * time.Millisecond
+	negligibleDelay = 60 * time.Millisecond
 	// deadlineMargin is kept from the caller's deadline.
 	deadlineMargin = 15 * time.Millisecond
 )
