What nodes tell their followers is encoded once and compressed

A reader encoded each configuration once for each of 33 followers and sent all of it over a link of 20 Mbit/s.

Now the body is kept and gzip-compressed from 1 KB on; what differs (revision, ages) stands in headers.

--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -53,12 +53,17 @@
 	Value   json.RawMessage `json:",omitempty"`
 }
 
-// changes is the answer to a question. Durations are in nanoseconds.
-type changes struct {
-	Revision catalog.Revision
-	Age      time.Duration
-	FreshAge time.Duration
-	Changes  []change `json:",omitempty"`
+// Names of the headers of an answer; its body lists the changes.
+const (
+	headerRevision = "Driftstage-Revision"
+	headerAge      = "Driftstage-Age"
+	headerFreshAge = "Driftstage-Fresh-Age"
+)
+
+// encoded is the body of an answer, kept because all followers ask for the same.
+type encoded struct {
+	after, revision catalog.Revision
+	body            []byte
 }
 
 // Link connects the followers of one kind of objects on all nodes: it publishes
@@ -75,6 +80,8 @@
 	client *fasthttp.HostClient
 	// followed is the node that was picked last; empty for the store.
 	followed string
+	// latest is the body that was encoded last.
+	latest encoded
 }
 
 // NewLink returns a link for a kind of objects; the kind is part of the path.
@@ -133,13 +140,33 @@
 		ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
 		return
 	}
-	encoded, err := l.encode(found)
+	body, err := l.body(asked.after, found)
 	if err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
 		return
 	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(encoded)
+	ctx.Response.Header.Set(headerRevision, strconv.FormatUint(uint64(found.Revision), 10))
+	ctx.Response.Header.Set(headerAge, found.Age.String())
+	ctx.Response.Header.Set(headerFreshAge, found.FreshAge.String())
+	writeBody(ctx, body)
+}
+
+// body returns the encoded changes after a revision; empty for none.
+func (l *Link[T]) body(after catalog.Revision, found catalog.Changes[T]) ([]byte, error) {
+	if len(found.Changes) == 0 {
+		return nil, nil
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.latest.after == after && l.latest.revision == found.Revision {
+		return l.latest.body, nil
+	}
+	plain, err := l.encode(found)
+	if err != nil {
+		return nil, err
+	}
+	l.latest = encoded{after: after, revision: found.Revision, body: compress(plain)}
+	return l.latest.body, nil
 }
 
 func parseQuestion(args *fasthttp.Args) (question, error) {
@@ -159,7 +186,7 @@
 }
 
 func (l *Link[T]) encode(found catalog.Changes[T]) ([]byte, error) {
-	answer := changes{Revision: found.Revision, Age: found.Age, FreshAge: found.FreshAge}
+	entries := make([]change, 0, len(found.Changes))
 	for _, item := range found.Changes {
 		entry := change{Name: item.Name, Removed: item.Removed}
 		if !item.Removed {
@@ -169,18 +196,25 @@
 			}
 			entry.Value = value
 		}
-		answer.Changes = append(answer.Changes, entry)
+		entries = append(entries, entry)
 	}
-	return json.Marshal(answer)
+	return json.Marshal(entries)
 }
 
-func (l *Link[T]) decode(body []byte) (catalog.Changes[T], error) {
-	var answer changes
-	if err := json.Unmarshal(body, &answer); err != nil {
+func (l *Link[T]) decode(response *fasthttp.Response) (catalog.Changes[T], error) {
+	found, err := decodeHeaders[T](&response.Header)
+	if err != nil || len(response.Body()) == 0 {
+		return found, err
+	}
+	body, err := response.BodyUncompressed()
+	if err != nil {
+		return catalog.Changes[T]{}, err
+	}
+	var entries []change
+	if err := json.Unmarshal(body, &entries); err != nil {
 		return catalog.Changes[T]{}, err
 	}
-	found := catalog.Changes[T]{Revision: answer.Revision, Age: answer.Age, FreshAge: answer.FreshAge}
-	for _, entry := range answer.Changes {
+	for _, entry := range entries {
 		item := catalog.Change[T]{Name: entry.Name, Removed: entry.Removed}
 		if !entry.Removed {
 			value, err := l.codec.Decode(entry.Value)
@@ -194,6 +228,22 @@
 	return found, nil
 }
 
+func decodeHeaders[T any](header *fasthttp.ResponseHeader) (catalog.Changes[T], error) {
+	revision, err := strconv.ParseUint(string(header.Peek(headerRevision)), 10, 64)
+	if err != nil {
+		return catalog.Changes[T]{}, errors.Wrap(err, headerRevision)
+	}
+	age, err := time.ParseDuration(string(header.Peek(headerAge)))
+	if err != nil {
+		return catalog.Changes[T]{}, errors.Wrap(err, headerAge)
+	}
+	freshAge, err := time.ParseDuration(string(header.Peek(headerFreshAge)))
+	if err != nil {
+		return catalog.Changes[T]{}, errors.Wrap(err, headerFreshAge)
+	}
+	return catalog.Changes[T]{Revision: catalog.Revision(revision), Age: age, FreshAge: freshAge}, nil
+}
+
 // source is another node that is followed.
 type source[T any] struct {
 	link   *Link[T]
@@ -229,7 +279,7 @@
 	}
 	switch status := answered.StatusCode(); status {
 	case fasthttp.StatusOK:
-		return s.link.decode(answered.Body())
+		return s.link.decode(answered)
 	case fasthttp.StatusGone:
 		return catalog.Changes[T]{}, catalog.ErrHistoryGone
 	default:
--- a/internal/peers/link_test.go
+++ b/internal/peers/link_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"testing"
 	"testing/synctest"
@@ -104,6 +105,33 @@
 	is.True(!found) // it is passed over for a while
 }
 
+// All followers ask for the same: it is encoded once, and large answers are
+// compressed.
+func TestAnswersAreEncodedOnce(t *testing.T) {
+	is := is.New(t)
+	reader, source, _ := linked(t, ServerCodec{})
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	var many []catalog.Change[endpoints.Server]
+	for number := range 100 {
+		many = append(many, put(fmt.Sprint("server-", number)))
+	}
+	reader.Publish(5, told(7, many...), true)
+	request := catalog.WatchRequest{After: 5, Wait: time.Second}
+	got, err := source.Watch(ctx, request)
+	is.NoErr(err)
+	is.Equal(got.Changes, many)
+	is.True(len(reader.latest.body) < 2000) // 100 bytes and more each
+	kept := &reader.latest.body[0]
+	_, err = source.Watch(ctx, request)
+	is.NoErr(err)
+	is.Equal(&reader.latest.body[0], kept)
+	reader.Publish(7, told(9, put("next")), true)
+	got, err = source.Watch(ctx, request)
+	is.NoErr(err)
+	is.Equal(len(got.Changes), 101)
+}
+
 func TestConfigurationsArriveAtFollowers(t *testing.T) {
 	is := is.New(t)
 	reader, source, _ := linked(t, TableCodec{})
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -61,6 +61,5 @@
 		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
 		return
 	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(encoded)
+	writeBody(ctx, compress(encoded))
 }
--- a/internal/peers/starter.go
+++ b/internal/peers/starter.go
@@ -57,8 +57,12 @@
 	if status := response.StatusCode(); status != fasthttp.StatusOK {
 		return Snapshot{}, errors.Newf("the peer answered %d", status)
 	}
+	body, err := response.BodyUncompressed()
+	if err != nil {
+		return Snapshot{}, err
+	}
 	var snapshot Snapshot
-	err := json.Unmarshal(response.Body(), &snapshot)
+	err = json.Unmarshal(body, &snapshot)
 	return snapshot, err
 }
 
