--- /dev/null
+++ b/internal/edge/assemble.go
@@ -0,0 +1,134 @@
+package edge
+
+import (
+	"time"
+
+	"go.uber.org/dig"
+
+	"github.com/driftstage/driftstage/internal/dispatch"
+	"github.com/driftstage/driftstage/internal/endpoints"
+	"github.com/driftstage/driftstage/internal/ingress"
+	"github.com/driftstage/driftstage/internal/members"
+	"github.com/driftstage/driftstage/internal/overload"
+	"github.com/driftstage/driftstage/internal/peers"
+	"github.com/driftstage/driftstage/internal/routing"
+	"github.com/driftstage/driftstage/internal/settings"
+	"github.com/driftstage/driftstage/internal/upstream"
+)
+
+// New builds a node by dependency injection; nothing runs yet.
+func New(loaded settings.Router, names ingress.Names, store Store, logs Logs) *Node {
+	container := dig.New()
+	for _, constructor := range []any{
+		func() settings.Router { return loaded },
+		func() ingress.Names { return names },
+		func() Store { return store },
+		func() Logs { return logs },
+		newTopology,
+		newMember,
+		newClient,
+		newDirectory,
+		newMeter,
+		newState,
+		newSelector,
+		newTableLink,
+		newServerLink,
+		newNode,
+	} {
+		must(container.Provide(constructor))
+	}
+	var node *Node
+	must(container.Invoke(func(built *Node) { node = built }))
+	return node
+}
+
+// must ends the program: a constructor that is missing or stands twice is a fault
+// of this file that every test finds.
+func must(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+func newTopology(loaded settings.Router) endpoints.Topology {
+	return endpoints.Topology{
+		Node:    loaded.Name,
+		Own:     endpoints.Place{Zone: loaded.Zone, Region: loaded.Region},
+		Regions: loaded.Regions,
+	}
+}
+
+func newMember(loaded settings.Router) members.Member {
+	return members.Member{Name: loaded.Name, Zone: loaded.Zone, Address: loaded.PeerAddress}
+}
+
+func newClient(names ingress.Names) *upstream.Client { return upstream.NewClient(names.Headers) }
+
+func newDirectory(topology endpoints.Topology, client *upstream.Client) *endpoints.Directory {
+	return endpoints.New(topology, client)
+}
+
+func newMeter() *overload.Meter { return overload.NewMeter(GCPercent) }
+
+func newState(directory *endpoints.Directory, client *upstream.Client, meter *overload.Meter) *state {
+	return &state{directory: directory, client: client, load: meter}
+}
+
+func newSelector(own members.Member, topology endpoints.Topology) *peers.Selector {
+	return peers.NewSelector(own, topology.Near)
+}
+
+func newTableLink(selector *peers.Selector) *peers.Link[*routing.Table] {
+	return peers.NewLink(feedTables, peers.TableCodec{}, selector)
+}
+
+func newServerLink(selector *peers.Selector) *peers.Link[endpoints.Server] {
+	return peers.NewLink(feedServers, peers.ServerCodec{}, selector)
+}
+
+// parts are what a node consists of.
+type parts struct {
+	dig.In
+
+	Settings   settings.Router
+	Names      ingress.Names
+	Store      Store
+	Logs       Logs
+	Topology   endpoints.Topology
+	Member     members.Member
+	Client     *upstream.Client
+	Directory  *endpoints.Directory
+	Meter      *overload.Meter
+	State      *state
+	Selector   *peers.Selector
+	TableLink  *peers.Link[*routing.Table]
+	ServerLink *peers.Link[endpoints.Server]
+}
+
+func newNode(parts parts) *Node {
+	node := &Node{
+		settings:   parts.Settings,
+		topology:   parts.Topology,
+		member:     parts.Member,
+		started:    time.Now(),
+		store:      parts.Store,
+		state:      parts.State,
+		directory:  parts.Directory,
+		client:     parts.Client,
+		load:       parts.Meter,
+		selector:   parts.Selector,
+		tableLink:  parts.TableLink,
+		serverLink: parts.ServerLink,
+	}
+	node.live.Store(&node.settings.Reloadable)
+	node.metrics = newMetrics(node, parts.Logs)
+	node.shareAmong(presumedCount)
+	node.server = ingress.New(ingress.Options{
+		Names:      parts.Names,
+		Table:      node.state.Table,
+		Overloaded: node.state.shedsCallers,
+		Dispatcher: dispatch.New(node.directory, node.client, parts.Logs.Recorder, node.metrics, node.load),
+	})
+	node.readiness = newReadiness(parts.Names.ReadinessPath, node.state.ready)
+	return node
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -14,7 +14,6 @@
 	"k8s.io/klog/v2"
 
 	"github.com/driftstage/driftstage/internal/catalog"
-	"github.com/driftstage/driftstage/internal/dispatch"
 	"github.com/driftstage/driftstage/internal/endpoints"
 	"github.com/driftstage/driftstage/internal/ingress"
 	"github.com/driftstage/driftstage/internal/members"
@@ -67,6 +66,7 @@
 	shared    members.Count
 	sharing   sync.Mutex
 	topology  endpoints.Topology
+	member    members.Member
 	started   time.Time
 	store     Store
 	state     *state
@@ -97,40 +97,6 @@
 	return float64(logs.Dropped())
 }
 
-// New wires the parts; nothing runs yet.
-func New(loaded settings.Router, names ingress.Names, store Store, logs Logs) *Node {
-	topology := endpoints.Topology{
-		Node:    loaded.Name,
-		Own:     endpoints.Place{Zone: loaded.Zone, Region: loaded.Region},
-		Regions: loaded.Regions,
-	}
-	client := upstream.NewClient(names.Headers)
-	node := &Node{
-		settings:  loaded,
-		topology:  topology,
-		started:   time.Now(),
-		store:     store,
-		directory: endpoints.New(topology, client),
-		client:    client,
-		load:      overload.NewMeter(GCPercent),
-	}
-	node.selector = peers.NewSelector(node.member(), topology.Near)
-	node.tableLink = peers.NewLink(feedTables, peers.TableCodec{}, node.selector)
-	node.serverLink = peers.NewLink(feedServers, peers.ServerCodec{}, node.selector)
-	node.live.Store(&loaded.Reloadable)
-	node.metrics = newMetrics(node, logs)
-	node.shareAmong(presumedCount)
-	node.state = &state{directory: node.directory, client: node.client, load: node.load}
-	node.server = ingress.New(ingress.Options{
-		Names:      names,
-		Table:      node.state.Table,
-		Overloaded: node.state.shedsCallers,
-		Dispatcher: dispatch.New(node.directory, node.client, logs.Recorder, node.metrics, node.load),
-	})
-	node.readiness = newReadiness(names.ReadinessPath, node.state.ready)
-	return node
-}
-
 // Run serves until ctx ends, then stops in order. It returns nil after a stop
 // that cut no request.
 func (node *Node) Run(ctx context.Context) error {
@@ -177,7 +143,7 @@
 	servers.Settle(serversSettle)
 	tasks.Go(func() { tables.Run(ctx) })
 	tasks.Go(func() { servers.Run(ctx) })
-	announcer := members.NewAnnouncer(node.store, node.member(), node.topology.Near, memberObserver{node})
+	announcer := members.NewAnnouncer(node.store, node.member, node.topology.Near, memberObserver{node})
 	tasks.Go(func() { announcer.Run(ctx) })
 	starter := peers.Starter{Addresses: func() []string { return node.live.Load().Seeds }, Known: node.state.complete, Adopt: node.state.adoptSnapshot}
 	tasks.Go(func() { starter.Run(ctx) })
@@ -199,14 +165,6 @@
 	return nil
 }
 
-func (node *Node) member() members.Member {
-	return members.Member{
-		Name:    node.settings.Name,
-		Zone:    node.settings.Zone,
-		Address: node.settings.PeerAddress,
-	}
-}
-
 // shareAmong divides what all nodes share among so many of them.
 func (node *Node) shareAmong(count members.Count) {
 	node.sharing.Lock()
@@ -240,26 +198,6 @@
 		"retry_window", newer.RetryWindow.String(), "stop_timeout", newer.StopTimeout.String(), "seeds", len(newer.Seeds), "needs_restart", changes.Restart)
 }
 
-const (
-	// connectTimeout bounds the opening of a connection ahead of need.
-	connectTimeout = 500 * time.Millisecond
-	// connectsAtOnce bounds how many are opened each sweepInterval.
-	connectsAtOnce = 8
-)
-
-// connect opens connections to servers of other regions ahead of need.
-func (node *Node) connect(ctx context.Context, now time.Time) {
-	wanted := node.directory.Unconnected(now)
-	for _, server := range wanted[:min(len(wanted), connectsAtOnce)] {
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, connectTimeout)
-			defer cancel()
-			// A server that takes no connection is found out by the next request.
-			_ = node.client.Connect(ctx, server.ID, server.Address, node.directory.IdleLimit(server))
-		}()
-	}
-}
-
 // memberObserver tells the node who else is there.
 type memberObserver struct{ node *Node }
 
--- a/internal/overload/meter.go
+++ b/internal/overload/meter.go
@@ -17,7 +17,7 @@
 
 const (
 	// interval is the pause between two measurements.
-	interval = 25 * time.Millisecond
+	interval = 50 * time.Millisecond
 	// fallShare is the weight of a measurement that is below the delay known: the
 	// delay rises at once and falls over some measurements.
 	fallShare = 0.4
