--- a/cmd/driftlab/backends.go
+++ b/cmd/driftlab/backends.go
@@ -42,12 +42,12 @@
 	}
 }
 
-func (settings *backendsSettings) register(flags *ff.FlagSet) {
-	options := &settings.options
+func (b *backendsSettings) register(flags *ff.FlagSet) {
+	options := &b.options
 	flags.StringVar(&options.Service, 0, "service", options.Service, "name of the service and prefix of the servers' names")
 	flags.StringVar(&options.Path, 0, "path", options.Path, "HTTP path of sub-requests")
-	flags.StringVar(&settings.listenAdmin, 0, "listen-admin", "127.0.0.1:0", "address of the admin port")
-	flags.StringVar(&settings.zones, 0, "zones", strings.Join(options.Zones, ","), "zones of the servers, in turn")
+	flags.StringVar(&b.listenAdmin, 0, "listen-admin", "127.0.0.1:0", "address of the admin port")
+	flags.StringVar(&b.zones, 0, "zones", strings.Join(options.Zones, ","), "zones of the servers, in turn")
 	flags.IntVar(&options.Servers, 0, "servers", options.Servers, "number of servers")
 	flags.IntVar(&options.Shards, 0, "shards", options.Shards, "number of shards of the first index version")
 	flags.IntVar(&options.Replicas, 0, "replicas", options.Replicas, "number of servers that hold each shard")
@@ -65,23 +65,23 @@
 	flags.IntVar(&options.ResultBytes, 0, "result-bytes", options.ResultBytes, "padding of the result of one shard")
 	flags.IntVar(&options.RecordLimit, 0, "record-limit", options.RecordLimit, "executions kept in the record")
 	flags.Uint64Var(&options.Seed, 0, "seed", options.Seed, "seed of the service times")
-	flags.DurationVar(&settings.advanceEvery, 0, "advance-every", 0, "bring out a new index version at this interval; 0 for never")
-	flags.BoolVar(&settings.printResource, 0, "print-resource", "print the QueryService resource as a second JSON line")
+	flags.DurationVar(&b.advanceEvery, 0, "advance-every", 0, "bring out a new index version at this interval; 0 for never")
+	flags.BoolVar(&b.printResource, 0, "print-resource", "print the QueryService resource as a second JSON line")
 }
 
-func (settings *backendsSettings) run(ctx context.Context) error {
-	settings.options.Zones = strings.Split(settings.zones, ",")
-	if settings.advanceEvery < 0 {
-		return fmt.Errorf("%w: advance-every: want 0 or more, got %s", errUsage, settings.advanceEvery)
+func (b *backendsSettings) run(ctx context.Context) error {
+	b.options.Zones = strings.Split(b.zones, ",")
+	if b.advanceEvery < 0 {
+		return fmt.Errorf("%w: advance-every: want 0 or more, got %s", errUsage, b.advanceEvery)
 	}
-	if err := settings.options.Validate(); err != nil {
+	if err := b.options.Validate(); err != nil {
 		return fmt.Errorf("%w: %w", errUsage, err)
 	}
-	listener, err := net.Listen("tcp", settings.listenAdmin)
+	listener, err := net.Listen("tcp", b.listenAdmin)
 	if err != nil {
 		return err
 	}
-	fleet, err := backend.Start(settings.options)
+	fleet, err := backend.Start(b.options)
 	if err != nil {
 		return errors.Join(err, listener.Close())
 	}
@@ -89,11 +89,11 @@
 	admin := &fasthttp.Server{Handler: fleet.AdminHandler(), Name: "driftlab"}
 	failed := make(chan error, 1)
 	go func() { failed <- admin.Serve(listener) }()
-	if err := settings.announce(fleet, listener.Addr().String()); err != nil {
+	if err := b.announce(fleet, listener.Addr().String()); err != nil {
 		return err
 	}
-	if settings.advanceEvery > 0 {
-		go advance(ctx, fleet, settings.advanceEvery)
+	if b.advanceEvery > 0 {
+		go advance(ctx, fleet, b.advanceEvery)
 	}
 	select {
 	case <-ctx.Done():
@@ -103,12 +103,12 @@
 	}
 }
 
-func (settings *backendsSettings) announce(fleet *backend.Fleet, admin string) error {
+func (b *backendsSettings) announce(fleet *backend.Fleet, admin string) error {
 	encoder := json.NewEncoder(os.Stdout)
 	if err := encoder.Encode(fleet.Describe(admin)); err != nil {
 		return err
 	}
-	if !settings.printResource {
+	if !b.printResource {
 		return nil
 	}
 	return encoder.Encode(fleet.Resource())
--- a/cmd/driftlab/failure.go
+++ b/cmd/driftlab/failure.go
@@ -75,10 +75,10 @@
 }
 
 // show lets the request fail and prints its answer and its story.
-func (failure failure) show(interrupted context.Context) error {
+func (f failure) show(interrupted context.Context) error {
 	ctx, cancel := context.WithTimeout(interrupted, routerDemoTimeout)
 	defer cancel()
-	world, err := startRouterWorld(failure.behave, failure.work)
+	world, err := startRouterWorld(f.behave, f.work)
 	if err != nil {
 		return err
 	}
@@ -88,14 +88,14 @@
 	if err != nil {
 		return err
 	}
-	if failure.before != nil {
-		failure.before(world)
+	if f.before != nil {
+		f.before(world)
 	}
 	asked := make(chan error, 1)
-	go func() { asked <- router.showFailed(ctx, failure.path) }()
-	if failure.during != nil {
+	go func() { asked <- router.showFailed(ctx, f.path) }()
+	if f.during != nil {
 		time.Sleep(200 * time.Millisecond)
-		err = failure.during(router)
+		err = f.during(router)
 	}
 	err = errors.CombineErrors(err, <-asked)
 	err = errors.CombineErrors(err, router.stop())
@@ -107,8 +107,8 @@
 	return errors.CombineErrors(err, writeErr)
 }
 
-func (process *routerProcess) showFailed(ctx context.Context, path string) error {
-	answer, err := standin.Ask(ctx, process.address, routerDemoHost, path, failureID, routerDemoWait)
+func (r *routerProcess) showFailed(ctx context.Context, path string) error {
+	answer, err := standin.Ask(ctx, r.address, routerDemoHost, path, failureID, routerDemoWait)
 	if err != nil {
 		return err
 	}
--- a/cmd/driftlab/load.go
+++ b/cmd/driftlab/load.go
@@ -48,19 +48,19 @@
 	}
 }
 
-func (settings *loadSettings) register(flags *ff.FlagSet) {
-	options := &settings.options
-	flags.StringVar(&settings.gateways, 0, "gateways", "", "addresses of gateways, asked in turn")
-	flags.StringVar(&settings.admin, 0, "admin", "", "admin address of `driftlab backends`")
-	flags.BoolVar(&settings.direct, 0, "direct", "ask one replica of each shard directly and wait for all")
-	flags.BoolVar(&settings.asJSON, 0, "json", "print JSON instead of a table")
+func (l *loadSettings) register(flags *ff.FlagSet) {
+	options := &l.options
+	flags.StringVar(&l.gateways, 0, "gateways", "", "addresses of gateways, asked in turn")
+	flags.StringVar(&l.admin, 0, "admin", "", "admin address of `driftlab backends`")
+	flags.BoolVar(&l.direct, 0, "direct", "ask one replica of each shard directly and wait for all")
+	flags.BoolVar(&l.asJSON, 0, "json", "print JSON instead of a table")
 	flags.StringVar(&options.Service, 0, "service", options.Service, "name of the query service")
 	flags.Float64Var(&options.Rate, 0, "rate", options.Rate, "queries a second (Poisson arrivals)")
 	flags.DurationVar(&options.Warmup, 0, "warmup", options.Warmup, "time before latency counts")
 	flags.DurationVar(&options.Duration, 0, "duration", options.Duration, "time for which latency counts")
 	flags.DurationVar(&options.Settle, 0, "settle", options.Settle, "time between the last answer and reading the record")
 	flags.DurationVar(&options.Timeout, 0, "timeout", options.Timeout, "timeout of a query")
-	flags.StringVar(&settings.class, 0, "class", "", "interactive or batch; empty for the service's own")
+	flags.StringVar(&l.class, 0, "class", "", "interactive or batch; empty for the service's own")
 	flags.Float64Var(&options.RepeatableShare, 0, "repeatable-share", options.RepeatableShare, "share of queries that are repeatable")
 	flags.Float64Var(&options.MinimumCoverage, 0, "minimum-coverage", options.MinimumCoverage, "minimum coverage sent with each query; negative for the service's own")
 	flags.IntVar(&options.BodyBytes, 0, "body-bytes", options.BodyBytes, "size of a query's body")
@@ -68,52 +68,52 @@
 	flags.Uint64Var(&options.Seed, 0, "seed", options.Seed, "seed of arrivals")
 }
 
-func (settings *loadSettings) validate() error {
+func (l *loadSettings) validate() error {
 	var failures []error
-	if settings.gateways == "" && !settings.direct {
+	if l.gateways == "" && !l.direct {
 		failures = append(failures, errors.New("gateways: want addresses, or --direct"))
 	}
-	if settings.direct && settings.admin == "" {
+	if l.direct && l.admin == "" {
 		failures = append(failures, errors.New("admin: --direct needs the admin address of the back ends"))
 	}
-	for _, address := range settings.addresses() {
+	for _, address := range l.addresses() {
 		if _, _, err := net.SplitHostPort(address); err != nil {
 			failures = append(failures, fmt.Errorf("gateways: want IP:port, got %q", address))
 		}
 	}
-	settings.options.Class = v1.Class(settings.class)
-	if err := errors.Join(append(failures, settings.options.Validate())...); err != nil {
+	l.options.Class = v1.Class(l.class)
+	if err := errors.Join(append(failures, l.options.Validate())...); err != nil {
 		return fmt.Errorf("%w: %w", errUsage, err)
 	}
 	return nil
 }
 
-func (settings *loadSettings) addresses() []string {
-	if settings.gateways == "" {
+func (l *loadSettings) addresses() []string {
+	if l.gateways == "" {
 		return nil
 	}
-	return strings.Split(settings.gateways, ",")
+	return strings.Split(l.gateways, ",")
 }
 
-func (settings *loadSettings) run(ctx context.Context) error {
-	if err := settings.validate(); err != nil {
+func (l *loadSettings) run(ctx context.Context) error {
+	if err := l.validate(); err != nil {
 		return err
 	}
-	targets, recorder, err := settings.targets()
+	targets, recorder, err := l.targets()
 	if err != nil {
 		return err
 	}
 	var reports []*lab.Report
 	wrong := 0
 	for _, target := range targets {
-		report, err := lab.Load(ctx, settings.options, target, recorder)
+		report, err := lab.Load(ctx, l.options, target, recorder)
 		if err != nil {
 			return err
 		}
 		reports = append(reports, report)
 		wrong += report.WrongAnswers
 	}
-	if err := settings.print(reports); err != nil {
+	if err := l.print(reports); err != nil {
 		return err
 	}
 	if wrong > 0 {
@@ -122,28 +122,28 @@
 	return nil
 }
 
-func (settings *loadSettings) targets() ([]lab.Target, lab.Recorder, error) {
+func (l *loadSettings) targets() ([]lab.Target, lab.Recorder, error) {
 	var targets []lab.Target
 	var recorder lab.Recorder
-	if settings.admin != "" {
-		client := backend.NewClient(settings.admin)
+	if l.admin != "" {
+		client := backend.NewClient(l.admin)
 		recorder = client
-		if settings.direct {
+		if l.direct {
 			fleet, err := client.Fleet()
 			if err != nil {
 				return nil, nil, err
 			}
-			targets = append(targets, lab.NewDirect(fleet, settings.options.Seed))
+			targets = append(targets, lab.NewDirect(fleet, l.options.Seed))
 		}
 	}
-	if settings.gateways != "" {
-		targets = append(targets, lab.NewGateways(settings.addresses()))
+	if l.gateways != "" {
+		targets = append(targets, lab.NewGateways(l.addresses()))
 	}
 	return targets, recorder, nil
 }
 
-func (settings *loadSettings) print(reports []*lab.Report) error {
-	if settings.asJSON {
+func (l *loadSettings) print(reports []*lab.Report) error {
+	if l.asJSON {
 		encoder := json.NewEncoder(os.Stdout)
 		encoder.SetIndent("", "  ")
 		return encoder.Encode(reports)
--- a/cmd/driftlab/router.go
+++ b/cmd/driftlab/router.go
@@ -99,7 +99,7 @@
 	return world, nil
 }
 
-func (world *routerWorld) serve(service string, index int, behave func(int) standin.Behavior, work time.Duration) error {
+func (r *routerWorld) serve(service string, index int, behave func(int) standin.Behavior, work time.Duration) error {
 	id := fmt.Sprintf("i-%s-%d", service, index)
 	server, err := standin.NewServer(standin.ServerOptions{
 		ID: id, Service: service, Zone: "zone-1", Work: work, Behave: behave,
@@ -108,24 +108,24 @@
 	if err != nil {
 		return err
 	}
-	world.servers = append(world.servers, server)
-	return world.store.Put("servers", id, server.Spec())
+	r.servers = append(r.servers, server)
+	return r.store.Put("servers", id, server.Spec())
 }
 
 // pause makes the servers of a service stand still.
-func (world *routerWorld) pause(service string) {
-	for _, server := range world.servers {
+func (r *routerWorld) pause(service string) {
+	for _, server := range r.servers {
 		if server.Spec().Service == service {
 			server.Pause()
 		}
 	}
 }
 
-func (world *routerWorld) close() {
-	for _, server := range world.servers {
+func (r *routerWorld) close() {
+	for _, server := range r.servers {
 		server.Close()
 	}
-	world.store.Close()
+	r.store.Close()
 }
 
 func routerDemoConfiguration() standin.Configuration {
@@ -188,9 +188,9 @@
 }
 
 // show asks one request of each route and prints the answers.
-func (process *routerProcess) show(ctx context.Context) error {
+func (r *routerProcess) show(ctx context.Context) error {
 	for _, path := range []string{"/all/x", "/one/x"} {
-		answer, err := standin.Ask(ctx, process.address, routerDemoHost, path, "demo"+path[1:4], routerDemoWait)
+		answer, err := standin.Ask(ctx, r.address, routerDemoHost, path, "demo"+path[1:4], routerDemoWait)
 		if err != nil {
 			return err
 		}
@@ -199,9 +199,9 @@
 	return nil
 }
 
-func (process *routerProcess) stop() error {
-	if err := process.command.Process.Signal(syscall.SIGTERM); err != nil {
+func (r *routerProcess) stop() error {
+	if err := r.command.Process.Signal(syscall.SIGTERM); err != nil {
 		return err
 	}
-	return process.command.Wait()
+	return r.command.Wait()
 }
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -62,108 +62,108 @@
 }
 
 // Share lets the follower and those of other nodes spare the store.
-func (follower *Follower[T]) Share(relay Relay[T]) { follower.relay = relay }
+func (f *Follower[T]) Share(relay Relay[T]) { f.relay = relay }
 
 // Settle sets a pause after changes, in which more of them gather: a call for all
 // of them costs as much as one for each.
-func (follower *Follower[T]) Settle(pause time.Duration) { follower.settle = pause }
+func (f *Follower[T]) Settle(pause time.Duration) { f.settle = pause }
 
 // Run follows the feed until ctx ends.
-func (follower *Follower[T]) Run(ctx context.Context) {
+func (f *Follower[T]) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		err := follower.step(ctx)
+		err := f.step(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		if err != nil {
-			follower.pause(ctx)
+			f.pause(ctx)
 		}
 	}
 }
 
-func (follower *Follower[T]) step(ctx context.Context) error {
-	if follower.revision > 0 && follower.followNode(ctx) {
+func (f *Follower[T]) step(ctx context.Context) error {
+	if f.revision > 0 && f.followNode(ctx) {
 		return nil
 	}
-	err := follower.ask(ctx)
+	err := f.ask(ctx)
 	if ctx.Err() != nil {
 		return err
 	}
-	follower.observer.StoreCalled(follower.name, err)
-	follower.report(err)
-	if err != nil && follower.relay != nil {
-		follower.relay.StoreFailed()
+	f.observer.StoreCalled(f.name, err)
+	f.report(err)
+	if err != nil && f.relay != nil {
+		f.relay.StoreFailed()
 	}
 	return err
 }
 
 // ask makes one call to the store.
-func (follower *Follower[T]) ask(ctx context.Context) error {
-	if !follower.listed {
-		return follower.list(ctx)
+func (f *Follower[T]) ask(ctx context.Context) error {
+	if !f.listed {
+		return f.list(ctx)
 	}
-	return follower.watch(ctx)
+	return f.watch(ctx)
 }
 
 // followNode takes changes from another node. It returns false if there is none
 // to follow, or none that answers: then the store has to be asked at once.
-func (follower *Follower[T]) followNode(ctx context.Context) bool {
-	if follower.relay == nil {
+func (f *Follower[T]) followNode(ctx context.Context) bool {
+	if f.relay == nil {
 		return false
 	}
-	source := follower.relay.Source()
+	source := f.relay.Source()
 	if source == nil {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	begun := time.Now()
-	changes, err := source.Watch(ctx, WatchRequest{After: follower.revision, Wait: relayWait})
+	changes, err := source.Watch(ctx, WatchRequest{After: f.revision, Wait: relayWait})
 	if err != nil {
 		return false
 	}
-	follower.apply(changes)
-	follower.freshAt = begun.Add(-changes.FreshAge)
+	f.apply(changes)
+	f.freshAt = begun.Add(-changes.FreshAge)
 	return true
 }
 
-func (follower *Follower[T]) apply(changes Changes[T]) {
+func (f *Follower[T]) apply(changes Changes[T]) {
 	for _, change := range changes.Changes {
-		follower.sink.Apply(change)
+		f.sink.Apply(change)
 	}
-	follower.revision = max(follower.revision, changes.Revision)
+	f.revision = max(f.revision, changes.Revision)
 }
 
 // followed reports whether other nodes follow this one.
-func (follower *Follower[T]) followed() bool {
-	return follower.relay != nil && follower.relay.Followed()
+func (f *Follower[T]) followed() bool {
+	return f.relay != nil && f.relay.Followed()
 }
 
-func (follower *Follower[T]) list(ctx context.Context) error {
+func (f *Follower[T]) list(ctx context.Context) error {
 	begun := time.Now()
-	items, revision, err := follower.readPages(ctx)
+	items, revision, err := f.readPages(ctx)
 	if err != nil {
 		return err
 	}
-	if revision < follower.revision {
+	if revision < f.revision {
 		return errors.New("the list is older than what is known")
 	}
-	follower.sink.Replace(items)
-	follower.revision, follower.listed = revision, true
-	follower.freshAt = begun
+	f.sink.Replace(items)
+	f.revision, f.listed = revision, true
+	f.freshAt = begun
 	return nil
 }
 
 // readPages returns all objects and the revision of the first page: what changes
 // while the others are read is seen again by the watch from there.
-func (follower *Follower[T]) readPages(ctx context.Context) ([]T, Revision, error) {
-	first, err := follower.readPage(ctx, "")
+func (f *Follower[T]) readPages(ctx context.Context) ([]T, Revision, error) {
+	first, err := f.readPage(ctx, "")
 	if err != nil {
 		return nil, 0, err
 	}
 	items := first.Items
 	for next := first.Next; next != ""; {
-		page, err := follower.readPage(ctx, next)
+		page, err := f.readPage(ctx, next)
 		if err != nil {
 			return nil, 0, err
 		}
@@ -173,62 +173,62 @@
 	return items, first.Revision, nil
 }
 
-func (follower *Follower[T]) readPage(ctx context.Context, after string) (Page[T], error) {
+func (f *Follower[T]) readPage(ctx context.Context, after string) (Page[T], error) {
 	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
 	defer cancel()
-	return follower.feed.List(ctx, after)
+	return f.feed.List(ctx, after)
 }
 
-func (follower *Follower[T]) watch(ctx context.Context) error {
+func (f *Follower[T]) watch(ctx context.Context) error {
 	wait, fresh := watchWait, freshInterval
-	if follower.followed() {
+	if f.followed() {
 		wait, fresh = relayWait, relayFreshInterval
 	}
 	request := WatchRequest{
-		After: follower.revision,
+		After: f.revision,
 		Wait:  wait,
-		Stale: time.Since(follower.freshAt) < fresh,
+		Stale: time.Since(f.freshAt) < fresh,
 	}
-	changes, err := follower.callWatch(ctx, request)
+	changes, err := f.callWatch(ctx, request)
 	if err != nil {
-		follower.listed = false
+		f.listed = false
 		return err
 	}
-	follower.apply(changes)
+	f.apply(changes)
 	if !request.Stale {
-		follower.freshAt = time.Now()
+		f.freshAt = time.Now()
 	}
-	if follower.relay != nil {
-		follower.relay.Publish(request.After, changes, !request.Stale)
+	if f.relay != nil {
+		f.relay.Publish(request.After, changes, !request.Stale)
 	}
 	if len(changes.Changes) > 0 {
-		sleep(ctx, follower.settle)
+		sleep(ctx, f.settle)
 	}
 	return nil
 }
 
-func (follower *Follower[T]) callWatch(ctx context.Context, request WatchRequest) (Changes[T], error) {
+func (f *Follower[T]) callWatch(ctx context.Context, request WatchRequest) (Changes[T], error) {
 	ctx, cancel := context.WithTimeout(ctx, request.Wait+watchReserve)
 	defer cancel()
-	return follower.feed.Watch(ctx, request)
+	return f.feed.Watch(ctx, request)
 }
 
 // report logs when the feed is lost and when it is regained.
-func (follower *Follower[T]) report(err error) {
+func (f *Follower[T]) report(err error) {
 	switch {
-	case err == nil && follower.failures > 0:
-		klog.InfoS("store regained", "feed", follower.name, "failures", follower.failures, "revision", follower.revision)
-		follower.failures = 0
+	case err == nil && f.failures > 0:
+		klog.InfoS("store regained", "feed", f.name, "failures", f.failures, "revision", f.revision)
+		f.failures = 0
 	case err != nil:
-		if follower.failures == 0 {
-			klog.InfoS("store lost", "feed", follower.name, "cause", err.Error(), "revision", follower.revision)
+		if f.failures == 0 {
+			klog.InfoS("store lost", "feed", f.name, "cause", err.Error(), "revision", f.revision)
 		}
-		follower.failures++
+		f.failures++
 	}
 }
 
-func (follower *Follower[T]) pause(ctx context.Context) {
-	pause := min(firstPause<<min(follower.failures-1, 10), longestPause)
+func (f *Follower[T]) pause(ctx context.Context) {
+	pause := min(firstPause<<min(f.failures-1, 10), longestPause)
 	pause = pause/2 + rand.N(pause/2)
 	sleep(ctx, pause)
 }
--- a/internal/catalog/follower_test.go
+++ b/internal/catalog/follower_test.go
@@ -41,35 +41,35 @@
 	return &memoryFeed{changed: make(chan struct{}), items: make(map[string]string), first: 1}
 }
 
-func (feed *memoryFeed) set(name, value string) {
-	feed.mutex.Lock()
-	defer feed.mutex.Unlock()
-	feed.revision++
-	feed.items[name] = value
-	feed.changes = append(feed.changes, Change[string]{Name: name, Value: value})
-	close(feed.changed)
-	feed.changed = make(chan struct{})
+func (m *memoryFeed) set(name, value string) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.revision++
+	m.items[name] = value
+	m.changes = append(m.changes, Change[string]{Name: name, Value: value})
+	close(m.changed)
+	m.changed = make(chan struct{})
 }
 
-func (feed *memoryFeed) forget() {
-	feed.mutex.Lock()
-	defer feed.mutex.Unlock()
-	feed.changes = nil
-	feed.first = feed.revision + 1
+func (m *memoryFeed) forget() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.changes = nil
+	m.first = m.revision + 1
 }
 
-func (feed *memoryFeed) configure(change func()) {
-	feed.mutex.Lock()
-	defer feed.mutex.Unlock()
+func (m *memoryFeed) configure(change func()) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
 	change()
 }
 
 var errStore = errors.New("the store is away")
 
-func (feed *memoryFeed) trouble(ctx context.Context) error {
-	feed.mutex.Lock()
-	hang, fail := feed.hang, feed.fail
-	feed.mutex.Unlock()
+func (m *memoryFeed) trouble(ctx context.Context) error {
+	m.mutex.Lock()
+	hang, fail := m.hang, m.fail
+	m.mutex.Unlock()
 	if hang {
 		<-ctx.Done()
 		return ctx.Err()
@@ -80,29 +80,29 @@
 	return nil
 }
 
-func (feed *memoryFeed) List(ctx context.Context, after string) (Page[string], error) {
-	if err := feed.trouble(ctx); err != nil {
+func (m *memoryFeed) List(ctx context.Context, after string) (Page[string], error) {
+	if err := m.trouble(ctx); err != nil {
 		return Page[string]{}, err
 	}
-	feed.mutex.Lock()
-	delay := feed.delay
-	feed.mutex.Unlock()
+	m.mutex.Lock()
+	delay := m.delay
+	m.mutex.Unlock()
 	select {
 	case <-time.After(delay):
 	case <-ctx.Done():
 		return Page[string]{}, ctx.Err()
 	}
-	feed.mutex.Lock()
-	defer feed.mutex.Unlock()
-	feed.lists++
-	page := Page[string]{Revision: feed.revision}
-	for _, name := range slices.Sorted(maps.Keys(feed.items)) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.lists++
+	page := Page[string]{Revision: m.revision}
+	for _, name := range slices.Sorted(maps.Keys(m.items)) {
 		switch {
 		case name <= after:
 		case len(page.Items) == pageSize:
 			return page, nil
 		default:
-			page.Items = append(page.Items, feed.items[name])
+			page.Items = append(page.Items, m.items[name])
 			page.Next = name
 		}
 	}
@@ -110,14 +110,14 @@
 	return page, nil
 }
 
-func (feed *memoryFeed) Watch(ctx context.Context, request WatchRequest) (Changes[string], error) {
-	feed.count(request.Stale)
+func (m *memoryFeed) Watch(ctx context.Context, request WatchRequest) (Changes[string], error) {
+	m.count(request.Stale)
 	expired := time.After(request.Wait)
 	for {
-		if err := feed.trouble(ctx); err != nil {
+		if err := m.trouble(ctx); err != nil {
 			return Changes[string]{}, err
 		}
-		changes, changed, err := feed.since(request)
+		changes, changed, err := m.since(request)
 		if err != nil || len(changes.Changes) > 0 {
 			return changes, err
 		}
@@ -131,31 +131,31 @@
 	}
 }
 
-func (feed *memoryFeed) count(stale bool) {
-	feed.mutex.Lock()
-	defer feed.mutex.Unlock()
+func (m *memoryFeed) count(stale bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
 	if stale {
-		feed.stale++
+		m.stale++
 	} else {
-		feed.fresh++
+		m.fresh++
 	}
 }
 
-func (feed *memoryFeed) since(request WatchRequest) (Changes[string], chan struct{}, error) {
-	feed.mutex.Lock()
-	defer feed.mutex.Unlock()
-	if request.After+1 < feed.first {
+func (m *memoryFeed) since(request WatchRequest) (Changes[string], chan struct{}, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if request.After+1 < m.first {
 		return Changes[string]{}, nil, ErrHistoryGone
 	}
-	last := feed.revision
+	last := m.revision
 	if request.Stale {
-		last = max(last, feed.staleBehind) - feed.staleBehind
+		last = max(last, m.staleBehind) - m.staleBehind
 	}
 	changes := Changes[string]{Revision: max(last, request.After)}
 	for revision := request.After + 1; revision <= last; revision++ {
-		changes.Changes = append(changes.Changes, feed.changes[revision-feed.first])
+		changes.Changes = append(changes.Changes, m.changes[revision-m.first])
 	}
-	return changes, feed.changed, nil
+	return changes, m.changed, nil
 }
 
 // memorySink keeps the values that it was told last.
@@ -166,26 +166,26 @@
 	replaced int
 }
 
-func (sink *memorySink) Replace(items []string) {
-	sink.mutex.Lock()
-	defer sink.mutex.Unlock()
-	sink.replaced++
-	sink.size = len(items)
+func (m *memorySink) Replace(items []string) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.replaced++
+	m.size = len(items)
 	if len(items) > 0 {
-		sink.last = items[0]
+		m.last = items[0]
 	}
 }
 
-func (sink *memorySink) Apply(change Change[string]) {
-	sink.mutex.Lock()
-	defer sink.mutex.Unlock()
-	sink.last = change.Value
+func (m *memorySink) Apply(change Change[string]) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.last = change.Value
 }
 
-func (sink *memorySink) get() string {
-	sink.mutex.Lock()
-	defer sink.mutex.Unlock()
-	return sink.last
+func (m *memorySink) get() string {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.last
 }
 
 // uncounted is an observer that counts nothing.
--- a/internal/catalog/relay_test.go
+++ b/internal/catalog/relay_test.go
@@ -19,31 +19,31 @@
 	published []Changes[string]
 }
 
-func (relay *memoryRelay) Source() Watcher[string] {
-	relay.mutex.Lock()
-	defer relay.mutex.Unlock()
-	if relay.source == nil {
+func (m *memoryRelay) Source() Watcher[string] {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.source == nil {
 		return nil
 	}
-	return relay.source
+	return m.source
 }
 
-func (relay *memoryRelay) Publish(_ Revision, changes Changes[string], _ bool) {
-	relay.mutex.Lock()
-	defer relay.mutex.Unlock()
-	relay.published = append(relay.published, changes)
+func (m *memoryRelay) Publish(_ Revision, changes Changes[string], _ bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.published = append(m.published, changes)
 }
 
-func (relay *memoryRelay) StoreFailed() {
-	relay.mutex.Lock()
-	defer relay.mutex.Unlock()
-	relay.failed++
+func (m *memoryRelay) StoreFailed() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.failed++
 }
 
-func (relay *memoryRelay) Followed() bool {
-	relay.mutex.Lock()
-	defer relay.mutex.Unlock()
-	return relay.followed
+func (m *memoryRelay) Followed() bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.followed
 }
 
 // relayed runs a follower beside a store and another node that knows the same.
@@ -102,11 +102,11 @@
 	good  int
 }
 
-func (counted *counted) StoreCalled(_ string, err error) {
-	counted.mutex.Lock()
-	defer counted.mutex.Unlock()
+func (c *counted) StoreCalled(_ string, err error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	if err == nil {
-		counted.good++
+		c.good++
 	}
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -89,24 +89,24 @@
 // Do carries out the request. It returns at the deadline, or soon after ctx
 // ends, at the latest; the outcome is nil if ctx ended first, whose cause is then
 // recorded.
-func (dispatcher *Dispatcher) Do(ctx context.Context, request Request) *exchange.Outcome {
+func (d *Dispatcher) Do(ctx context.Context, request Request) *exchange.Outcome {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	plan := dispatcher.plan(request)
-	run := newRun(ctx, dispatcher, request, plan)
-	if dispatcher.overloaded(plan) {
+	plan := d.plan(request)
+	run := newRun(ctx, d, request, plan)
+	if d.overloaded(plan) {
 		return run.refuse(exchange.CauseNodeOverloaded)
 	}
 	for _, service := range plan.Services {
-		dispatcher.directory.EarnRetries(service, request.Arrived)
+		d.directory.EarnRetries(service, request.Arrived)
 	}
 	return run.loop()
 }
 
 // delay returns how long this node's steps wait, as far as it matters for a
 // comparison with the times of servers.
-func (dispatcher *Dispatcher) delay() time.Duration {
-	if delay := dispatcher.load.Delay(); delay > negligibleDelay {
+func (d *Dispatcher) delay() time.Duration {
+	if delay := d.load.Delay(); delay > negligibleDelay {
 		return delay
 	}
 	return 0
@@ -114,11 +114,11 @@
 
 // overloaded decides whether this node refuses a request because it would be late
 // for want of processor time here.
-func (dispatcher *Dispatcher) overloaded(plan exchange.Plan) bool {
-	return rand.Float64() < overload.Refused(dispatcher.load.Delay(), plan.Returning)
+func (d *Dispatcher) overloaded(plan exchange.Plan) bool {
+	return rand.Float64() < overload.Refused(d.load.Delay(), plan.Returning)
 }
 
-func (dispatcher *Dispatcher) plan(request Request) exchange.Plan {
+func (d *Dispatcher) plan(request Request) exchange.Plan {
 	route := request.Route
 	plan := exchange.Plan{
 		Services:        route.Shards,
@@ -133,7 +133,7 @@
 	if plan.Gather {
 		plan.LeastShards = route.LeastShards()
 	} else {
-		plan.Services = []string{route.Choose(dispatcher.turn(route.Name))}
+		plan.Services = []string{route.Choose(d.turn(route.Name))}
 	}
 	return plan
 }
@@ -161,21 +161,21 @@
 	return request.Allowed > 0 && request.Allowed < time.Duration(returningShare*float64(request.Route.Timeout))
 }
 
-func (dispatcher *Dispatcher) turn(route string) uint64 {
-	dispatcher.mutex.Lock()
-	defer dispatcher.mutex.Unlock()
-	dispatcher.turns[route]++
-	return dispatcher.turns[route]
+func (d *Dispatcher) turn(route string) uint64 {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.turns[route]++
+	return d.turns[route]
 }
 
 // estimate returns the learned time of work of the route's requests.
-func (dispatcher *Dispatcher) estimate(route *routing.Route) *endpoints.Estimate {
-	dispatcher.mutex.Lock()
-	defer dispatcher.mutex.Unlock()
-	estimate, found := dispatcher.estimates[route.Name]
+func (d *Dispatcher) estimate(route *routing.Route) *endpoints.Estimate {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	estimate, found := d.estimates[route.Name]
 	if !found {
 		estimate = endpoints.NewEstimate(time.Duration(firstWork * float64(route.Target)))
-		dispatcher.estimates[route.Name] = estimate
+		d.estimates[route.Name] = estimate
 	}
 	return estimate
 }
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -42,7 +42,6 @@
 		context:    ctx,
 		// Every attempt can leave its reply without a reader.
 		replies:  make(chan ended, len(plan.Services)*plan.MaximumAttempts),
-		deferred: make(map[string]endpoints.Availability),
 		cancels:  make(map[exchange.AttemptID]context.CancelFunc, len(plan.Services)),
 		deadline: request.Arrived.Add(plan.Deadline),
 		trace:    dispatcher.recorder.Begin(request.Message.ID, request.Arrived),
@@ -53,98 +52,105 @@
 }
 
 // Feasible implements exchange.Servers.
-func (run *run) Feasible(service string) bool {
+func (r *run) Feasible(service string) bool {
 	now := time.Now()
-	return run.dispatcher.directory.Feasible(run.demand(service, now), now)
+	return r.dispatcher.directory.Feasible(r.demand(service, now), now)
 }
 
 // Choose implements exchange.Servers.
-func (run *run) Choose(service string, tried []*endpoints.Endpoint, extra bool) (endpoints.Choice, endpoints.Availability) {
+func (r *run) Choose(service string, tried []*endpoints.Endpoint, extra bool) (endpoints.Choice, endpoints.Availability) {
 	now := time.Now()
-	demand := run.demand(service, now)
+	demand := r.demand(service, now)
 	demand.Tried, demand.Extra = tried, extra
-	choice, availability := run.dispatcher.directory.Choose(demand, now)
-	if known, waits := run.deferred[service]; availability != endpoints.Chosen && (!waits || known != availability) {
-		run.deferred[service] = availability
-		run.recordDeferred(service, extra, availability)
+	choice, availability := r.dispatcher.directory.Choose(demand, now)
+	if known, waits := r.deferred[service]; availability != endpoints.Chosen && (!waits || known != availability) {
+		r.noteDeferred(service, availability)
+		r.recordDeferred(service, extra, availability)
 	}
 	return choice, availability
 }
 
-func (run *run) demand(service string, now time.Time) endpoints.Demand {
+func (r *run) noteDeferred(service string, availability endpoints.Availability) {
+	if r.deferred == nil {
+		r.deferred = make(map[string]endpoints.Availability)
+	}
+	r.deferred[service] = availability
+}
+
+func (r *run) demand(service string, now time.Time) endpoints.Demand {
 	return endpoints.Demand{
 		Service: service,
-		Work:    run.estimate,
-		Left:    run.plan.Target - now.Sub(run.request.Arrived),
-		Delay:   run.dispatcher.delay(),
+		Work:    r.estimate,
+		Left:    r.plan.Target - now.Sub(r.request.Arrived),
+		Delay:   r.dispatcher.delay(),
 	}
 }
 
 // refuse ends the request before anything is sent.
-func (run *run) refuse(cause exchange.Cause) *exchange.Outcome {
-	outcome := &exchange.Outcome{Status: exchange.StatusRefused, Cause: cause, Missing: len(run.plan.Services)}
-	run.recordAccepted()
-	run.recordFinished(outcome)
+func (r *run) refuse(cause exchange.Cause) *exchange.Outcome {
+	outcome := &exchange.Outcome{Status: exchange.StatusRefused, Cause: cause, Missing: len(r.plan.Services)}
+	r.recordAccepted()
+	r.recordFinished(outcome)
 	return outcome
 }
 
-func (run *run) since() time.Duration {
-	return time.Since(run.request.Arrived)
+func (r *run) since() time.Duration {
+	return time.Since(r.request.Arrived)
 }
 
-func (run *run) loop() *exchange.Outcome {
-	run.recordAccepted()
-	batch := run.core.Start(run.since())
+func (r *run) loop() *exchange.Outcome {
+	r.recordAccepted()
+	batch := r.core.Start(r.since())
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
-		run.apply(batch)
+		r.apply(batch)
 		if batch.Outcome != nil {
-			run.recordFinished(batch.Outcome)
+			r.recordFinished(batch.Outcome)
 			return batch.Outcome
 		}
-		timer.Reset(max(batch.Wake-run.since(), 0))
+		timer.Reset(max(batch.Wake-r.since(), 0))
 		select {
-		case end := <-run.replies:
-			run.recordEnded(end)
-			batch = run.core.Reply(end.id, end.reply, run.since())
+		case end := <-r.replies:
+			r.recordEnded(end)
+			batch = r.core.Reply(end.id, end.reply, r.since())
 		case <-timer.C:
-			batch = run.core.Tick(run.since())
-		case <-run.context.Done():
-			run.recordGivenUp()
+			batch = r.core.Tick(r.since())
+		case <-r.context.Done():
+			r.recordGivenUp()
 			return nil
 		}
 	}
 }
 
-func (run *run) apply(batch exchange.Batch) {
+func (r *run) apply(batch exchange.Batch) {
 	for _, id := range batch.Cancels {
-		run.cancels[id]()
-		run.recordCanceled(id)
+		r.cancels[id]()
+		r.recordCanceled(id)
 	}
 	for _, send := range batch.Sends {
-		ctx, cancel := context.WithCancel(run.context)
-		run.cancels[send.ID] = cancel
-		run.recordSent(send)
-		go run.attempt(ctx, send)
+		ctx, cancel := context.WithCancel(r.context)
+		r.cancels[send.ID] = cancel
+		r.recordSent(send)
+		go r.attempt(ctx, send)
 	}
 }
 
 // attempt makes one attempt and reports its end.
-func (run *run) attempt(ctx context.Context, send exchange.Send) {
+func (r *run) attempt(ctx context.Context, send exchange.Send) {
 	choice := send.Choice
-	reply := run.dispatcher.client.Do(ctx, upstream.Call{
-		Request:   run.request.Message,
+	reply := r.dispatcher.client.Do(ctx, upstream.Call{
+		Request:   r.request.Message,
 		ServerID:  send.Choice.Server.ID,
 		Address:   send.Choice.Server.Address,
-		Deadline:  run.deadline,
-		IdleLimit: run.dispatcher.directory.IdleLimit(send.Choice.Server),
-		BodyOnly:  run.plan.Gather,
-		Permitted: func() bool { return run.dispatcher.directory.Open(choice.Endpoint) },
+		Deadline:  r.deadline,
+		IdleLimit: r.dispatcher.directory.IdleLimit(send.Choice.Server),
+		BodyOnly:  r.plan.Gather,
+		Permitted: func() bool { return r.dispatcher.directory.Open(choice.Endpoint) },
 	})
-	choice.Delay = max(choice.Delay, run.dispatcher.delay())
-	run.dispatcher.directory.Finish(choice, run.estimate, result(reply), time.Now())
-	run.replies <- ended{id: send.ID, reason: send.Reason, reply: reply}
+	choice.Delay = max(choice.Delay, r.dispatcher.delay())
+	r.dispatcher.directory.Finish(choice, r.estimate, result(reply), time.Now())
+	r.replies <- ended{id: send.ID, reason: send.Reason, reply: reply}
 }
 
 func result(reply upstream.Reply) endpoints.Result {
--- a/internal/edge/connect.go
+++ b/internal/edge/connect.go
@@ -13,14 +13,14 @@
 )
 
 // connect opens connections to servers of other regions ahead of need.
-func (node *Node) connect(ctx context.Context, now time.Time) {
-	wanted := node.directory.Unconnected(now)
+func (n *Node) connect(ctx context.Context, now time.Time) {
+	wanted := n.directory.Unconnected(now)
 	for _, server := range wanted[:min(len(wanted), connectsAtOnce)] {
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 			defer cancel()
 			// A server that takes no connection is found out by the next request.
-			_ = node.client.Connect(ctx, server.ID, server.Address, node.directory.IdleLimit(server))
+			_ = n.client.Connect(ctx, server.ID, server.Address, n.directory.IdleLimit(server))
 		}()
 	}
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -90,41 +90,41 @@
 	Dropped func() uint64
 }
 
-func (logs Logs) dropped() float64 {
-	if logs.Dropped == nil {
+func (l Logs) dropped() float64 {
+	if l.Dropped == nil {
 		return 0
 	}
-	return float64(logs.Dropped())
+	return float64(l.Dropped())
 }
 
 // Run serves until ctx ends, then stops in order. It returns nil after a stop
 // that cut no request.
-func (node *Node) Run(ctx context.Context) error {
-	callers, err := net.Listen("tcp4", node.settings.ListenAddress)
+func (n *Node) Run(ctx context.Context) error {
+	callers, err := net.Listen("tcp4", n.settings.ListenAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
-	questions, err := net.Listen("tcp4", node.settings.ReadinessAddress)
+	questions, err := net.Listen("tcp4", n.settings.ReadinessAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for questions about readiness")
 	}
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var tasks sync.WaitGroup
-	node.follow(background, &tasks)
+	n.follow(background, &tasks)
 	failed := make(chan error, 4)
-	if err := errors.Join(node.serveMetrics(failed), node.servePeers(failed)); err != nil {
+	if err := errors.Join(n.serveMetrics(failed), n.servePeers(failed)); err != nil {
 		return err
 	}
-	go func() { failed <- node.server.Serve(callers) }()
-	go func() { failed <- node.readiness.serve(questions) }()
-	klog.InfoS("started", "zone", node.settings.Zone, "listen", node.settings.ListenAddress)
+	go func() { failed <- n.server.Serve(callers) }()
+	go func() { failed <- n.readiness.serve(questions) }()
+	klog.InfoS("started", "zone", n.settings.Zone, "listen", n.settings.ListenAddress)
 	select {
 	case <-ctx.Done():
 	case err = <-failed:
 		klog.ErrorS(err, "a listener failed; stopping")
 	}
-	cut := node.stop(callers)
+	cut := n.stop(callers)
 	cancel()
 	klog.InfoS("stopped", "cut", cut)
 	klog.Flush()
@@ -135,51 +135,51 @@
 }
 
 // follow keeps the configuration and the servers current.
-func (node *Node) follow(ctx context.Context, tasks *sync.WaitGroup) {
-	tables := catalog.NewFollower(feedTables, node.store.Tables(), tableSink{node.state}, node.metrics)
-	tables.Share(node.tableLink)
-	servers := catalog.NewFollower(feedServers, node.store.Servers(), serverSink{node.state}, node.metrics)
-	servers.Share(node.serverLink)
+func (n *Node) follow(ctx context.Context, tasks *sync.WaitGroup) {
+	tables := catalog.NewFollower(feedTables, n.store.Tables(), tableSink{n.state}, n.metrics)
+	tables.Share(n.tableLink)
+	servers := catalog.NewFollower(feedServers, n.store.Servers(), serverSink{n.state}, n.metrics)
+	servers.Share(n.serverLink)
 	servers.Settle(serversSettle)
 	tasks.Go(func() { tables.Run(ctx) })
 	tasks.Go(func() { servers.Run(ctx) })
-	announcer := members.NewAnnouncer(node.store, node.member, node.topology.Near, memberObserver{node})
+	announcer := members.NewAnnouncer(n.store, n.member, n.topology.Near, memberObserver{n})
 	tasks.Go(func() { announcer.Run(ctx) })
-	starter := peers.Starter{Addresses: func() []string { return node.live.Load().Seeds }, Known: node.state.complete, Adopt: node.state.adoptSnapshot}
+	starter := peers.Starter{Addresses: func() []string { return n.live.Load().Seeds }, Known: n.state.complete, Adopt: n.state.adoptSnapshot}
 	tasks.Go(func() { starter.Run(ctx) })
-	tasks.Go(func() { node.sweep(ctx) })
-	tasks.Go(func() { node.load.Run(ctx) })
+	tasks.Go(func() { n.sweep(ctx) })
+	tasks.Go(func() { n.load.Run(ctx) })
 }
 
 // servePeers tells other nodes what this one knows, if it has an address for that.
-func (node *Node) servePeers(failed chan<- error) error {
-	if node.settings.PeerAddress == "" {
+func (n *Node) servePeers(failed chan<- error) error {
+	if n.settings.PeerAddress == "" {
 		return nil
 	}
-	listener, err := net.Listen("tcp4", node.settings.PeerAddress)
+	listener, err := net.Listen("tcp4", n.settings.PeerAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
-	server := peers.NewServer(node.state.snapshot, node.tableLink, node.serverLink)
+	server := peers.NewServer(n.state.snapshot, n.tableLink, n.serverLink)
 	go func() { failed <- server.Serve(listener) }()
 	return nil
 }
 
 // shareAmong divides what all nodes share among so many of them.
-func (node *Node) shareAmong(count members.Count) {
-	node.sharing.Lock()
-	defer node.sharing.Unlock()
-	node.shared = count
+func (n *Node) shareAmong(count members.Count) {
+	n.sharing.Lock()
+	defer n.sharing.Unlock()
+	n.shared = count
 	if !count.Settled {
 		count = count.AtLeast(presumedCount)
 	}
-	live := node.live.Load()
+	live := n.live.Load()
 	budget := retrybudget.Limits{
 		Ratio:    max(live.RetryRatio-retryReserve, 0),
 		Capacity: max(live.RetrySlack/float64(count.All+spareNodes), 1),
-		FillAt:   node.started.Add(live.RetryWindow),
+		FillAt:   n.started.Add(live.RetryWindow),
 	}
-	node.directory.Share(budget, endpoints.Sharers{
+	n.directory.Share(budget, endpoints.Sharers{
 		Near: count.Region + spareNodes/2,
 		Far:  count.All - count.Region + spareNodes/2,
 	}, time.Now())
@@ -187,13 +187,13 @@
 
 // Reload takes over the settings that may change while the node runs; the others
 // take effect with its next start.
-func (node *Node) Reload(newer settings.Router) {
-	changes := node.settings.Changes(newer)
-	node.live.Store(&newer.Reloadable)
-	node.sharing.Lock()
-	shared := node.shared
-	node.sharing.Unlock()
-	node.shareAmong(shared)
+func (n *Node) Reload(newer settings.Router) {
+	changes := n.settings.Changes(newer)
+	n.live.Store(&newer.Reloadable)
+	n.sharing.Lock()
+	shared := n.shared
+	n.sharing.Unlock()
+	n.shareAmong(shared)
 	klog.InfoS("settings reloaded", "retry_ratio", newer.RetryRatio, "retry_slack", newer.RetrySlack,
 		"retry_window", newer.RetryWindow.String(), "stop_timeout", newer.StopTimeout.String(), "seeds", len(newer.Seeds), "needs_restart", changes.Restart)
 }
@@ -202,16 +202,16 @@
 type memberObserver struct{ node *Node }
 
 // MembersRead implements members.Observer.
-func (observer memberObserver) MembersRead(live []members.Member) {
-	observer.node.selector.SetMembers(live)
+func (m memberObserver) MembersRead(live []members.Member) {
+	m.node.selector.SetMembers(live)
 }
 
 // MembersCounted implements members.Observer.
-func (observer memberObserver) MembersCounted(count members.Count) {
-	observer.node.shareAmong(count)
+func (m memberObserver) MembersCounted(count members.Count) {
+	m.node.shareAmong(count)
 }
 
-func (node *Node) sweep(ctx context.Context) {
+func (n *Node) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	for {
@@ -219,8 +219,8 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			node.client.Sweep(now)
-			node.connect(ctx, now)
+			n.client.Sweep(now)
+			n.connect(ctx, now)
 		}
 	}
 }
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -58,7 +58,7 @@
 	return counters
 }
 
-func (counters *metrics) registerGauges(node *Node, logs Logs) {
+func (m *metrics) registerGauges(node *Node, logs Logs) {
 	for _, gauge := range []struct {
 		component, name, help string
 		value                 func() float64
@@ -70,10 +70,10 @@
 		{"request", "under_way_count", "Requests without final answer.", func() float64 { return float64(node.server.UnderWay()) }},
 		{"node", "ready_status", "1 while the node takes new connections.", func() float64 { return boolean(node.state.ready()) }},
 		{"log", "dropped_lines_count", "Log lines lost to a slow reader since the start.", logs.dropped},
-		{"store", "tables_age_seconds", "Time since the configuration was last read.", func() float64 { return counters.age(feedTables) }},
-		{"store", "servers_age_seconds", "Time since the servers were last read.", func() float64 { return counters.age(feedServers) }},
+		{"store", "tables_age_seconds", "Time since the configuration was last read.", func() float64 { return m.age(feedTables) }},
+		{"store", "servers_age_seconds", "Time since the servers were last read.", func() float64 { return m.age(feedServers) }},
 	} {
-		counters.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: namespace, Subsystem: gauge.component, Name: gauge.name, Help: gauge.help,
 		}, gauge.value))
 	}
@@ -94,64 +94,64 @@
 	return 0
 }
 
-func (counters *metrics) enabled() bool { return counters.registry != nil }
+func (m *metrics) enabled() bool { return m.registry != nil }
 
 // RequestFinished implements dispatch.Observer.
-func (counters *metrics) RequestFinished(gather bool, outcome *exchange.Outcome, elapsed time.Duration) {
-	if !counters.enabled() {
+func (m *metrics) RequestFinished(gather bool, outcome *exchange.Outcome, elapsed time.Duration) {
+	if !m.enabled() {
 		return
 	}
 	label := strconv.FormatBool(gather)
-	counters.finished.WithLabelValues(label, outcome.Status.String(), string(outcome.Cause)).Inc()
-	counters.duration.WithLabelValues(label).Observe(elapsed.Seconds())
+	m.finished.WithLabelValues(label, outcome.Status.String(), string(outcome.Cause)).Inc()
+	m.duration.WithLabelValues(label).Observe(elapsed.Seconds())
 	if outcome.Status == exchange.StatusAnswered {
-		counters.missing.Add(float64(outcome.Missing))
+		m.missing.Add(float64(outcome.Missing))
 	}
 }
 
 // RequestAbandoned implements dispatch.Observer.
-func (counters *metrics) RequestAbandoned(gather bool) {
-	if counters.enabled() {
-		counters.finished.WithLabelValues(strconv.FormatBool(gather), "abandoned", "caller_hung_up").Inc()
+func (m *metrics) RequestAbandoned(gather bool) {
+	if m.enabled() {
+		m.finished.WithLabelValues(strconv.FormatBool(gather), "abandoned", "caller_hung_up").Inc()
 	}
 }
 
 // AttemptEnded implements dispatch.Observer.
-func (counters *metrics) AttemptEnded(reason exchange.Reason, kind upstream.Kind) {
-	if counters.enabled() {
-		counters.attempts.WithLabelValues(reason.String(), kind.String()).Inc()
+func (m *metrics) AttemptEnded(reason exchange.Reason, kind upstream.Kind) {
+	if m.enabled() {
+		m.attempts.WithLabelValues(reason.String(), kind.String()).Inc()
 	}
 }
 
 // SendDeferred implements dispatch.Observer.
-func (counters *metrics) SendDeferred(cause endpoints.Availability) {
-	if counters.enabled() {
-		counters.deferred.WithLabelValues(cause.String()).Inc()
+func (m *metrics) SendDeferred(cause endpoints.Availability) {
+	if m.enabled() {
+		m.deferred.WithLabelValues(cause.String()).Inc()
 	}
 }
 
 // StoreCalled implements catalog.Observer.
-func (counters *metrics) StoreCalled(feed string, err error) {
-	if !counters.enabled() {
+func (m *metrics) StoreCalled(feed string, err error) {
+	if !m.enabled() {
 		return
 	}
 	result := "ok"
 	if err != nil {
 		result = "failed"
 	}
-	counters.calls.WithLabelValues(feed, result).Inc()
+	m.calls.WithLabelValues(feed, result).Inc()
 	if err == nil {
-		counters.mutex.Lock()
-		defer counters.mutex.Unlock()
-		counters.contact[feed] = time.Now()
+		m.mutex.Lock()
+		defer m.mutex.Unlock()
+		m.contact[feed] = time.Now()
 	}
 }
 
 // age returns the seconds since the feed was last read; -1 if it never was.
-func (counters *metrics) age(feed string) float64 {
-	counters.mutex.Lock()
-	defer counters.mutex.Unlock()
-	contact, found := counters.contact[feed]
+func (m *metrics) age(feed string) float64 {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	contact, found := m.contact[feed]
 	if !found {
 		return -1
 	}
@@ -159,18 +159,18 @@
 }
 
 // serveMetrics serves the metrics if they have an address.
-func (node *Node) serveMetrics(failed chan<- error) error {
-	if !node.metrics.enabled() {
+func (n *Node) serveMetrics(failed chan<- error) error {
+	if !n.metrics.enabled() {
 		return nil
 	}
-	listener, err := net.Listen("tcp4", node.settings.MetricsAddress)
+	listener, err := net.Listen("tcp4", n.settings.MetricsAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for readers of metrics")
 	}
 	admin := telemetry.NewAdmin(telemetry.AdminOptions{
-		Registry: node.metrics.registry,
-		Ready:    node.state.reason,
-		State:    func() any { return node.state.describe() },
+		Registry: n.metrics.registry,
+		Ready:    n.state.reason,
+		State:    func() any { return n.state.describe() },
 	})
 	go func() { failed <- admin.Serve(listener) }()
 	return nil
--- a/internal/edge/readiness.go
+++ b/internal/edge/readiness.go
@@ -34,6 +34,6 @@
 	}}
 }
 
-func (readiness *readiness) serve(listener net.Listener) error {
-	return readiness.server.Serve(listener)
+func (r *readiness) serve(listener net.Listener) error {
+	return r.server.Serve(listener)
 }
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -38,21 +38,21 @@
 }
 
 // Table returns the configuration in force; nil if none is known yet.
-func (state *state) Table() *routing.Table { return state.table.Load() }
+func (s *state) Table() *routing.Table { return s.table.Load() }
 
 // ready reports whether the node takes new connections.
-func (state *state) ready() bool { return state.reason() == "" }
+func (s *state) ready() bool { return s.reason() == "" }
 
 // reason returns why the node takes no new connections; empty if it does.
-func (state *state) reason() string {
+func (s *state) reason() string {
 	switch {
-	case state.stopping.Load():
+	case s.stopping.Load():
 		return "the node is stopping"
-	case state.table.Load() == nil:
+	case s.table.Load() == nil:
 		return "no configuration is known yet"
-	case !state.serversKnown.Load():
+	case !s.serversKnown.Load():
 		return "the servers are not known yet"
-	case state.load.Busy() > 0:
+	case s.load.Busy() > 0:
 		return "the node is overloaded"
 	}
 	return ""
@@ -64,11 +64,11 @@
 
 // shedsCallers reports whether callers should open their connections anew, to
 // another node.
-func (state *state) shedsCallers() bool { return state.load.Busy() > noticeOverload }
+func (s *state) shedsCallers() bool { return s.load.Busy() > noticeOverload }
 
 // version returns the version of the configuration in force; 0 for none.
-func (state *state) version() uint64 {
-	if table := state.table.Load(); table != nil {
+func (s *state) version() uint64 {
+	if table := s.table.Load(); table != nil {
 		return table.Version
 	}
 	return 0
@@ -81,52 +81,52 @@
 	NotReadyFor string
 }
 
-func (state *state) describe() description {
+func (s *state) describe() description {
 	return description{
-		Version:     state.version(),
-		Servers:     state.directory.Count(),
-		NotReadyFor: state.reason(),
+		Version:     s.version(),
+		Servers:     s.directory.Count(),
+		NotReadyFor: s.reason(),
 	}
 }
 
 // adopt takes over a configuration unless a newer one is known: versions never
 // go back within a process.
-func (state *state) adopt(table *routing.Table) {
-	state.adopting.Lock()
-	defer state.adopting.Unlock()
-	if known := state.table.Load(); known != nil && table.Version <= known.Version {
+func (s *state) adopt(table *routing.Table) {
+	s.adopting.Lock()
+	defer s.adopting.Unlock()
+	if known := s.table.Load(); known != nil && table.Version <= known.Version {
 		return
 	}
-	state.directory.Configure(table, time.Now())
-	state.table.Store(table)
+	s.directory.Configure(table, time.Now())
+	s.table.Store(table)
 	klog.InfoS("configuration in force", "version", table.Version, "routes", table.RouteCount())
 }
 
 // complete reports whether the node needs nothing from its peers.
-func (state *state) complete() bool {
-	return state.table.Load() != nil && state.serversKnown.Load()
+func (s *state) complete() bool {
+	return s.table.Load() != nil && s.serversKnown.Load()
 }
 
 // snapshot returns what the node knows for other nodes; false while it is not
 // complete.
-func (state *state) snapshot() (peers.Snapshot, bool) {
-	if !state.complete() {
+func (s *state) snapshot() (peers.Snapshot, bool) {
+	if !s.complete() {
 		return peers.Snapshot{}, false
 	}
-	return peers.Snapshot{Table: state.table.Load().Document(), Servers: state.directory.Servers()}, true
+	return peers.Snapshot{Table: s.table.Load().Document(), Servers: s.directory.Servers()}, true
 }
 
 // adoptSnapshot takes over what a peer knows, as far as the store has not told.
-func (state *state) adoptSnapshot(snapshot peers.Snapshot) error {
+func (s *state) adoptSnapshot(snapshot peers.Snapshot) error {
 	table, err := snapshot.Table.Table()
 	if err != nil {
 		return err
 	}
-	state.adopt(table)
-	state.replacing.Lock()
-	defer state.replacing.Unlock()
-	if !state.serversListed.Load() {
-		state.replaceServers(snapshot.Servers)
+	s.adopt(table)
+	s.replacing.Lock()
+	defer s.replacing.Unlock()
+	if !s.serversListed.Load() {
+		s.replaceServers(snapshot.Servers)
 	}
 	return nil
 }
@@ -135,17 +135,17 @@
 type tableSink struct{ state *state }
 
 // Replace implements catalog.Sink.
-func (sink tableSink) Replace(tables []*routing.Table) {
+func (t tableSink) Replace(tables []*routing.Table) {
 	for _, table := range tables {
-		sink.state.adopt(table)
+		t.state.adopt(table)
 	}
 }
 
 // Apply implements catalog.Sink. The operators' configuration is never removed;
 // a removal leaves the known one in force.
-func (sink tableSink) Apply(change catalog.Change[*routing.Table]) {
+func (t tableSink) Apply(change catalog.Change[*routing.Table]) {
 	if !change.Removed {
-		sink.state.adopt(change.Value)
+		t.state.adopt(change.Value)
 	}
 }
 
@@ -153,27 +153,27 @@
 type serverSink struct{ state *state }
 
 // Replace implements catalog.Sink.
-func (sink serverSink) Replace(servers []endpoints.Server) {
-	sink.state.replacing.Lock()
-	defer sink.state.replacing.Unlock()
-	sink.state.replaceServers(servers)
-	sink.state.serversListed.Store(true)
+func (s serverSink) Replace(servers []endpoints.Server) {
+	s.state.replacing.Lock()
+	defer s.state.replacing.Unlock()
+	s.state.replaceServers(servers)
+	s.state.serversListed.Store(true)
 	klog.V(1).InfoS("servers listed", "count", len(servers))
 }
 
-func (state *state) replaceServers(servers []endpoints.Server) {
-	for _, id := range state.directory.Replace(servers, time.Now()) {
-		state.client.Forget(id)
+func (s *state) replaceServers(servers []endpoints.Server) {
+	for _, id := range s.directory.Replace(servers, time.Now()) {
+		s.client.Forget(id)
 	}
-	state.serversKnown.Store(true)
+	s.serversKnown.Store(true)
 }
 
 // Apply implements catalog.Sink.
-func (sink serverSink) Apply(change catalog.Change[endpoints.Server]) {
+func (s serverSink) Apply(change catalog.Change[endpoints.Server]) {
 	if change.Removed {
-		sink.state.directory.Remove(change.Name)
-		sink.state.client.Forget(change.Name)
+		s.state.directory.Remove(change.Name)
+		s.state.client.Forget(change.Name)
 		return
 	}
-	sink.state.directory.Put(change.Value, time.Now())
+	s.state.directory.Put(change.Value, time.Now())
 }
--- a/internal/edge/state_test.go
+++ b/internal/edge/state_test.go
@@ -13,7 +13,7 @@
 // busyFor is a load that has lasted for a time.
 type busyFor time.Duration
 
-func (busy busyFor) Busy() time.Duration { return time.Duration(busy) }
+func (b busyFor) Busy() time.Duration { return time.Duration(b) }
 
 func TestOverloadedNodeIsNotReady(t *testing.T) {
 	for _, test := range []struct {
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -20,27 +20,27 @@
 // stop ends the node: readiness fails at once, callers are told to close their
 // connections, and requests under way are waited for. Those that take longer than
 // the node may are answered at the end. It returns how many were cut.
-func (node *Node) stop(callers net.Listener) int64 {
-	begun, timeout := time.Now(), node.live.Load().StopTimeout
-	klog.InfoS("stopping", "under_way", node.server.UnderWay())
-	node.state.stopping.Store(true)
-	node.server.Stop()
+func (n *Node) stop(callers net.Listener) int64 {
+	begun, timeout := time.Now(), n.live.Load().StopTimeout
+	klog.InfoS("stopping", "under_way", n.server.UnderWay())
+	n.state.stopping.Store(true)
+	n.server.Stop()
 	time.Sleep(min(noticeTime, timeout/2))
 	_ = callers.Close()
 	end := begun.Add(timeout - stopReserve)
-	node.awaitRequests(end)
-	if given := node.server.UnderWay(); given > 0 {
+	n.awaitRequests(end)
+	if given := n.server.UnderWay(); given > 0 {
 		klog.InfoS("requests given up", "count", given)
-		node.server.End()
-		node.awaitRequests(end.Add(stopReserve / 2))
+		n.server.End()
+		n.awaitRequests(end.Add(stopReserve / 2))
 	}
-	node.server.CloseIdle()
-	return node.server.UnderWay()
+	n.server.CloseIdle()
+	return n.server.UnderWay()
 }
 
 // awaitRequests returns when no request is under way, or at the time.
-func (node *Node) awaitRequests(until time.Time) {
-	for node.server.UnderWay() > 0 && time.Now().Before(until) {
+func (n *Node) awaitRequests(until time.Time) {
+	for n.server.UnderWay() > 0 && time.Now().Before(until) {
 		time.Sleep(stopPoll)
 	}
 }
--- a/internal/edge/world_test.go
+++ b/internal/edge/world_test.go
@@ -63,15 +63,15 @@
 	return world
 }
 
-func (world *world) configure(config standin.Configuration) {
-	world.t.Helper()
-	is.New(world.t).NoErr(world.store.Configure(config))
+func (w *world) configure(config standin.Configuration) {
+	w.t.Helper()
+	is.New(w.t).NoErr(w.store.Configure(config))
 }
 
 // serve starts a server and enters it into the store.
-func (world *world) serve(options standin.ServerOptions) *standin.Server {
-	world.t.Helper()
-	is := is.New(world.t)
+func (w *world) serve(options standin.ServerOptions) *standin.Server {
+	w.t.Helper()
+	is := is.New(w.t)
 	if options.Zone == "" {
 		options.Zone = "zone-1"
 	}
@@ -80,9 +80,9 @@
 	}
 	server, err := standin.NewServer(options)
 	is.NoErr(err)
-	world.t.Cleanup(server.Close)
-	world.servers[options.ID] = server
-	is.NoErr(world.store.Put("servers", options.ID, server.Spec()))
+	w.t.Cleanup(server.Close)
+	w.servers[options.ID] = server
+	is.NoErr(w.store.Put("servers", options.ID, server.Spec()))
 	return server
 }
 
@@ -95,16 +95,16 @@
 }
 
 // start runs the node; it does not wait until it is ready.
-func (world *world) start(change ...func(*settings.Router)) {
-	world.t.Helper()
-	world.loaded = settings.Router{
+func (w *world) start(change ...func(*settings.Router)) {
+	w.t.Helper()
+	w.loaded = settings.Router{
 		Name:             "node-1",
 		Zone:             "zone-1",
 		Region:           "region-1",
 		Regions:          map[string]string{"zone-1": "region-1", "zone-2": "region-2"},
-		ListenAddress:    freeAddress(world.t),
-		ReadinessAddress: freeAddress(world.t),
-		StoreAddress:     world.store.Address(),
+		ListenAddress:    freeAddress(w.t),
+		ReadinessAddress: freeAddress(w.t),
+		StoreAddress:     w.store.Address(),
 		Reloadable: settings.Reloadable{
 			RetryRatio:  1,
 			RetrySlack:  1000,
@@ -113,26 +113,26 @@
 		},
 	}
 	for _, apply := range change {
-		apply(&world.loaded)
+		apply(&w.loaded)
 	}
-	world.node = edge.New(world.loaded, platform.Names(), platform.NewStore(world.loaded.StoreAddress), edge.Logs{})
+	w.node = edge.New(w.loaded, platform.Names(), platform.NewStore(w.loaded.StoreAddress), edge.Logs{})
 	ctx, stop := context.WithCancel(context.Background())
-	world.stop = stop
-	go func() { world.stopped <- world.node.Run(ctx) }()
-	world.t.Cleanup(world.end)
+	w.stop = stop
+	go func() { w.stopped <- w.node.Run(ctx) }()
+	w.t.Cleanup(w.end)
 }
 
-func (world *world) end() {
-	world.stop()
+func (w *world) end() {
+	w.stop()
 	select {
-	case <-world.stopped:
+	case <-w.stopped:
 	case <-time.After(10 * time.Second):
-		world.t.Error("the node did not stop")
+		w.t.Error("the node did not stop")
 	}
 }
 
-func (world *world) ready() bool {
-	answer, err := http.Get("http://" + world.loaded.ReadinessAddress + "/-/readiness")
+func (w *world) ready() bool {
+	answer, err := http.Get("http://" + w.loaded.ReadinessAddress + "/-/readiness")
 	if err != nil {
 		return false
 	}
@@ -140,17 +140,17 @@
 	return answer.StatusCode == http.StatusOK
 }
 
-func (world *world) startReady(change ...func(*settings.Router)) {
-	world.t.Helper()
-	world.start(change...)
-	world.eventually("ready", world.ready)
+func (w *world) startReady(change ...func(*settings.Router)) {
+	w.t.Helper()
+	w.start(change...)
+	w.eventually("ready", w.ready)
 }
 
-func (world *world) eventually(what string, condition func() bool) {
-	world.t.Helper()
+func (w *world) eventually(what string, condition func() bool) {
+	w.t.Helper()
 	for deadline := time.Now().Add(5 * time.Second); !condition(); {
 		if time.Now().After(deadline) {
-			world.t.Fatalf("not in time: %s", what)
+			w.t.Fatalf("not in time: %s", what)
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
@@ -166,17 +166,17 @@
 }
 
 // ask sends a GET request with the usual headers on a connection of its own.
-func (world *world) ask(path, id string) answer {
-	world.t.Helper()
+func (w *world) ask(path, id string) answer {
+	w.t.Helper()
 	raw := fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Identifier: %s\r\nX-Request-Deadline: 2000\r\n\r\n", path, testHost, id)
-	return world.exchange(raw)
+	return w.exchange(raw)
 }
 
 // exchange sends raw bytes and reads one answer; status 0 means that there was none.
-func (world *world) exchange(raw string) answer {
-	world.t.Helper()
-	conn, err := net.Dial("tcp4", world.loaded.ListenAddress)
-	is.New(world.t).NoErr(err)
+func (w *world) exchange(raw string) answer {
+	w.t.Helper()
+	conn, err := net.Dial("tcp4", w.loaded.ListenAddress)
+	is.New(w.t).NoErr(err)
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
 	_, _ = conn.Write([]byte(raw))
@@ -200,9 +200,9 @@
 func record(text string) string { return text + strings.Repeat(".", 16-len(text)) }
 
 // runs returns how many requests all servers ran.
-func (world *world) runs() int {
+func (w *world) runs() int {
 	count := 0
-	for _, server := range world.servers {
+	for _, server := range w.servers {
 		count += len(server.Runs())
 	}
 	return count
--- a/internal/endpoints/choose.go
+++ b/internal/endpoints/choose.go
@@ -44,7 +44,7 @@
 var availabilityNames = [...]string{"chosen", "no_server", "busy", "no_budget"}
 
 // String returns the name used in logs and metrics.
-func (availability Availability) String() string { return availabilityNames[availability] }
+func (a Availability) String() string { return availabilityNames[a] }
 
 // Demand is what a request asks of a server.
 type Demand struct {
@@ -66,51 +66,51 @@
 // least predicted time anywhere. Bytes between regions are dear, and an answer
 // within the time left is not worth more for being earlier. Servers that lately
 // failed come last. The reservation ends with Finish.
-func (directory *Directory) Choose(demand Demand, now time.Time) (Choice, Availability) {
-	directory.mutex.Lock()
-	defer directory.mutex.Unlock()
-	best, availability := directory.best(demand, now)
+func (d *Directory) Choose(demand Demand, now time.Time) (Choice, Availability) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	best, availability := d.best(demand, now)
 	switch {
 	case availability != Chosen:
 		return Choice{}, availability
-	case demand.Extra && !directory.service(demand.Service).bucket.Take():
+	case demand.Extra && !d.service(demand.Service).bucket.Take():
 		return Choice{}, NoBudget
 	}
-	return directory.reserve(best, demand, now), Chosen
+	return d.reserve(best, demand, now), Chosen
 }
 
 // Feasible reports whether some server is expected to answer in the time left. Where
 // not even an idle server would, waiting for a better moment is of no use, and
 // the answer is true.
-func (directory *Directory) Feasible(demand Demand, now time.Time) bool {
-	directory.mutex.Lock()
-	defer directory.mutex.Unlock()
+func (d *Directory) Feasible(demand Demand, now time.Time) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
 	if demand.Work.Mean()+sameZoneRoundTrip > demand.Left {
 		return true
 	}
-	return slices.ContainsFunc(directory.service(demand.Service).endpoints, func(endpoint *Endpoint) bool {
+	return slices.ContainsFunc(d.service(demand.Service).endpoints, func(endpoint *Endpoint) bool {
 		return endpoint.open() && !endpoint.full(now) && !endpoint.backsOff(now) &&
-			directory.expected(endpoint, demand, now) <= demand.Left
+			d.expected(endpoint, demand, now) <= demand.Left
 	})
 }
 
 // expected returns the predicted time until an answer, round trip included.
-func (directory *Directory) expected(endpoint *Endpoint, demand Demand, now time.Time) time.Duration {
-	return endpoint.predict(demand.Work.Mean(), now) + directory.travel(endpoint)
+func (d *Directory) expected(endpoint *Endpoint, demand Demand, now time.Time) time.Duration {
+	return endpoint.predict(demand.Work.Mean(), now) + d.travel(endpoint)
 }
 
 // travel returns the time of the round trip to the endpoint, a new connection
 // included where there is no idle one.
-func (directory *Directory) travel(endpoint *Endpoint) time.Duration {
-	return directory.topology.RoundTrip(endpoint.Zone) + directory.connecting(endpoint)
+func (d *Directory) travel(endpoint *Endpoint) time.Duration {
+	return d.topology.RoundTrip(endpoint.Zone) + d.connecting(endpoint)
 }
 
 // best returns the server with the least cost, or why there is none.
-func (directory *Directory) best(demand Demand, now time.Time) (*Endpoint, Availability) {
+func (d *Directory) best(demand Demand, now time.Time) (*Endpoint, Availability) {
 	var best *Endpoint
 	var bestCost time.Duration
 	availability := NoServer
-	for _, endpoint := range directory.service(demand.Service).endpoints {
+	for _, endpoint := range d.service(demand.Service).endpoints {
 		if !endpoint.open() || slices.Contains(demand.Tried, endpoint) {
 			continue
 		}
@@ -118,7 +118,7 @@
 			availability = Busy
 			continue
 		}
-		cost := directory.cost(endpoint, demand, now)
+		cost := d.cost(endpoint, demand, now)
 		if best == nil || cost < bestCost {
 			best, bestCost = endpoint, cost
 		}
@@ -142,9 +142,9 @@
 	slowNearShare = 0.25
 )
 
-func (directory *Directory) cost(endpoint *Endpoint, demand Demand, now time.Time) time.Duration {
-	cost := directory.expected(endpoint, demand, now)
-	if !directory.preferred(endpoint, demand, now) {
+func (d *Directory) cost(endpoint *Endpoint, demand Demand, now time.Time) time.Duration {
+	cost := d.expected(endpoint, demand, now)
+	if !d.preferred(endpoint, demand, now) {
 		cost += farCost
 	}
 	if endpoint.backsOff(now) {
@@ -155,25 +155,25 @@
 
 // preferred reports whether the server is near and fast enough to leave time for
 // another attempt.
-func (directory *Directory) preferred(endpoint *Endpoint, demand Demand, now time.Time) bool {
+func (d *Directory) preferred(endpoint *Endpoint, demand Demand, now time.Time) bool {
 	share := nearShare
 	if endpoint.currentSlowness(now) >= slowRatio {
 		share = slowNearShare
 	}
-	return directory.topology.Near(endpoint.Zone) &&
-		directory.expected(endpoint, demand, now) <= time.Duration(share*float64(demand.Left))
+	return d.topology.Near(endpoint.Zone) &&
+		d.expected(endpoint, demand, now) <= time.Duration(share*float64(demand.Left))
 }
 
-func (directory *Directory) reserve(endpoint *Endpoint, demand Demand, now time.Time) Choice {
+func (d *Directory) reserve(endpoint *Endpoint, demand Demand, now time.Time) Choice {
 	choice := Choice{
 		Endpoint:   endpoint,
 		Server:     endpoint.Server,
-		Expected:   directory.expected(endpoint, demand, now),
-		LateAfter:  directory.lateAfter(endpoint, demand, now),
-		Connecting: directory.connecting(endpoint),
+		Expected:   d.expected(endpoint, demand, now),
+		LateAfter:  d.lateAfter(endpoint, demand, now),
+		Connecting: d.connecting(endpoint),
 		Delay:      demand.Delay,
 		UnderWay:   len(endpoint.underWay),
-		BudgetLeft: directory.service(endpoint.Service).bucket.Tokens(),
+		BudgetLeft: d.service(endpoint.Service).bucket.Tokens(),
 		Reserved:   now,
 	}
 	endpoint.begin(now)
@@ -193,24 +193,24 @@
 
 // lateAfter returns when an answer is taken for late. Where only a server of
 // another region could take over, that is as late as leaves time for it.
-func (directory *Directory) lateAfter(endpoint *Endpoint, demand Demand, now time.Time) time.Duration {
-	late := endpoint.lateAfter(demand.Work, now) + directory.travel(endpoint) + waitingSteps*demand.Delay
-	if directory.hasNear(demand, endpoint, now) {
+func (d *Directory) lateAfter(endpoint *Endpoint, demand Demand, now time.Time) time.Duration {
+	late := endpoint.lateAfter(demand.Work, now) + d.travel(endpoint) + waitingSteps*demand.Delay
+	if d.hasNear(demand, endpoint, now) {
 		return late
 	}
-	needed := time.Duration(hedgeReserve*float64(demand.Work.Late())) + directory.farTravel(demand, endpoint) + hedgeMargin
+	needed := time.Duration(hedgeReserve*float64(demand.Work.Late())) + d.farTravel(demand, endpoint) + hedgeMargin
 	return max(late, demand.Left-needed)
 }
 
 // farTravel returns the least travel to a server besides the one given and those
 // tried, that of another region with an idle connection if there is no other.
-func (directory *Directory) farTravel(demand Demand, except *Endpoint) time.Duration {
+func (d *Directory) farTravel(demand Demand, except *Endpoint) time.Duration {
 	least := time.Duration(0)
-	for _, other := range directory.service(demand.Service).endpoints {
+	for _, other := range d.service(demand.Service).endpoints {
 		if other == except || !other.open() || slices.Contains(demand.Tried, other) {
 			continue
 		}
-		if travel := directory.travel(other); least == 0 || travel < least {
+		if travel := d.travel(other); least == 0 || travel < least {
 			least = travel
 		}
 	}
@@ -219,26 +219,26 @@
 
 // hasNear reports whether a preferred server is there besides the one given and
 // those tried.
-func (directory *Directory) hasNear(demand Demand, except *Endpoint, now time.Time) bool {
-	return slices.ContainsFunc(directory.service(demand.Service).endpoints, func(other *Endpoint) bool {
+func (d *Directory) hasNear(demand Demand, except *Endpoint, now time.Time) bool {
+	return slices.ContainsFunc(d.service(demand.Service).endpoints, func(other *Endpoint) bool {
 		return other != except && other.open() && !other.backsOff(now) &&
-			directory.preferred(other, demand, now) && !slices.Contains(demand.Tried, other)
+			d.preferred(other, demand, now) && !slices.Contains(demand.Tried, other)
 	})
 }
 
 // maximumLateFactor bounds how much longer a slow server is waited for.
 const maximumLateFactor = 2.0
 
-func (endpoint *Endpoint) lateAfter(estimate *Estimate, now time.Time) time.Duration {
-	factor := min(max(endpoint.currentSlowness(now), 1), maximumLateFactor)
+func (e *Endpoint) lateAfter(estimate *Estimate, now time.Time) time.Duration {
+	factor := min(max(e.currentSlowness(now), 1), maximumLateFactor)
 	return time.Duration(float64(estimate.Late()) * factor)
 }
 
 // Open reports whether the endpoint still takes requests.
-func (directory *Directory) Open(endpoint *Endpoint) bool {
-	directory.mutex.Lock()
-	defer directory.mutex.Unlock()
-	return endpoint.open() && directory.byID[endpoint.ID] == endpoint
+func (d *Directory) Open(endpoint *Endpoint) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return endpoint.open() && d.byID[endpoint.ID] == endpoint
 }
 
 // Result tells how a reserved request ended.
@@ -265,12 +265,12 @@
 )
 
 // Finish ends a reservation and learns from its result.
-func (directory *Directory) Finish(choice Choice, estimate *Estimate, result Result, now time.Time) {
-	directory.mutex.Lock()
-	defer directory.mutex.Unlock()
+func (d *Directory) Finish(choice Choice, estimate *Estimate, result Result, now time.Time) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
 	endpoint := choice.Endpoint
 	endpoint.end(choice.Reserved)
-	elapsed := now.Sub(choice.Reserved) - directory.topology.RoundTrip(endpoint.Zone) - choice.Connecting - waitingSteps*choice.Delay
+	elapsed := now.Sub(choice.Reserved) - d.topology.RoundTrip(endpoint.Zone) - choice.Connecting - waitingSteps*choice.Delay
 	if result == ResultAnswered {
 		estimate.observe(elapsed)
 	}
--- a/internal/endpoints/directory.go
+++ b/internal/endpoints/directory.go
@@ -1,6 +1,7 @@
 package endpoints
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -49,117 +50,114 @@
 }
 
 // Put adds the server or replaces what is known of it.
-func (directory *Directory) Put(server Server, now time.Time) {
-	directory.mutex.Lock()
-	defer directory.mutex.Unlock()
-	if known, found := directory.byID[server.ID]; found {
+func (d *Directory) Put(server Server, now time.Time) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if known, found := d.byID[server.ID]; found {
 		known.Server = server
 		return
 	}
 	endpoint := newEndpoint(server, now)
-	directory.byID[server.ID] = endpoint
-	owner := directory.service(server.Service)
-	endpoint.setCeiling(directory.ceiling(owner.maxConnections), now)
+	d.byID[server.ID] = endpoint
+	owner := d.service(server.Service)
+	endpoint.setCeiling(d.ceiling(owner.maxConnections), now)
 	owner.endpoints = append(owner.endpoints, endpoint)
 }
 
 // Remove forgets the server: it gets no new requests.
-func (directory *Directory) Remove(id string) {
-	directory.mutex.Lock()
-	defer directory.mutex.Unlock()
-	endpoint, found := directory.byID[id]
+func (d *Directory) Remove(id string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	endpoint, found := d.byID[id]
 	if !found {
 		return
 	}
-	delete(directory.byID, id)
-	owner := directory.service(endpoint.Service)
-	for index, other := range owner.endpoints {
-		if other == endpoint {
-			owner.endpoints = append(owner.endpoints[:index], owner.endpoints[index+1:]...)
-			return
-		}
+	delete(d.byID, id)
+	owner := d.service(endpoint.Service)
+	if index := slices.Index(owner.endpoints, endpoint); index >= 0 {
+		owner.endpoints = slices.Delete(owner.endpoints, index, index+1)
 	}
 }
 
 // Replace makes the servers the whole content of the directory and returns the
 // ids of those that were removed.
-func (directory *Directory) Replace(servers []Server, now time.Time) []string {
+func (d *Directory) Replace(servers []Server, now time.Time) []string {
 	listed := make(map[string]bool, len(servers))
 	for _, server := range servers {
 		listed[server.ID] = true
-		directory.Put(server, now)
+		d.Put(server, now)
 	}
 	var removed []string
-	for _, id := range directory.ids() {
+	for _, id := range d.ids() {
 		if !listed[id] {
-			directory.Remove(id)
+			d.Remove(id)
 			removed = append(removed, id)
 		}
 	}
 	return removed
 }
 
-func (directory *Directory) ids() []string {
-	directory.mutex.Lock()
-	defer directory.mutex.Unlock()
-	ids := make([]string, 0, len(directory.byID))
-	for id := range directory.byID {
+func (d *Directory) ids() []string {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	ids := make([]string, 0, len(d.byID))
+	for id := range d.byID {
 		ids = append(ids, id)
 	}
 	return ids
 }
 
 // Configure takes over the connection limits of the table's services.
-func (directory *Directory) Configure(table *routing.Table, now time.Time) {
-	directory.mutex.Lock()
-	defer directory.mutex.Unlock()
+func (d *Directory) Configure(table *routing.Table, now time.Time) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
 	for name, configured := range table.Services {
-		owner := directory.service(name)
+		owner := d.service(name)
 		owner.maxConnections = configured.MaximumConnections
-		owner.setCeiling(directory.ceiling(configured.MaximumConnections), now)
+		owner.setCeiling(d.ceiling(configured.MaximumConnections), now)
 	}
 }
 
 // Share sets the retry budget of each service and the nodes that share the
 // connections of a server.
-func (directory *Directory) Share(budget retrybudget.Limits, sharers Sharers, now time.Time) {
-	directory.mutex.Lock()
-	defer directory.mutex.Unlock()
-	directory.budget = budget
-	directory.sharers = sharers
-	for _, owner := range directory.services {
-		owner.setCeiling(directory.ceiling(owner.maxConnections), now)
+func (d *Directory) Share(budget retrybudget.Limits, sharers Sharers, now time.Time) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.budget = budget
+	d.sharers = sharers
+	for _, owner := range d.services {
+		owner.setCeiling(d.ceiling(owner.maxConnections), now)
 	}
 }
 
-func (owner *service) setCeiling(ceiling float64, now time.Time) {
-	for _, endpoint := range owner.endpoints {
+func (s *service) setCeiling(ceiling float64, now time.Time) {
+	for _, endpoint := range s.endpoints {
 		endpoint.setCeiling(ceiling, now)
 	}
 }
 
-func (directory *Directory) service(name string) *service {
-	owner, found := directory.services[name]
+func (d *Directory) service(name string) *service {
+	owner, found := d.services[name]
 	if !found {
 		owner = &service{}
-		directory.services[name] = owner
+		d.services[name] = owner
 	}
 	return owner
 }
 
 // Count returns the number of servers.
-func (directory *Directory) Count() int {
-	directory.mutex.Lock()
-	defer directory.mutex.Unlock()
-	return len(directory.byID)
+func (d *Directory) Count() int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return len(d.byID)
 }
 
 // Servers returns all servers as they were listed.
-func (directory *Directory) Servers() []Server {
-	directory.mutex.Lock()
-	defer directory.mutex.Unlock()
-	servers := make([]Server, 0, len(directory.byID))
-	for _, endpoint := range directory.byID {
+func (d *Directory) Servers() []Server {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	servers := make([]Server, 0, len(d.byID))
+	for _, endpoint := range d.byID {
 		servers = append(servers, endpoint.Server)
 	}
 	return servers
@@ -167,10 +165,10 @@
 
 // EarnRetries adds the allowance of one request that has arrived to the service's
 // retry budget.
-func (directory *Directory) EarnRetries(name string, now time.Time) {
-	directory.mutex.Lock()
-	defer directory.mutex.Unlock()
-	owner := directory.service(name)
+func (d *Directory) EarnRetries(name string, now time.Time) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	owner := d.service(name)
 	owner.askedAt = now
-	owner.bucket.Earn(directory.budget, now)
+	owner.bucket.Earn(d.budget, now)
 }
--- a/internal/endpoints/endpoint.go
+++ b/internal/endpoints/endpoint.go
@@ -71,11 +71,11 @@
 }
 
 // currentSlowness returns the learned slowness, forgotten in part.
-func (endpoint *Endpoint) currentSlowness(now time.Time) float64 {
-	age := now.Sub(endpoint.slownessAt)
-	kept := math.Exp2(-float64(age) / float64(endpoint.halfLife))
-	slowness := 1 + (endpoint.slowness-1)*kept
-	if now.Before(endpoint.coldUntil) {
+func (e *Endpoint) currentSlowness(now time.Time) float64 {
+	age := now.Sub(e.slownessAt)
+	kept := math.Exp2(-float64(age) / float64(e.halfLife))
+	slowness := 1 + (e.slowness-1)*kept
+	if now.Before(e.coldUntil) {
 		slowness = max(slowness, coldFactor)
 	}
 	return slowness
@@ -85,27 +85,27 @@
 // a request that was sent at the given time. A single observation may be a long
 // request or a pause, so it counts for little; a second one that began after the
 // first had ended counts in full.
-func (endpoint *Endpoint) learn(ratio float64, sent, now time.Time) {
+func (e *Endpoint) learn(ratio float64, sent, now time.Time) {
 	ratio = min(max(ratio, 0.25), maximumSlowness)
-	current := endpoint.currentSlowness(now)
-	endpoint.slowness = current + slownessWeight*(ratio-current)
-	endpoint.slownessAt = now
-	if sent.Before(endpoint.ratioAt) {
+	current := e.currentSlowness(now)
+	e.slowness = current + slownessWeight*(ratio-current)
+	e.slownessAt = now
+	if sent.Before(e.ratioAt) {
 		return
 	}
-	endpoint.slowness = median(endpoint.slowness, endpoint.ratio, ratio)
-	endpoint.remember(min(endpoint.ratio, ratio))
-	endpoint.ratio, endpoint.ratioAt = ratio, now
+	e.slowness = median(e.slowness, e.ratio, ratio)
+	e.remember(min(e.ratio, ratio))
+	e.ratio, e.ratioAt = ratio, now
 }
 
 // remember sets how long the slowness lasts by what the two latest independent
 // observations have in common.
-func (endpoint *Endpoint) remember(ratio float64) {
+func (e *Endpoint) remember(ratio float64) {
 	if ratio < slowRatio {
-		endpoint.halfLife = slownessHalfLife
+		e.halfLife = slownessHalfLife
 		return
 	}
-	endpoint.halfLife = min(2*endpoint.halfLife, longestHalfLife)
+	e.halfLife = min(2*e.halfLife, longestHalfLife)
 }
 
 func median(a, b, c float64) float64 {
@@ -114,21 +114,21 @@
 
 // learnAtLeast is learn for a request that was given up: the true ratio is not
 // below the one observed.
-func (endpoint *Endpoint) learnAtLeast(ratio float64, sent, now time.Time) {
-	if ratio > endpoint.currentSlowness(now) {
-		endpoint.learn(ratio, sent, now)
+func (e *Endpoint) learnAtLeast(ratio float64, sent, now time.Time) {
+	if ratio > e.currentSlowness(now) {
+		e.learn(ratio, sent, now)
 	}
 }
 
 // predict returns the expected time until an answer, distance left out.
-func (endpoint *Endpoint) predict(work time.Duration, now time.Time) time.Duration {
-	slowness := endpoint.currentSlowness(now)
-	if endpoint.probed() {
-		slowness = max(slowness, endpoint.slowness)
+func (e *Endpoint) predict(work time.Duration, now time.Time) time.Duration {
+	slowness := e.currentSlowness(now)
+	if e.probed() {
+		slowness = max(slowness, e.slowness)
 	}
 	expected := float64(work) * slowness
-	predicted := time.Duration(expected * (1 + endpoint.queueing()))
-	if age := endpoint.silence(now); float64(age) > stallFactor*expected {
+	predicted := time.Duration(expected * (1 + e.queueing()))
+	if age := e.silence(now); float64(age) > stallFactor*expected {
 		predicted += age
 	}
 	return predicted
@@ -140,9 +140,9 @@
 const sharedLoad = 0.25
 
 // queueing returns the expected wait in units of the time of work.
-func (endpoint *Endpoint) queueing() float64 {
-	slots := float64(max(endpoint.Slots, 1))
-	underWay := float64(len(endpoint.underWay))
+func (e *Endpoint) queueing() float64 {
+	slots := float64(max(e.Slots, 1))
+	underWay := float64(len(e.underWay))
 	queued := max(underWay+1-slots, 0)
 	return (sharedLoad*underWay + queued) / slots
 }
@@ -150,86 +150,86 @@
 // silence returns the age of the oldest request under way since which the server
 // has answered nothing. A request that is late beside others that were answered
 // is only a long one.
-func (endpoint *Endpoint) silence(now time.Time) time.Duration {
+func (e *Endpoint) silence(now time.Time) time.Duration {
 	silence := time.Duration(0)
-	for _, started := range endpoint.underWay {
-		if endpoint.silentSince(started) {
+	for _, started := range e.underWay {
+		if e.silentSince(started) {
 			silence = max(silence, now.Sub(started))
 		}
 	}
 	return silence
 }
 
-func (endpoint *Endpoint) silentSince(started time.Time) bool {
-	return endpoint.answeredAt.Before(started)
+func (e *Endpoint) silentSince(started time.Time) bool {
+	return e.answeredAt.Before(started)
 }
 
 // probed reports whether a request is under way. A server that was slow or failed
 // is tried again with one request at a time, until that is answered.
-func (endpoint *Endpoint) probed() bool { return len(endpoint.underWay) > 0 }
+func (e *Endpoint) probed() bool { return len(e.underWay) > 0 }
 
-func (endpoint *Endpoint) backsOff(now time.Time) bool {
-	return now.Before(endpoint.backoffUntil) || endpoint.failures > 0 && endpoint.probed()
+func (e *Endpoint) backsOff(now time.Time) bool {
+	return now.Before(e.backoffUntil) || e.failures > 0 && e.probed()
 }
 
 // open reports whether the server may get new requests.
-func (endpoint *Endpoint) open() bool { return !endpoint.Draining && !endpoint.gone }
+func (e *Endpoint) open() bool { return !e.Draining && !e.gone }
 
 // full reports whether the node has as many requests at the server as it may.
-func (endpoint *Endpoint) full(now time.Time) bool {
-	return endpoint.ceiling > 0 && float64(len(endpoint.underWay)) >= endpoint.currentLimit(now)
+func (e *Endpoint) full(now time.Time) bool {
+	return e.ceiling > 0 && float64(len(e.underWay)) >= e.currentLimit(now)
 }
 
 // currentLimit returns the limit, grown since it was cut.
-func (endpoint *Endpoint) currentLimit(now time.Time) float64 {
-	grown := endpoint.limit + limitGrowth*now.Sub(endpoint.limitAt).Seconds()
-	return min(max(grown, 1), endpoint.ceiling)
+func (e *Endpoint) currentLimit(now time.Time) float64 {
+	grown := e.limit + limitGrowth*now.Sub(e.limitAt).Seconds()
+	return min(max(grown, 1), e.ceiling)
 }
 
 // crowded cuts the limit: the server has reset a new connection, as it does when
 // all callers together have too many.
-func (endpoint *Endpoint) crowded(now time.Time) {
-	endpoint.limit = max(float64(len(endpoint.underWay))*limitCut, 1)
-	endpoint.limitAt = now
-	endpoint.backoffUntil = now.Add(refusalBackoff)
+func (e *Endpoint) crowded(now time.Time) {
+	e.limit = max(float64(len(e.underWay))*limitCut, 1)
+	e.limitAt = now
+	e.backoffUntil = now.Add(refusalBackoff)
 }
 
-func (endpoint *Endpoint) setCeiling(ceiling float64, now time.Time) {
-	if endpoint.ceiling == ceiling {
+func (e *Endpoint) setCeiling(ceiling float64, now time.Time) {
+	if e.ceiling == ceiling {
 		return
 	}
-	endpoint.ceiling = ceiling
-	endpoint.limit = ceiling
-	endpoint.limitAt = now
+	e.ceiling = ceiling
+	e.limit = ceiling
+	e.limitAt = now
 }
 
-func (endpoint *Endpoint) begin(now time.Time) {
-	endpoint.underWay = append(endpoint.underWay, now)
+func (e *Endpoint) begin(now time.Time) {
+	e.underWay = append(e.underWay, now)
 }
 
-func (endpoint *Endpoint) end(started time.Time) {
-	for index, other := range endpoint.underWay {
+func (e *Endpoint) end(started time.Time) {
+	for index, other := range e.underWay {
 		if other.Equal(started) {
-			last := len(endpoint.underWay) - 1
-			endpoint.underWay[index] = endpoint.underWay[last]
-			endpoint.underWay = endpoint.underWay[:last]
+			last := len(e.underWay) - 1
+			e.underWay[index] = e.underWay[last]
+			e.underWay = e.underWay[:last]
 			return
 		}
 	}
 }
 
-func (endpoint *Endpoint) succeeded(now time.Time) {
-	endpoint.answeredAt = now
-	endpoint.failures = 0
-	endpoint.backoffUntil = time.Time{}
+func (e *Endpoint) succeeded(now time.Time) {
+	e.answeredAt = now
+	e.failures = 0
+	e.backoffUntil = time.Time{}
 }
 
-func (endpoint *Endpoint) failed(now time.Time) {
-	backoff := min(firstBackoff<<min(endpoint.failures, 8), maximumBackoff)
-	endpoint.failures++
-	endpoint.backoffUntil = now.Add(backoff)
+func (e *Endpoint) failed(now time.Time) {
+	backoff := min(firstBackoff<<min(e.failures, 8), maximumBackoff)
+	e.failures++
+	e.backoffUntil = now.Add(backoff)
 }
 
-func (endpoint *Endpoint) refused(now time.Time) {
-	endpoint.backoffUntil = now.Add(refusalBackoff)
+func (e *Endpoint) refused(now time.Time) {
+	e.backoffUntil = now.Add(refusalBackoff)
 }
--- a/internal/endpoints/estimate.go
+++ b/internal/endpoints/estimate.go
@@ -31,25 +31,25 @@
 }
 
 // Mean returns the average time of work.
-func (estimate *Estimate) Mean() time.Duration { return estimate.mean }
+func (e *Estimate) Mean() time.Duration { return e.mean }
 
 // Late returns the time of work after which a request is taken for late.
-func (estimate *Estimate) Late() time.Duration { return estimate.quantile }
+func (e *Estimate) Late() time.Duration { return e.quantile }
 
 // observe takes one answer's time of work into account.
-func (estimate *Estimate) observe(work time.Duration) {
+func (e *Estimate) observe(work time.Duration) {
 	if work <= 0 {
 		return
 	}
 	// The first observations weigh more: what the estimate started from is a guess.
-	estimate.count = min(estimate.count+1, int(1/workWeight))
-	weight := max(workWeight, 1/float64(estimate.count+1))
-	estimate.mean += time.Duration(weight * float64(work-estimate.mean))
-	step := quantileStep * float64(estimate.quantile)
-	if work > estimate.quantile {
-		estimate.quantile += time.Duration(step * hedgeQuantile)
+	e.count = min(e.count+1, int(1/workWeight))
+	weight := max(workWeight, 1/float64(e.count+1))
+	e.mean += time.Duration(weight * float64(work-e.mean))
+	step := quantileStep * float64(e.quantile)
+	if work > e.quantile {
+		e.quantile += time.Duration(step * hedgeQuantile)
 	} else {
-		estimate.quantile -= time.Duration(step * (1 - hedgeQuantile))
+		e.quantile -= time.Duration(step * (1 - hedgeQuantile))
 	}
-	estimate.quantile = max(estimate.quantile, estimate.mean)
+	e.quantile = max(e.quantile, e.mean)
 }
--- a/internal/endpoints/server.go
+++ b/internal/endpoints/server.go
@@ -43,11 +43,11 @@
 }
 
 // RoundTrip returns the expected time of a round trip to the zone.
-func (topology Topology) RoundTrip(zone string) time.Duration {
+func (t Topology) RoundTrip(zone string) time.Duration {
 	switch {
-	case zone == topology.Own.Zone:
+	case zone == t.Own.Zone:
 		return sameZoneRoundTrip
-	case topology.Near(zone):
+	case t.Near(zone):
 		return sameRegionRoundTrip
 	default:
 		return otherRegionRoundTrip
@@ -55,6 +55,6 @@
 }
 
 // Near reports whether the zone is in this node's region.
-func (topology Topology) Near(zone string) bool {
-	return topology.Regions[zone] == topology.Own.Region
+func (t Topology) Near(zone string) bool {
+	return t.Regions[zone] == t.Own.Region
 }
--- a/internal/endpoints/share.go
+++ b/internal/endpoints/share.go
@@ -33,15 +33,15 @@
 
 // connecting returns what a new connection to the endpoint adds; zero if there is
 // an idle one.
-func (directory *Directory) connecting(endpoint *Endpoint) time.Duration {
-	if directory.connections == nil || directory.connections.HasIdle(endpoint.ID) {
+func (d *Directory) connecting(endpoint *Endpoint) time.Duration {
+	if d.connections == nil || d.connections.HasIdle(endpoint.ID) {
 		return 0
 	}
-	return directory.topology.RoundTrip(endpoint.Zone) + connectWork
+	return d.topology.RoundTrip(endpoint.Zone) + connectWork
 }
 
 // ceiling returns how many requests the node may have at a server; 0 for no bound.
-func (directory *Directory) ceiling(maxConnections int) float64 {
+func (d *Directory) ceiling(maxConnections int) float64 {
 	if maxConnections == 0 {
 		return 0
 	}
@@ -51,20 +51,20 @@
 // IdleLimit returns how many idle connections the node may keep to the server.
 // Where the nodes of a region have less than one each, every node keeps them to a
 // subset of the service's servers there.
-func (directory *Directory) IdleLimit(server Server) int {
-	directory.mutex.Lock()
-	defer directory.mutex.Unlock()
-	return directory.idleLimit(server)
+func (d *Directory) IdleLimit(server Server) int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.idleLimit(server)
 }
 
-func (directory *Directory) idleLimit(server Server) int {
-	share := directory.idleShare(server)
+func (d *Directory) idleLimit(server Server) int {
+	share := d.idleShare(server)
 	switch {
 	case share < 0:
 		return NoLimit
 	case share >= 1:
 		return int(share)
-	case directory.inSubset(server, share):
+	case d.inSubset(server, share):
 		return 1
 	default:
 		return 0
@@ -73,15 +73,15 @@
 
 // idleShare returns the node's part of the server's idle connections, negative
 // if they are not bounded.
-func (directory *Directory) idleShare(server Server) float64 {
-	maximum := float64(directory.service(server.Service).maxConnections)
+func (d *Directory) idleShare(server Server) float64 {
+	maximum := float64(d.service(server.Service).maxConnections)
 	switch {
 	case maximum == 0:
 		return NoLimit
-	case directory.topology.Near(server.Zone):
-		return nearIdleShare * maximum / float64(max(directory.sharers.Near, 1))
+	case d.topology.Near(server.Zone):
+		return nearIdleShare * maximum / float64(max(d.sharers.Near, 1))
 	default:
-		return farIdleShare * maximum / float64(max(directory.sharers.Far, 1))
+		return farIdleShare * maximum / float64(max(d.sharers.Far, 1))
 	}
 }
 
@@ -89,16 +89,16 @@
 // connection when its share of each is below one: the first ones in the node's
 // own order, as many as the shares add up to. Each node has another order, so
 // servers get about equally many nodes.
-func (directory *Directory) inSubset(server Server, share float64) bool {
-	own := directory.rank(server)
-	near := directory.topology.Near(server.Zone)
+func (d *Directory) inSubset(server Server, share float64) bool {
+	own := d.rank(server)
+	near := d.topology.Near(server.Zone)
 	peers, before := 0, 0
-	for _, other := range directory.service(server.Service).endpoints {
-		if directory.topology.Near(other.Zone) != near {
+	for _, other := range d.service(server.Service).endpoints {
+		if d.topology.Near(other.Zone) != near {
 			continue
 		}
 		peers++
-		if directory.rank(other.Server) > own {
+		if d.rank(other.Server) > own {
 			before++
 		}
 	}
@@ -107,8 +107,8 @@
 }
 
 // rank orders servers for this node (rendezvous hashing).
-func (directory *Directory) rank(server Server) uint64 {
-	return xxhash.Sum64String(directory.topology.Node + "\x00" + server.ID)
+func (d *Directory) rank(server Server) uint64 {
+	return xxhash.Sum64String(d.topology.Node + "\x00" + server.ID)
 }
 
 // fraction maps the low bits of a rank to 0 until 1, apart from its order.
--- a/internal/endpoints/share_test.go
+++ b/internal/endpoints/share_test.go
@@ -14,7 +14,7 @@
 // idle is a set of servers to which there are idle connections.
 type idle map[string]bool
 
-func (idle idle) HasIdle(serverID string) bool { return idle[serverID] }
+func (i idle) HasIdle(serverID string) bool { return i[serverID] }
 
 // sharedDirectory is the directory of one of many nodes, with servers of the
 // service that accept so many connections.
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -39,18 +39,18 @@
 // Start sends the first attempts, or refuses a request that is not expected to
 // be answered before its target: what is left out shortens the queues for the
 // others, and a caller that is told at once can come back in time.
-func (core *Core) Start(now time.Duration) Batch {
-	if !core.plan.Returning && core.feasibleShards() < core.plan.LeastShards {
-		core.done = true
-		return Batch{Outcome: &Outcome{Status: StatusRefused, Cause: CauseOverloaded, Missing: len(core.shards)}}
+func (c *Core) Start(now time.Duration) Batch {
+	if !c.plan.Returning && c.feasibleShards() < c.plan.LeastShards {
+		c.done = true
+		return Batch{Outcome: &Outcome{Status: StatusRefused, Cause: CauseOverloaded, Missing: len(c.shards)}}
 	}
-	return core.step(now)
+	return c.step(now)
 }
 
-func (core *Core) feasibleShards() int {
+func (c *Core) feasibleShards() int {
 	count := 0
-	for _, service := range core.plan.Services {
-		if core.servers.Feasible(service) {
+	for _, service := range c.plan.Services {
+		if c.servers.Feasible(service) {
 			count++
 		}
 	}
@@ -58,30 +58,30 @@
 }
 
 // Tick takes the passing of time into account.
-func (core *Core) Tick(now time.Duration) Batch {
-	return core.step(now)
+func (c *Core) Tick(now time.Duration) Batch {
+	return c.step(now)
 }
 
 // Reply takes the end of an attempt into account.
-func (core *Core) Reply(id AttemptID, reply upstream.Reply, now time.Duration) Batch {
-	shard := &core.shards[id.Shard]
+func (c *Core) Reply(id AttemptID, reply upstream.Reply, now time.Duration) Batch {
+	shard := &c.shards[id.Shard]
 	shard.attempts[id.Number].finished = true
-	if core.done || shard.answer != nil {
-		return core.step(now)
+	if c.done || shard.answer != nil {
+		return c.step(now)
 	}
-	core.judge(shard, reply)
+	c.judge(shard, reply)
 	shard.nextAt = now
-	return core.step(now)
+	return c.step(now)
 }
 
 // judge records what a reply means for its shard.
-func (core *Core) judge(shard *shard, reply upstream.Reply) {
+func (c *Core) judge(shard *shard, reply upstream.Reply) {
 	shard.ran = shard.ran.With(reply.Verdict)
 	switch {
 	case reply.Success():
 		shard.answer = &reply
 	case reply.Kind != upstream.Answered:
-	case core.final(&reply):
+	case c.final(&reply):
 		shard.answer = &reply
 	default:
 		shard.fallback = &reply
@@ -90,34 +90,34 @@
 
 // final reports whether a server's failure is the answer to the request: the
 // caller's own fault, or one that must not be repeated.
-func (core *Core) final(reply *upstream.Reply) bool {
-	if core.plan.Gather {
+func (c *Core) final(reply *upstream.Reply) bool {
+	if c.plan.Gather {
 		return false
 	}
-	return reply.Status < 500 || !core.plan.Repeatable
+	return reply.Status < 500 || !c.plan.Repeatable
 }
 
-func (core *Core) step(now time.Duration) Batch {
+func (c *Core) step(now time.Duration) Batch {
 	batch := Batch{}
-	if core.done {
+	if c.done {
 		return batch
 	}
-	for index := range core.shards {
-		core.stepShard(index, now, &batch)
+	for index := range c.shards {
+		c.stepShard(index, now, &batch)
 	}
-	if outcome := core.decide(now); outcome != nil {
-		core.done = true
+	if outcome := c.decide(now); outcome != nil {
+		c.done = true
 		batch.Outcome = outcome
 		return batch
 	}
-	batch.Wake = core.wake()
+	batch.Wake = c.wake()
 	return batch
 }
 
-func (core *Core) stepShard(index int, now time.Duration, batch *Batch) {
-	shard := &core.shards[index]
+func (c *Core) stepShard(index int, now time.Duration, batch *Batch) {
+	shard := &c.shards[index]
 	if shard.resolved() {
-		core.cancelRest(index, batch)
+		c.cancelRest(index, batch)
 		return
 	}
 	if now < shard.nextAt {
@@ -125,58 +125,58 @@
 	}
 	switch underWay := shard.underWay(); {
 	case len(shard.attempts) == 0:
-		core.send(index, ReasonFirst, now, batch)
-	case underWay == 0 && !core.mayRetry(shard):
+		c.send(index, ReasonFirst, now, batch)
+	case underWay == 0 && !c.mayRetry(shard):
 		shard.lost = true
 	case underWay == 0:
-		core.send(index, ReasonRetry, now, batch)
-	case core.mayHedge(shard) && shard.late(now):
-		core.send(index, ReasonHedge, now, batch)
+		c.send(index, ReasonRetry, now, batch)
+	case c.mayHedge(shard) && shard.late(now):
+		c.send(index, ReasonHedge, now, batch)
 	default:
-		shard.nextAt = core.nextLook(shard, now)
+		shard.nextAt = c.nextLook(shard, now)
 	}
 }
 
 // mayRetry reports whether another attempt is allowed after all have ended.
-func (core *Core) mayRetry(shard *shard) bool {
-	if len(shard.attempts) >= core.plan.MaximumAttempts {
+func (c *Core) mayRetry(shard *shard) bool {
+	if len(shard.attempts) >= c.plan.MaximumAttempts {
 		return false
 	}
-	return core.plan.Repeatable || shard.ran == verdict.NotRun
+	return c.plan.Repeatable || shard.ran == verdict.NotRun
 }
 
 // mayHedge reports whether another attempt is allowed beside those under way.
-func (core *Core) mayHedge(shard *shard) bool {
-	return core.plan.Repeatable && len(shard.attempts) < core.plan.MaximumAttempts
+func (c *Core) mayHedge(shard *shard) bool {
+	return c.plan.Repeatable && len(shard.attempts) < c.plan.MaximumAttempts
 }
 
-func (core *Core) nextLook(shard *shard, now time.Duration) time.Duration {
-	if core.mayHedge(shard) {
+func (c *Core) nextLook(shard *shard, now time.Duration) time.Duration {
+	if c.mayHedge(shard) {
 		return max(shard.lateAt(), now)
 	}
-	return core.plan.Deadline
+	return c.plan.Deadline
 }
 
-func (core *Core) send(index int, reason Reason, now time.Duration, batch *Batch) {
-	shard := &core.shards[index]
-	choice, availability := core.servers.Choose(shard.service, shard.tried, reason != ReasonFirst)
+func (c *Core) send(index int, reason Reason, now time.Duration, batch *Batch) {
+	shard := &c.shards[index]
+	choice, availability := c.servers.Choose(shard.service, shard.tried, reason != ReasonFirst)
 	if availability != endpoints.Chosen {
-		core.wait(shard, availability, now)
+		c.wait(shard, availability, now)
 		return
 	}
 	shard.attempts = append(shard.attempts, attempt{choice: choice, sentAt: now})
 	shard.tried = append(shard.tried, choice.Endpoint)
-	shard.nextAt = core.nextLook(shard, now)
+	shard.nextAt = c.nextLook(shard, now)
 	id := AttemptID{Shard: index, Number: len(shard.attempts) - 1}
 	batch.Sends = append(batch.Sends, Send{ID: id, Reason: reason, Choice: choice})
 }
 
 // wait puts off a send for which there is no server or no budget. A shard with
 // nothing under way that has waited in vain for long enough is lost.
-func (core *Core) wait(shard *shard, availability endpoints.Availability, now time.Duration) {
-	if shard.underWay() == 0 && now >= core.patience(shard, availability) {
+func (c *Core) wait(shard *shard, availability endpoints.Availability, now time.Duration) {
+	if shard.underWay() == 0 && now >= c.patience(shard, availability) {
 		shard.lost = true
-		core.withoutBudget = core.withoutBudget || availability == endpoints.NoBudget
+		c.withoutBudget = c.withoutBudget || availability == endpoints.NoBudget
 		return
 	}
 	shard.nextAt = now + retryPause
@@ -187,21 +187,21 @@
 // to wait for. Without retry budget a shard's part is of use until the target, when
 // the answer is given without it; a whole request is answered early, because its
 // caller can ask again, which is no extra send.
-func (core *Core) patience(shard *shard, availability endpoints.Availability) time.Duration {
+func (c *Core) patience(shard *shard, availability endpoints.Availability) time.Duration {
 	switch {
 	case availability == endpoints.Busy:
-		return core.plan.Deadline
+		return c.plan.Deadline
 	case availability == endpoints.NoServer && len(shard.attempts) > 0:
 		return 0
-	case availability == endpoints.NoBudget && core.plan.Gather:
-		return core.plan.Target
+	case availability == endpoints.NoBudget && c.plan.Gather:
+		return c.plan.Target
 	}
-	return time.Duration(refusalShare * float64(core.plan.Target))
+	return time.Duration(refusalShare * float64(c.plan.Target))
 }
 
 // cancelRest cancels the attempts of a shard that has its answer.
-func (core *Core) cancelRest(index int, batch *Batch) {
-	shard := &core.shards[index]
+func (c *Core) cancelRest(index int, batch *Batch) {
+	shard := &c.shards[index]
 	for number := range shard.attempts {
 		if !shard.attempts[number].finished {
 			shard.attempts[number].finished = true
@@ -211,13 +211,13 @@
 }
 
 // wake returns when the core has to be called at the latest.
-func (core *Core) wake() time.Duration {
-	wake := core.plan.Deadline
-	if core.plan.Gather && core.answered() >= core.plan.LeastShards {
-		wake = min(wake, core.plan.Target)
+func (c *Core) wake() time.Duration {
+	wake := c.plan.Deadline
+	if c.plan.Gather && c.answered() >= c.plan.LeastShards {
+		wake = min(wake, c.plan.Target)
 	}
-	for index := range core.shards {
-		if shard := &core.shards[index]; !shard.resolved() {
+	for index := range c.shards {
+		if shard := &c.shards[index]; !shard.resolved() {
 			wake = min(wake, shard.nextAt)
 		}
 	}
--- a/internal/exchange/decide.go
+++ b/internal/exchange/decide.go
@@ -8,91 +8,91 @@
 )
 
 // decide returns the outcome once there is nothing worth waiting for.
-func (core *Core) decide(now time.Duration) *Outcome {
-	answered, lost := core.answered(), core.lost()
-	total := len(core.shards)
+func (c *Core) decide(now time.Duration) *Outcome {
+	answered, lost := c.answered(), c.lost()
+	total := len(c.shards)
 	switch {
-	case answered+lost == total && answered >= core.plan.LeastShards:
-		return core.answer(CauseComplete)
-	case total-lost < core.plan.LeastShards:
-		return core.fail(CauseShardsLost)
-	case answered >= core.plan.LeastShards && now >= core.plan.Target:
-		return core.answer(CauseTarget)
-	case now >= core.plan.Deadline && answered >= core.plan.LeastShards:
-		return core.answer(CauseDeadline)
-	case now >= core.plan.Deadline:
-		return core.fail(CauseDeadline)
+	case answered+lost == total && answered >= c.plan.LeastShards:
+		return c.answer(CauseComplete)
+	case total-lost < c.plan.LeastShards:
+		return c.fail(CauseShardsLost)
+	case answered >= c.plan.LeastShards && now >= c.plan.Target:
+		return c.answer(CauseTarget)
+	case now >= c.plan.Deadline && answered >= c.plan.LeastShards:
+		return c.answer(CauseDeadline)
+	case now >= c.plan.Deadline:
+		return c.fail(CauseDeadline)
 	}
 	return nil
 }
 
-func (core *Core) answered() int {
+func (c *Core) answered() int {
 	count := 0
-	for index := range core.shards {
-		if core.shards[index].answer != nil {
+	for index := range c.shards {
+		if c.shards[index].answer != nil {
 			count++
 		}
 	}
 	return count
 }
 
-func (core *Core) lost() int {
+func (c *Core) lost() int {
 	count := 0
-	for index := range core.shards {
-		if core.shards[index].lost {
+	for index := range c.shards {
+		if c.shards[index].lost {
 			count++
 		}
 	}
 	return count
 }
 
-func (core *Core) answer(cause Cause) *Outcome {
-	outcome := &Outcome{Status: StatusAnswered, Cause: cause, Replies: make([]upstream.Reply, 0, len(core.shards))}
-	for index := range core.shards {
-		if reply := core.shards[index].answer; reply != nil {
+func (c *Core) answer(cause Cause) *Outcome {
+	outcome := &Outcome{Status: StatusAnswered, Cause: cause, Replies: make([]upstream.Reply, 0, len(c.shards))}
+	for index := range c.shards {
+		if reply := c.shards[index].answer; reply != nil {
 			outcome.Replies = append(outcome.Replies, *reply)
 		}
 	}
-	outcome.Missing = len(core.shards) - len(outcome.Replies)
+	outcome.Missing = len(c.shards) - len(outcome.Replies)
 	return outcome
 }
 
 // fail ends the request without a success. A server's own failure is handed on
 // where the request was for one server; a refusal is promised only if nothing
 // can have run.
-func (core *Core) fail(cause Cause) *Outcome {
-	if fallback := core.shards[0].fallback; !core.plan.Gather && fallback != nil {
+func (c *Core) fail(cause Cause) *Outcome {
+	if fallback := c.shards[0].fallback; !c.plan.Gather && fallback != nil {
 		return &Outcome{Status: StatusAnswered, Cause: CauseServerFailed, Replies: []upstream.Reply{*fallback}}
 	}
 	status := StatusFailed
 	switch {
-	case core.verdict() == verdict.NotRun:
+	case c.verdict() == verdict.NotRun:
 		status = StatusRefused
 	case cause == CauseDeadline:
 		status = StatusExpired
 	}
 	switch {
-	case core.Sends() == 0:
+	case c.Sends() == 0:
 		cause = CauseNoServers
-	case cause == CauseShardsLost && core.withoutBudget:
+	case cause == CauseShardsLost && c.withoutBudget:
 		cause = CauseNoBudget
 	}
-	return &Outcome{Status: status, Cause: cause, Missing: len(core.shards)}
+	return &Outcome{Status: status, Cause: cause, Missing: len(c.shards)}
 }
 
-func (core *Core) verdict() verdict.Verdict {
+func (c *Core) verdict() verdict.Verdict {
 	joined := verdict.NotRun
-	for index := range core.shards {
-		joined = joined.With(core.shards[index].verdict())
+	for index := range c.shards {
+		joined = joined.With(c.shards[index].verdict())
 	}
 	return joined
 }
 
 // Sends returns how many attempts have been made.
-func (core *Core) Sends() int {
+func (c *Core) Sends() int {
 	count := 0
-	for index := range core.shards {
-		count += len(core.shards[index].attempts)
+	for index := range c.shards {
+		count += len(c.shards[index].attempts)
 	}
 	return count
 }
--- a/internal/exchange/property_test.go
+++ b/internal/exchange/property_test.go
@@ -61,24 +61,24 @@
 	return plan
 }
 
-func (seen *history) take(batch Batch) {
+func (h *history) take(batch Batch) {
 	for _, send := range batch.Sends {
-		seen.sends[send.ID.Shard]++
-		seen.open = append(seen.open, send.ID)
-		seen.started[send.ID] = true
+		h.sends[send.ID.Shard]++
+		h.open = append(h.open, send.ID)
+		h.started[send.ID] = true
 	}
 	for _, id := range batch.Cancels {
-		seen.close(id)
+		h.close(id)
 	}
 	if batch.Outcome != nil {
-		seen.outcomes = append(seen.outcomes, batch.Outcome)
+		h.outcomes = append(h.outcomes, batch.Outcome)
 	}
 }
 
-func (seen *history) close(id AttemptID) {
-	for index, other := range seen.open {
+func (h *history) close(id AttemptID) {
+	for index, other := range h.open {
 		if other == id {
-			seen.open = append(seen.open[:index], seen.open[index+1:]...)
+			h.open = append(h.open[:index], h.open[index+1:]...)
 			return
 		}
 	}
@@ -89,32 +89,32 @@
 	{Kind: upstream.Malformed, Verdict: verdict.MayHaveRun}}
 
 // advance ends a random attempt or lets time pass.
-func (seen *history) advance(t *rapid.T, core *Core, batch Batch, now time.Duration) (Batch, time.Duration) {
-	if len(seen.open) > 0 && rapid.IntRange(0, 2).Draw(t, "reply now") > 0 {
-		id := rapid.SampledFrom(seen.open).Draw(t, "attempt")
+func (h *history) advance(t *rapid.T, core *Core, batch Batch, now time.Duration) (Batch, time.Duration) {
+	if len(h.open) > 0 && rapid.IntRange(0, 2).Draw(t, "reply now") > 0 {
+		id := rapid.SampledFrom(h.open).Draw(t, "attempt")
 		reply := rapid.SampledFrom(replies).Draw(t, "reply")
 		now += time.Duration(rapid.IntRange(0, 30).Draw(t, "after")) * ms
-		seen.close(id)
-		seen.ended[id] = reply
+		h.close(id)
+		h.ended[id] = reply
 		return core.Reply(id, reply, now), now
 	}
 	now = max(now, batch.Wake)
 	return core.Tick(now), now
 }
 
-func (seen *history) check(t *rapid.T, plan Plan, servers *fleet, now time.Duration) {
-	outcome := seen.outcomes[0]
+func (h *history) check(t *rapid.T, plan Plan, servers *fleet, now time.Duration) {
+	outcome := h.outcomes[0]
 	firsts := 0
-	for shard, count := range seen.sends {
+	for shard, count := range h.sends {
 		firsts++
 		if count > plan.MaximumAttempts {
 			t.Fatalf("shard %d was sent to %d servers", shard, count)
 		}
 	}
-	if sends := len(seen.started); sends-firsts > servers.extra {
+	if sends := len(h.started); sends-firsts > servers.extra {
 		t.Fatalf("%d extra sends, %d taken off the budget", sends-firsts, servers.extra)
 	}
-	seen.checkPromise(t, outcome)
+	h.checkPromise(t, outcome)
 	if plan.Gather && outcome.Status == StatusAnswered && len(outcome.Replies) < plan.LeastShards {
 		t.Fatalf("%d of at least %d shards", len(outcome.Replies), plan.LeastShards)
 	}
@@ -122,7 +122,7 @@
 		t.Fatalf("%d missing and %d in of %d", outcome.Missing, len(outcome.Replies), len(plan.Services))
 	}
 	if !plan.Repeatable {
-		seen.checkOnce(t)
+		h.checkOnce(t)
 	}
 	if now > plan.Deadline+time.Second {
 		t.Fatalf("outcome at %v", now)
@@ -130,22 +130,22 @@
 }
 
 // checkPromise: a refusal means that every attempt is known not to have run.
-func (seen *history) checkPromise(t *rapid.T, outcome *Outcome) {
+func (h *history) checkPromise(t *rapid.T, outcome *Outcome) {
 	if outcome.Status != StatusRefused {
 		return
 	}
-	for id := range seen.started {
-		if reply, ended := seen.ended[id]; !ended || reply.Verdict != verdict.NotRun {
+	for id := range h.started {
+		if reply, ended := h.ended[id]; !ended || reply.Verdict != verdict.NotRun {
 			t.Fatalf("refused although attempt %v may have run", id)
 		}
 	}
 }
 
 // checkOnce: all but the last attempt are known not to have run.
-func (seen *history) checkOnce(t *rapid.T) {
+func (h *history) checkOnce(t *rapid.T) {
 	mayHaveRun := 0
-	for id := range seen.started {
-		if reply, ended := seen.ended[id]; !ended || reply.Verdict != verdict.NotRun {
+	for id := range h.started {
+		if reply, ended := h.ended[id]; !ended || reply.Verdict != verdict.NotRun {
 			mayHaveRun++
 		}
 	}
--- a/internal/exchange/shard.go
+++ b/internal/exchange/shard.go
@@ -36,15 +36,15 @@
 	return shard{service: service, ran: verdict.NotRun}
 }
 
-func (shard *shard) resolved() bool {
-	return shard.answer != nil || shard.lost
+func (s *shard) resolved() bool {
+	return s.answer != nil || s.lost
 }
 
 // underWay returns how many attempts have not ended.
-func (shard *shard) underWay() int {
+func (s *shard) underWay() int {
 	count := 0
-	for index := range shard.attempts {
-		if !shard.attempts[index].finished {
+	for index := range s.attempts {
+		if !s.attempts[index].finished {
 			count++
 		}
 	}
@@ -52,19 +52,19 @@
 }
 
 // verdict joins what is known of ended attempts with those under way.
-func (shard *shard) verdict() verdict.Verdict {
-	if shard.underWay() > 0 {
-		return shard.ran.With(verdict.MayHaveRun)
+func (s *shard) verdict() verdict.Verdict {
+	if s.underWay() > 0 {
+		return s.ran.With(verdict.MayHaveRun)
 	}
-	return shard.ran
+	return s.ran
 }
 
 // late reports whether the newest attempt has taken longer than expected.
-func (shard *shard) late(now time.Duration) bool {
-	return now >= shard.lateAt()
+func (s *shard) late(now time.Duration) bool {
+	return now >= s.lateAt()
 }
 
-func (shard *shard) lateAt() time.Duration {
-	newest := shard.attempts[len(shard.attempts)-1]
+func (s *shard) lateAt() time.Duration {
+	newest := s.attempts[len(s.attempts)-1]
 	return newest.sentAt + newest.choice.LateAfter
 }
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -65,7 +65,7 @@
 var reasonNames = [...]string{"first", "hedge", "retry"}
 
 // String returns the name used in logs and metrics.
-func (reason Reason) String() string { return reasonNames[reason] }
+func (r Reason) String() string { return reasonNames[r] }
 
 // Send tells the driver to make an attempt.
 type Send struct {
@@ -102,7 +102,7 @@
 var statusNames = [...]string{"answered", "refused", "failed", "expired"}
 
 // String returns the name used in logs and metrics.
-func (status Status) String() string { return statusNames[status] }
+func (s Status) String() string { return statusNames[s] }
 
 // Outcome is the end of a request.
 type Outcome struct {
--- a/internal/exchange/world_test.go
+++ b/internal/exchange/world_test.go
@@ -26,19 +26,19 @@
 	slow map[string]bool
 }
 
-func (fleet *fleet) Feasible(service string) bool { return !fleet.slow[service] }
+func (f *fleet) Feasible(service string) bool { return !f.slow[service] }
 
-func (fleet *fleet) Choose(service string, tried []*endpoints.Endpoint, extra bool) (endpoints.Choice, endpoints.Availability) {
+func (f *fleet) Choose(service string, tried []*endpoints.Endpoint, extra bool) (endpoints.Choice, endpoints.Availability) {
 	switch {
-	case fleet.busy[service]:
+	case f.busy[service]:
 		return endpoints.Choice{}, endpoints.Busy
-	case len(tried) >= fleet.servers[service]:
+	case len(tried) >= f.servers[service]:
 		return endpoints.Choice{}, endpoints.NoServer
-	case extra && fleet.budget == 0:
+	case extra && f.budget == 0:
 		return endpoints.Choice{}, endpoints.NoBudget
 	case extra:
-		fleet.budget--
-		fleet.extra++
+		f.budget--
+		f.extra++
 	}
 	return endpoints.Choice{Endpoint: &endpoints.Endpoint{}, LateAfter: testLateAfter}, endpoints.Chosen
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -105,8 +105,8 @@
 }
 
 // value returns a field's value without quotes; empty if the line lacks it.
-func (line *Line) value(name string) string {
-	for _, field := range line.Fields {
+func (l *Line) value(name string) string {
+	for _, field := range l.Fields {
 		if field.Name == name {
 			return strings.Trim(field.Value, `"`)
 		}
@@ -116,17 +116,17 @@
 
 // departs reports whether the line tells of something that an ordinary request
 // does not have.
-func (line *Line) departs() bool {
-	switch line.Event {
+func (l *Line) departs() bool {
+	switch l.Event {
 	case trace.EventDeferred:
 		return true
 	case trace.EventSent:
-		return line.value("reason") != "first"
+		return l.value("reason") != "first"
 	case trace.EventEnded:
-		status := line.value("status")
-		return line.value("result") != "answered" || !strings.HasPrefix(status, "2")
+		status := l.value("status")
+		return l.value("result") != "answered" || !strings.HasPrefix(status, "2")
 	case trace.EventFinished:
-		return line.value("status") != "answered" || line.value("missing") != "0" || line.value("cause") != "complete"
+		return l.value("status") != "answered" || l.value("missing") != "0" || l.value("cause") != "complete"
 	}
 	return false
 }
@@ -136,10 +136,10 @@
 
 // Write prints the story: a line for each decision, with the first one that
 // departs from an ordinary request marked. It reports whether there was any line.
-func (story Story) Write(target io.Writer) (bool, error) {
+func (s Story) Write(target io.Writer) (bool, error) {
 	marked := false
-	for index := range story.Lines {
-		line := &story.Lines[index]
+	for index := range s.Lines {
+		line := &s.Lines[index]
 		sign := " "
 		if !marked && line.departs() {
 			sign, marked = marker, true
@@ -148,12 +148,12 @@
 			return true, err
 		}
 	}
-	return len(story.Lines) > 0, nil
+	return len(s.Lines) > 0, nil
 }
 
-func (line *Line) text() string {
-	parts := make([]string, len(line.Fields))
-	for index, field := range line.Fields {
+func (l *Line) text() string {
+	parts := make([]string, len(l.Fields))
+	for index, field := range l.Fields {
 		parts[index] = field.Name + "=" + strings.Trim(field.Value, `"`)
 	}
 	return strings.Join(parts, " ")
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -14,10 +14,10 @@
 )
 
 // writeOutcome writes the final answer of a request.
-func (server *Server) writeOutcome(ctx *fasthttp.RequestCtx, route *routing.Route, outcome *exchange.Outcome) {
+func (s *Server) writeOutcome(ctx *fasthttp.RequestCtx, route *routing.Route, outcome *exchange.Outcome) {
 	switch {
 	case outcome.Status == exchange.StatusAnswered && route.Gathers():
-		server.writeMerged(ctx, route, outcome)
+		s.writeMerged(ctx, route, outcome)
 	case outcome.Status == exchange.StatusAnswered:
 		writeReply(ctx, outcome)
 	case outcome.Status == exchange.StatusRefused:
@@ -54,15 +54,15 @@
 }
 
 // writeMerged writes the greatest records of all parts that are in.
-func (server *Server) writeMerged(ctx *fasthttp.RequestCtx, route *routing.Route, outcome *exchange.Outcome) {
+func (s *Server) writeMerged(ctx *fasthttp.RequestCtx, route *routing.Route, outcome *exchange.Outcome) {
 	seals := make([]string, len(outcome.Replies))
 	parts := make([][]byte, len(outcome.Replies))
 	for index := range outcome.Replies {
 		seals[index] = outcome.Replies[index].Seal
 		parts[index] = outcome.Replies[index].Body
 	}
-	ctx.Response.Header.Set(server.names.PartSeals, strings.Join(seals, ", "))
-	ctx.Response.Header.Set(server.names.MissingParts, strconv.Itoa(outcome.Missing))
+	ctx.Response.Header.Set(s.names.PartSeals, strings.Join(seals, ", "))
+	ctx.Response.Header.Set(s.names.MissingParts, strconv.Itoa(outcome.Missing))
 	ctx.SetContentType("application/octet-stream")
 	ctx.Response.SetBodyRaw(records.Greatest(parts, route.ResultCount))
 }
--- a/internal/ingress/connection.go
+++ b/internal/ingress/connection.go
@@ -17,16 +17,16 @@
 }
 
 // Accept implements net.Listener.
-func (listener *listener) Accept() (net.Conn, error) {
-	accepted, err := listener.Listener.Accept()
+func (l *listener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
 	if tcp, isTCP := accepted.(*net.TCPConn); isTCP {
 		setSocketOptions(tcp)
 	}
-	conn := &connection{Conn: accepted, limits: listener.limits, open: listener.open}
-	listener.open.add(conn)
+	conn := &connection{Conn: accepted, limits: l.limits, open: l.open}
+	l.open.add(conn)
 	return conn, nil
 }
 
@@ -48,31 +48,31 @@
 	return &connections{all: make(map[*connection]struct{})}
 }
 
-func (open *connections) add(conn *connection) {
-	open.mutex.Lock()
-	defer open.mutex.Unlock()
-	open.all[conn] = struct{}{}
+func (c *connections) add(conn *connection) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.all[conn] = struct{}{}
 }
 
-func (open *connections) remove(conn *connection) {
-	open.mutex.Lock()
-	defer open.mutex.Unlock()
-	delete(open.all, conn)
+func (c *connections) remove(conn *connection) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delete(c.all, conn)
 }
 
 // closeIdle closes the connections on which no request has begun.
-func (open *connections) closeIdle() {
-	open.mutex.Lock()
-	defer open.mutex.Unlock()
-	for conn := range open.all {
+func (c *connections) closeIdle() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for conn := range c.all {
 		conn.closeIfIdle()
 	}
 }
 
-func (open *connections) count() int {
-	open.mutex.Lock()
-	defer open.mutex.Unlock()
-	return len(open.all)
+func (c *connections) count() int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return len(c.all)
 }
 
 // phase is what a caller's connection is waiting for.
@@ -102,96 +102,96 @@
 }
 
 // Read implements net.Conn for fasthttp, which reads only between handlers.
-func (conn *connection) Read(buffer []byte) (int, error) {
+func (c *connection) Read(buffer []byte) (int, error) {
 	if len(buffer) == 0 {
 		return 0, nil
 	}
-	if conn.takeAhead(buffer) {
-		conn.beginReading()
+	if c.takeAhead(buffer) {
+		c.beginReading()
 		return 1, nil
 	}
-	conn.setDeadline()
-	count, err := conn.Conn.Read(buffer)
+	c.setDeadline()
+	count, err := c.Conn.Read(buffer)
 	if count > 0 {
-		conn.beginReading()
+		c.beginReading()
 	}
 	return count, err
 }
 
-func (conn *connection) takeAhead(buffer []byte) bool {
-	conn.mutex.Lock()
-	defer conn.mutex.Unlock()
-	if !conn.hasAhead {
+func (c *connection) takeAhead(buffer []byte) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !c.hasAhead {
 		return false
 	}
-	conn.hasAhead = false
-	conn.phase = phaseIdle
-	buffer[0] = conn.ahead[0]
+	c.hasAhead = false
+	c.phase = phaseIdle
+	buffer[0] = c.ahead[0]
 	return true
 }
 
 // setDeadline bounds the wait for the first byte of a request; the deadline for
 // the rest is set when that byte has come.
-func (conn *connection) setDeadline() {
-	conn.mutex.Lock()
-	idle := conn.phase == phaseIdle
-	conn.mutex.Unlock()
+func (c *connection) setDeadline() {
+	c.mutex.Lock()
+	idle := c.phase == phaseIdle
+	c.mutex.Unlock()
 	if idle {
-		_ = conn.Conn.SetReadDeadline(time.Now().Add(conn.limits().IdleTimeout))
+		_ = c.Conn.SetReadDeadline(time.Now().Add(c.limits().IdleTimeout))
 	}
 }
 
-func (conn *connection) beginReading() {
-	conn.mutex.Lock()
-	begins := conn.phase == phaseIdle
-	conn.phase = phaseReading
-	conn.mutex.Unlock()
+func (c *connection) beginReading() {
+	c.mutex.Lock()
+	begins := c.phase == phaseIdle
+	c.phase = phaseReading
+	c.mutex.Unlock()
 	if begins {
-		_ = conn.Conn.SetReadDeadline(time.Now().Add(conn.limits().HeaderTimeout))
+		_ = c.Conn.SetReadDeadline(time.Now().Add(c.limits().HeaderTimeout))
 	}
 }
 
 // SetReadDeadline does nothing: the connection sets its own deadlines.
-func (conn *connection) SetReadDeadline(time.Time) error { return nil }
+func (c *connection) SetReadDeadline(time.Time) error { return nil }
 
 // SetDeadline does nothing: the connection sets its own deadlines.
-func (conn *connection) SetDeadline(time.Time) error { return nil }
+func (c *connection) SetDeadline(time.Time) error { return nil }
 
 // Close implements net.Conn.
-func (conn *connection) Close() error {
-	conn.open.remove(conn)
-	return conn.Conn.Close()
+func (c *connection) Close() error {
+	c.open.remove(c)
+	return c.Conn.Close()
 }
 
-func (conn *connection) closeIfIdle() {
-	conn.mutex.Lock()
-	defer conn.mutex.Unlock()
-	if conn.phase == phaseIdle {
-		_ = conn.Conn.Close()
+func (c *connection) closeIfIdle() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.phase == phaseIdle {
+		_ = c.Conn.Close()
 	}
 }
 
 // watch reads ahead until stop is called. It calls hungUp if the caller closes
 // the connection meanwhile.
-func (conn *connection) watch(hungUp func()) (stop func()) {
-	conn.mutex.Lock()
-	conn.phase = phaseServing
-	pipelined := conn.hasAhead
-	conn.mutex.Unlock()
+func (c *connection) watch(hungUp func()) (stop func()) {
+	c.mutex.Lock()
+	c.phase = phaseServing
+	pipelined := c.hasAhead
+	c.mutex.Unlock()
 	if pipelined {
 		return func() {}
 	}
-	_ = conn.Conn.SetReadDeadline(time.Time{})
+	_ = c.Conn.SetReadDeadline(time.Time{})
 	ended := make(chan struct{})
 	stopping := false
 	go func() {
 		defer close(ended)
 		var one [1]byte
-		count, err := conn.Conn.Read(one[:])
-		conn.mutex.Lock()
-		defer conn.mutex.Unlock()
+		count, err := c.Conn.Read(one[:])
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
 		if count > 0 {
-			conn.ahead, conn.hasAhead = one, true
+			c.ahead, c.hasAhead = one, true
 			return
 		}
 		if err != nil && !stopping {
@@ -199,13 +199,13 @@
 		}
 	}()
 	return func() {
-		conn.mutex.Lock()
+		c.mutex.Lock()
 		stopping = true
-		conn.mutex.Unlock()
-		_ = conn.Conn.SetReadDeadline(time.Unix(1, 0))
+		c.mutex.Unlock()
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 		<-ended
-		conn.mutex.Lock()
-		conn.phase = phaseIdle
-		conn.mutex.Unlock()
+		c.mutex.Lock()
+		c.phase = phaseIdle
+		c.mutex.Unlock()
 	}
 }
--- a/internal/ingress/framing.go
+++ b/internal/ingress/framing.go
@@ -40,16 +40,11 @@
 
 // hasField reports whether the raw headers have a field of the (lower-case) name.
 func hasField(raw []byte, name string) bool {
-	return countField(raw, name) > 0
-}
-
-func countField(raw []byte, name string) int {
-	count := 0
 	for line := range bytes.Lines(raw) {
 		field, _, found := bytes.Cut(line, []byte(":"))
 		if found && bytes.EqualFold(bytes.TrimSpace(field), []byte(name)) {
-			count++
+			return true
 		}
 	}
-	return count
+	return false
 }
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -19,16 +19,16 @@
 
 // parse checks the request and copies what the attempts need of it: fasthttp
 // reuses its buffers after the handler.
-func (server *Server) parse(ctx *fasthttp.RequestCtx) (parsed, error) {
+func (s *Server) parse(ctx *fasthttp.RequestCtx) (parsed, error) {
 	header := &ctx.Request.Header
 	if err := checkFraming(header); err != nil {
 		return parsed{}, err
 	}
-	id, err := server.attemptID(header)
+	id, err := s.attemptID(header)
 	if err != nil {
 		return parsed{}, err
 	}
-	allowed, err := server.allowed(header)
+	allowed, err := s.allowed(header)
 	if err != nil {
 		return parsed{}, err
 	}
@@ -37,12 +37,12 @@
 		Body:     bytes.Clone(ctx.Request.Body()),
 		HeadOnly: header.IsHead(),
 	}
-	message.Head = server.head(header, len(message.Body))
+	message.Head = s.head(header, len(message.Body))
 	return parsed{message: message, allowed: allowed}, nil
 }
 
-func (server *Server) attemptID(header *fasthttp.RequestHeader) (string, error) {
-	values := header.PeekAll(server.names.AttemptID)
+func (s *Server) attemptID(header *fasthttp.RequestHeader) (string, error) {
+	values := header.PeekAll(s.names.AttemptID)
 	switch {
 	case len(values) == 0 || len(values[0]) == 0:
 		return "", errMissingID
@@ -53,8 +53,8 @@
 }
 
 // allowed returns how long the caller waits; zero if it does not say.
-func (server *Server) allowed(header *fasthttp.RequestHeader) (time.Duration, error) {
-	values := header.PeekAll(server.names.Deadline)
+func (s *Server) allowed(header *fasthttp.RequestHeader) (time.Duration, error) {
+	values := header.PeekAll(s.names.Deadline)
 	switch {
 	case len(values) == 0:
 		return 0, nil
@@ -69,7 +69,7 @@
 }
 
 // head serializes the request line and the headers that are handed on.
-func (server *Server) head(header *fasthttp.RequestHeader, bodyBytes int) []byte {
+func (s *Server) head(header *fasthttp.RequestHeader, bodyBytes int) []byte {
 	head := make([]byte, 0, 512)
 	head = append(head, header.Method()...)
 	head = append(head, ' ')
@@ -77,7 +77,7 @@
 	head = append(head, " HTTP/1.1\r\n"...)
 	named := connectionNamed(header)
 	for name, value := range header.All() {
-		if !server.handedOn(string(name), named) {
+		if !s.handedOn(string(name), named) {
 			continue
 		}
 		head = appendField(head, name, value)
@@ -105,13 +105,13 @@
 
 // handedOn reports whether the caller's header goes to servers: not if it
 // pertains to the connection or is set by this node.
-func (server *Server) handedOn(name string, named []string) bool {
+func (s *Server) handedOn(name string, named []string) bool {
 	switch {
 	case upstream.ConnectionField(name):
 		return false
 	case strings.EqualFold(name, "Expect"):
 		return false
-	case strings.EqualFold(name, server.names.Deadline), strings.EqualFold(name, server.names.ExpectedInstance):
+	case strings.EqualFold(name, s.names.Deadline), strings.EqualFold(name, s.names.ExpectedInstance):
 		return false
 	}
 	for _, other := range named {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -84,49 +84,49 @@
 }
 
 // Serve answers on the listener until it is closed.
-func (server *Server) Serve(accepting net.Listener) error {
-	return server.http.Serve(&listener{Listener: accepting, limits: server.limits, open: server.open})
+func (s *Server) Serve(accepting net.Listener) error {
+	return s.http.Serve(&listener{Listener: accepting, limits: s.limits, open: s.open})
 }
 
 // Stop announces the end: answers tell their callers to close connections.
-func (server *Server) Stop() { server.stopping.Store(true) }
+func (s *Server) Stop() { s.stopping.Store(true) }
 
 // End gives up the requests under way: they are answered at once.
-func (server *Server) End() { server.end(dispatch.ErrStopping) }
+func (s *Server) End() { s.end(dispatch.ErrStopping) }
 
 // CloseIdle closes connections on which no request has begun.
-func (server *Server) CloseIdle() { server.open.closeIdle() }
+func (s *Server) CloseIdle() { s.open.closeIdle() }
 
 // UnderWay returns the number of requests that have no answer yet.
-func (server *Server) UnderWay() int64 { return server.underWay.Load() }
+func (s *Server) UnderWay() int64 { return s.underWay.Load() }
 
 // Connections returns the number of callers' connections.
-func (server *Server) Connections() int { return server.open.count() }
+func (s *Server) Connections() int { return s.open.count() }
 
-func (server *Server) limits() routing.Limits {
-	table := server.table()
+func (s *Server) limits() routing.Limits {
+	table := s.table()
 	if table == nil {
 		return presumedLimits
 	}
 	return table.Limits
 }
 
-func (server *Server) headerReceived(*fasthttp.RequestHeader) fasthttp.RequestConfig {
-	limits := server.limits()
+func (s *Server) headerReceived(*fasthttp.RequestHeader) fasthttp.RequestConfig {
+	limits := s.limits()
 	return fasthttp.RequestConfig{MaxRequestBodySize: limits.MaximumBodyBytes}
 }
 
-func (server *Server) handle(ctx *fasthttp.RequestCtx) {
-	server.underWay.Add(1)
-	defer server.underWay.Add(-1)
-	server.answer(ctx, time.Now())
-	if server.stopping.Load() || server.overloaded() {
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	s.underWay.Add(1)
+	defer s.underWay.Add(-1)
+	s.answer(ctx, time.Now())
+	if s.stopping.Load() || s.overloaded() {
 		ctx.SetConnectionClose()
 	}
 }
 
-func (server *Server) answer(ctx *fasthttp.RequestCtx, arrived time.Time) {
-	table := server.table()
+func (s *Server) answer(ctx *fasthttp.RequestCtx, arrived time.Time) {
+	table := s.table()
 	if table == nil {
 		refuse(ctx, "no configuration is known yet")
 		return
@@ -135,7 +135,7 @@
 		reject(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, errors.New("the headers are too large"))
 		return
 	}
-	request, err := server.parse(ctx)
+	request, err := s.parse(ctx)
 	if err != nil {
 		reject(ctx, fasthttp.StatusBadRequest, err)
 		return
@@ -145,7 +145,7 @@
 		ctx.Error("no route\n", fasthttp.StatusNotFound)
 		return
 	}
-	server.dispatch(ctx, dispatch.Request{
+	s.dispatch(ctx, dispatch.Request{
 		Route:   route,
 		Version: table.Version,
 		Message: request.message,
@@ -156,15 +156,15 @@
 
 // dispatch carries out the request; the work ends when the caller hangs up, or
 // when the process cannot wait for it.
-func (server *Server) dispatch(ctx *fasthttp.RequestCtx, request dispatch.Request) {
-	working, cancel := context.WithCancelCause(server.ending)
+func (s *Server) dispatch(ctx *fasthttp.RequestCtx, request dispatch.Request) {
+	working, cancel := context.WithCancelCause(s.ending)
 	defer cancel(nil)
 	caller := ctx.Conn().(*connection)
 	stopWatch := caller.watch(func() { cancel(dispatch.ErrCallerGone) })
-	outcome := server.dispatcher.Do(working, request)
+	outcome := s.dispatcher.Do(working, request)
 	stopWatch()
 	switch {
-	case outcome == nil && server.ending.Err() != nil:
+	case outcome == nil && s.ending.Err() != nil:
 		ctx.Error("the node stops\n", fasthttp.StatusGatewayTimeout)
 		return
 	case outcome == nil:
@@ -172,7 +172,7 @@
 		_ = caller.Close()
 		return
 	}
-	server.writeOutcome(ctx, request.Route, outcome)
+	s.writeOutcome(ctx, request.Route, outcome)
 }
 
 // reject answers a request that is wrong in itself and closes its connection.
--- a/internal/members/announcer.go
+++ b/internal/members/announcer.go
@@ -43,8 +43,8 @@
 
 // lifetime is how long an announcement that does not change counts: two
 // announcements may be missed.
-func (intervals intervals) lifetime() time.Duration {
-	return 2*intervals.announce + 2*intervals.read
+func (i intervals) lifetime() time.Duration {
+	return 2*i.announce + 2*i.read
 }
 
 // Observer is told who else is there. Its methods do not block.
@@ -82,15 +82,15 @@
 }
 
 // Run announces and reads until ctx ends.
-func (announcer *Announcer) Run(ctx context.Context) {
+func (a *Announcer) Run(ctx context.Context) {
 	// A restarted node's announcements differ from those of its earlier process.
-	announcer.member.Sequence = rand.Uint64() >> 12
-	announcer.trustedAt = time.Now().Add(startInterval)
+	a.member.Sequence = rand.Uint64() >> 12
+	a.trustedAt = time.Now().Add(startInterval)
 	for ctx.Err() == nil {
-		announcer.step(time.Now())
-		next := announcer.announceAt
-		if announcer.readAt.Before(next) {
-			next = announcer.readAt
+		a.step(time.Now())
+		next := a.announceAt
+		if a.readAt.Before(next) {
+			next = a.readAt
 		}
 		select {
 		case <-ctx.Done():
@@ -99,48 +99,48 @@
 	}
 }
 
-func (announcer *Announcer) step(now time.Time) {
-	if !now.Before(announcer.announceAt) {
-		announcer.announce(now)
+func (a *Announcer) step(now time.Time) {
+	if !now.Before(a.announceAt) {
+		a.announce(now)
 	}
-	if !now.Before(announcer.readAt) {
-		announcer.read(now)
+	if !now.Before(a.readAt) {
+		a.read(now)
 	}
 }
 
-func (announcer *Announcer) announce(now time.Time) {
-	announcer.member.Sequence++
-	if err := announcer.registry.Announce(announcer.member, now.Add(callTimeout)); err != nil {
-		announcer.announceAt = now.Add(retryInterval)
+func (a *Announcer) announce(now time.Time) {
+	a.member.Sequence++
+	if err := a.registry.Announce(a.member, now.Add(callTimeout)); err != nil {
+		a.announceAt = now.Add(retryInterval)
 		return
 	}
-	announcer.announceAt = now.Add(jittered(announcer.intervals().announce))
+	a.announceAt = now.Add(jittered(a.intervals().announce))
 }
 
-func (announcer *Announcer) read(now time.Time) {
-	all, err := announcer.registry.Members(now.Add(callTimeout))
+func (a *Announcer) read(now time.Time) {
+	all, err := a.registry.Members(now.Add(callTimeout))
 	if err != nil {
-		announcer.readAt = now.Add(retryInterval)
+		a.readAt = now.Add(retryInterval)
 		return
 	}
-	settled := !now.Before(announcer.trustedAt)
-	announcer.readAt = announcer.trustedAt
+	settled := !now.Before(a.trustedAt)
+	a.readAt = a.trustedAt
 	if settled {
-		announcer.readAt = now.Add(jittered(announcer.intervals().read))
+		a.readAt = now.Add(jittered(a.intervals().read))
 	}
-	announcer.table.Observe(all, time.Now())
+	a.table.Observe(all, time.Now())
 	lifetime := intervalsAt(len(all)).lifetime()
-	announcer.observer.MembersRead(announcer.table.Live(time.Now(), lifetime))
-	count := announcer.table.Count(time.Now(), lifetime)
+	a.observer.MembersRead(a.table.Live(time.Now(), lifetime))
+	count := a.table.Count(time.Now(), lifetime)
 	count.Settled = settled
-	if count != announcer.count {
-		klog.InfoS("members counted", "count", count.All, "in_region", count.Region, "settled", settled, "before", announcer.count.All)
-		announcer.count = count
-		announcer.observer.MembersCounted(count)
+	if count != a.count {
+		klog.InfoS("members counted", "count", count.All, "in_region", count.Region, "settled", settled, "before", a.count.All)
+		a.count = count
+		a.observer.MembersCounted(count)
 	}
 }
 
-func (announcer *Announcer) intervals() intervals { return intervalsAt(announcer.count.All) }
+func (a *Announcer) intervals() intervals { return intervalsAt(a.count.All) }
 
 // jittered spreads the calls of nodes that started together.
 func jittered(interval time.Duration) time.Duration {
--- a/internal/members/announcer_test.go
+++ b/internal/members/announcer_test.go
@@ -21,34 +21,34 @@
 
 var errDown = errors.New("down")
 
-func (registry *registry) Announce(member Member, _ time.Time) error {
-	registry.mutex.Lock()
-	defer registry.mutex.Unlock()
-	if registry.down {
+func (r *registry) Announce(member Member, _ time.Time) error {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.down {
 		return errDown
 	}
-	registry.writes++
-	registry.members[member.Name] = member
+	r.writes++
+	r.members[member.Name] = member
 	return nil
 }
 
-func (registry *registry) Members(time.Time) ([]Member, error) {
-	registry.mutex.Lock()
-	defer registry.mutex.Unlock()
-	if registry.down {
+func (r *registry) Members(time.Time) ([]Member, error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.down {
 		return nil, errDown
 	}
 	var all []Member
-	for _, member := range registry.members {
+	for _, member := range r.members {
 		all = append(all, member)
 	}
 	return all, nil
 }
 
-func (registry *registry) setDown(down bool) {
-	registry.mutex.Lock()
-	defer registry.mutex.Unlock()
-	registry.down = down
+func (r *registry) setDown(down bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.down = down
 }
 
 // counter remembers the last count told.
@@ -57,29 +57,29 @@
 	count int
 }
 
-func (counter *counter) MembersRead([]Member) {}
+func (c *counter) MembersRead([]Member) {}
 
-func (counter *counter) MembersCounted(count Count) {
-	counter.mutex.Lock()
-	defer counter.mutex.Unlock()
-	counter.count = 0
+func (c *counter) MembersCounted(count Count) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.count = 0
 	if count.Settled {
-		counter.count = count.All
+		c.count = count.All
 	}
 }
 
-func (counter *counter) get() int {
-	counter.mutex.Lock()
-	defer counter.mutex.Unlock()
-	return counter.count
+func (c *counter) get() int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.count
 }
 
 // channel is an observer that hands on counts.
 type channel chan Count
 
-func (channel channel) MembersRead([]Member) {}
+func (c channel) MembersRead([]Member) {}
 
-func (channel channel) MembersCounted(count Count) { channel <- count }
+func (c channel) MembersCounted(count Count) { c <- count }
 
 func TestNodesThatStartTogetherCountEachOther(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -43,18 +43,18 @@
 }
 
 // Observe takes a list of all announcements into account.
-func (table *Table) Observe(members []Member, now time.Time) {
+func (t *Table) Observe(members []Member, now time.Time) {
 	listed := make(map[string]bool, len(members))
 	for _, member := range members {
 		listed[member.Name] = true
-		known, found := table.sightings[member.Name]
+		known, found := t.sightings[member.Name]
 		if !found || known.member.Sequence != member.Sequence {
-			table.sightings[member.Name] = sighting{member: member, seen: now}
+			t.sightings[member.Name] = sighting{member: member, seen: now}
 		}
 	}
-	for name := range table.sightings {
+	for name := range t.sightings {
 		if !listed[name] {
-			delete(table.sightings, name)
+			delete(t.sightings, name)
 		}
 	}
 }
@@ -70,18 +70,18 @@
 }
 
 // AtLeast returns the count, or the other one where that is larger.
-func (count Count) AtLeast(other Count) Count {
-	count.All = max(count.All, other.All)
-	count.Region = max(count.Region, other.Region)
-	return count
+func (c Count) AtLeast(other Count) Count {
+	c.All = max(c.All, other.All)
+	c.Region = max(c.Region, other.Region)
+	return c
 }
 
 // Live returns this node and those whose announcement has changed within the
 // lifetime.
-func (table *Table) Live(now time.Time, lifetime time.Duration) []Member {
-	live := []Member{table.own}
-	for name, sighting := range table.sightings {
-		if name != table.own.Name && now.Sub(sighting.seen) < lifetime {
+func (t *Table) Live(now time.Time, lifetime time.Duration) []Member {
+	live := []Member{t.own}
+	for name, sighting := range t.sightings {
+		if name != t.own.Name && now.Sub(sighting.seen) < lifetime {
 			live = append(live, sighting.member)
 		}
 	}
@@ -89,11 +89,11 @@
 }
 
 // Count returns the number of live nodes, this one included.
-func (table *Table) Count(now time.Time, lifetime time.Duration) Count {
-	live := table.Live(now, lifetime)
+func (t *Table) Count(now time.Time, lifetime time.Duration) Count {
+	live := t.Live(now, lifetime)
 	count := Count{All: len(live)}
 	for _, member := range live {
-		if member.Name == table.own.Name || table.near(member.Zone) {
+		if member.Name == t.own.Name || t.near(member.Zone) {
 			count.Region++
 		}
 	}
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -48,7 +48,7 @@
 }
 
 // Serve answers on the listener until it is closed.
-func (server *Server) Serve(listener net.Listener) error { return server.http.Serve(listener) }
+func (s *Server) Serve(listener net.Listener) error { return s.http.Serve(listener) }
 
 func answer(ctx *fasthttp.RequestCtx, snapshot func() (Snapshot, bool)) {
 	known, found := snapshot()
--- a/internal/peers/starter.go
+++ b/internal/peers/starter.go
@@ -77,7 +77,7 @@
 }
 
 // Run returns when the node knows enough, or when ctx ends.
-func (starter Starter) Run(ctx context.Context) {
+func (s Starter) Run(ctx context.Context) {
 	pause := patience + rand.N(patienceSpread)
 	for {
 		select {
@@ -85,25 +85,25 @@
 			return
 		case <-time.After(pause):
 		}
-		if starter.Known() {
+		if s.Known() {
 			return
 		}
-		starter.askAll()
+		s.askAll()
 		pause = askInterval
 	}
 }
 
 // askAll asks the peers in random order until one knows enough.
-func (starter Starter) askAll() {
-	addresses := starter.Addresses()
+func (s Starter) askAll() {
+	addresses := s.Addresses()
 	for _, index := range rand.Perm(len(addresses)) {
-		if starter.Known() {
+		if s.Known() {
 			return
 		}
 		address := addresses[index]
 		snapshot, err := Ask(address)
 		if err == nil {
-			err = starter.Adopt(snapshot)
+			err = s.Adopt(snapshot)
 		}
 		if err != nil {
 			klog.V(1).InfoS("peer knows nothing", "peer", address, "cause", err.Error())
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -42,17 +42,17 @@
 // smallestFirst is a heap with the smallest record at its root.
 type smallestFirst [][]byte
 
-func (records smallestFirst) Len() int           { return len(records) }
-func (records smallestFirst) Less(i, j int) bool { return bytes.Compare(records[i], records[j]) < 0 }
-func (records smallestFirst) Swap(i, j int)      { records[i], records[j] = records[j], records[i] }
+func (s smallestFirst) Len() int           { return len(s) }
+func (s smallestFirst) Less(i, j int) bool { return bytes.Compare(s[i], s[j]) < 0 }
+func (s smallestFirst) Swap(i, j int)      { s[i], s[j] = s[j], s[i] }
 
 // Push implements heap.Interface.
-func (records *smallestFirst) Push(record any) { *records = append(*records, record.([]byte)) }
+func (s *smallestFirst) Push(record any) { *s = append(*s, record.([]byte)) }
 
 // Pop implements heap.Interface.
-func (records *smallestFirst) Pop() any {
-	last := len(*records) - 1
-	record := (*records)[last]
-	*records = (*records)[:last]
+func (s *smallestFirst) Pop() any {
+	last := len(*s) - 1
+	record := (*s)[last]
+	*s = (*s)[:last]
 	return record
 }
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -28,24 +28,24 @@
 }
 
 // Earn adds the allowance of one request.
-func (bucket *Bucket) Earn(limits Limits, now time.Time) {
-	if !bucket.filled && !now.Before(limits.FillAt) {
-		bucket.filled = true
-		bucket.tokens = limits.Capacity
+func (b *Bucket) Earn(limits Limits, now time.Time) {
+	if !b.filled && !now.Before(limits.FillAt) {
+		b.filled = true
+		b.tokens = limits.Capacity
 	}
-	bucket.tokens = min(bucket.tokens+limits.Ratio, limits.Capacity)
+	b.tokens = min(b.tokens+limits.Ratio, limits.Capacity)
 }
 
 // Take spends one token and reports whether there was one.
-func (bucket *Bucket) Take() bool {
-	if bucket.tokens < 1 {
+func (b *Bucket) Take() bool {
+	if b.tokens < 1 {
 		return false
 	}
-	bucket.tokens--
+	b.tokens--
 	return true
 }
 
 // Tokens returns the allowance that is left.
-func (bucket *Bucket) Tokens() float64 {
-	return bucket.tokens
+func (b *Bucket) Tokens() float64 {
+	return b.tokens
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -61,15 +61,15 @@
 }
 
 // Gathers reports whether requests of the route are sent to all shards.
-func (route *Route) Gathers() bool {
-	return len(route.Shards) > 0
+func (r *Route) Gathers() bool {
+	return len(r.Shards) > 0
 }
 
 // LeastShards returns how many shards an answer needs to be a success; one at least.
-func (route *Route) LeastShards() int {
-	total := len(route.Shards)
+func (r *Route) LeastShards() int {
+	total := len(r.Shards)
 	for count := 1; count < total; count++ {
-		if float64(count)/float64(total) >= route.LeastShare {
+		if float64(count)/float64(total) >= r.LeastShare {
 			return count
 		}
 	}
@@ -77,12 +77,12 @@
 }
 
 // Services returns the names of all services that the route may reach.
-func (route *Route) Services() []string {
-	if route.Gathers() {
-		return route.Shards
+func (r *Route) Services() []string {
+	if r.Gathers() {
+		return r.Shards
 	}
-	names := make([]string, len(route.Split))
-	for index, part := range route.Split {
+	names := make([]string, len(r.Split))
+	for index, part := range r.Split {
 		names[index] = part.Service
 	}
 	return names
@@ -142,8 +142,8 @@
 
 // Match returns the route of the host with the longest prefix of the path, or
 // nil. The host may carry a port.
-func (table *Table) Match(host, path string) *Route {
-	for _, route := range table.byHost[hostName(host)] {
+func (t *Table) Match(host, path string) *Route {
+	for _, route := range t.byHost[hostName(host)] {
 		if strings.HasPrefix(path, route.PathPrefix) {
 			return route
 		}
@@ -152,7 +152,7 @@
 }
 
 // RouteCount returns the number of routes.
-func (table *Table) RouteCount() int { return len(table.routes) }
+func (t *Table) RouteCount() int { return len(t.routes) }
 
 // Document is the content of a table in a form that can be encoded.
 type Document struct {
@@ -163,17 +163,17 @@
 }
 
 // Document returns the content of the table; it must not be changed.
-func (table *Table) Document() Document {
-	services := make([]Service, 0, len(table.Services))
-	for _, service := range table.Services {
+func (t *Table) Document() Document {
+	services := make([]Service, 0, len(t.Services))
+	for _, service := range t.Services {
 		services = append(services, service)
 	}
-	return Document{Version: table.Version, Limits: table.Limits, Services: services, Routes: table.routes}
+	return Document{Version: t.Version, Limits: t.Limits, Services: services, Routes: t.routes}
 }
 
 // Table returns the table of the document. The error names the first wrong route.
-func (document Document) Table() (*Table, error) {
-	return NewTable(document.Version, document.Limits, document.Services, document.Routes)
+func (d Document) Table() (*Table, error) {
+	return NewTable(d.Version, d.Limits, d.Services, d.Routes)
 }
 
 func hostName(host string) string {
@@ -188,21 +188,21 @@
 
 // Choose returns the service for the given turn (a counter of the route's
 // requests). Over consecutive turns each service gets its share of the weights.
-func (route *Route) Choose(turn uint64) string {
-	if len(route.Split) == 1 {
-		return route.Split[0].Service
+func (r *Route) Choose(turn uint64) string {
+	if len(r.Split) == 1 {
+		return r.Split[0].Service
 	}
 	total := 0.0
-	for _, part := range route.Split {
+	for _, part := range r.Split {
 		total += part.Weight
 	}
 	product := float64(turn) * goldenRatio
 	point := (product - float64(uint64(product))) * total
-	for _, part := range route.Split {
+	for _, part := range r.Split {
 		if point < part.Weight {
 			return part.Service
 		}
 		point -= part.Weight
 	}
-	return route.Split[len(route.Split)-1].Service
+	return r.Split[len(r.Split)-1].Service
 }
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -67,12 +67,12 @@
 }
 
 // SetOptions replaces the bounds.
-func (recorder *Recorder) SetOptions(options Options) {
-	recorder.mutex.Lock()
-	defer recorder.mutex.Unlock()
-	recorder.options = options
-	recorder.limiter.SetLimit(rate.Limit(options.LinesPerSecond))
-	recorder.limiter.SetBurst(burstSeconds * options.LinesPerSecond)
+func (r *Recorder) SetOptions(options Options) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.options = options
+	r.limiter.SetLimit(rate.Limit(options.LinesPerSecond))
+	r.limiter.SetBurst(burstSeconds * options.LinesPerSecond)
 }
 
 // step is one recorded decision.
@@ -92,71 +92,71 @@
 }
 
 // Begin starts the trace of a request.
-func (recorder *Recorder) Begin(id string, now time.Time) *Trace {
-	if recorder == nil {
+func (r *Recorder) Begin(id string, now time.Time) *Trace {
+	if r == nil {
 		return nil
 	}
-	return &Trace{recorder: recorder, id: id, begun: now}
+	return &Trace{recorder: r, id: id, begun: now}
 }
 
 // Add records a decision.
-func (trace *Trace) Add(event Event, now time.Time, attrs ...slog.Attr) {
-	if trace == nil {
+func (t *Trace) Add(event Event, now time.Time, attrs ...slog.Attr) {
+	if t == nil {
 		return
 	}
-	trace.steps = append(trace.steps, step{event: event, time: now, attrs: attrs})
+	t.steps = append(t.steps, step{event: event, time: now, attrs: attrs})
 }
 
 // End writes the trace if the request is noteworthy or falls into the sample.
-func (trace *Trace) End(noteworthy bool) {
-	if trace == nil || !trace.recorder.wants(noteworthy, len(trace.steps)) {
+func (t *Trace) End(noteworthy bool) {
+	if t == nil || !t.recorder.wants(noteworthy, len(t.steps)) {
 		return
 	}
-	for _, step := range trace.steps {
-		trace.write(step)
+	for _, step := range t.steps {
+		t.write(step)
 	}
 }
 
-func (trace *Trace) write(step step) {
+func (t *Trace) write(step step) {
 	record := slog.NewRecord(step.time, slog.LevelInfo, string(step.event), 0)
-	record.AddAttrs(slog.String(FieldRequest, trace.id))
-	record.AddAttrs(slog.Float64(FieldAt, Milliseconds(step.time.Sub(trace.begun))))
+	record.AddAttrs(slog.String(FieldRequest, t.id))
+	record.AddAttrs(slog.Float64(FieldAt, Milliseconds(step.time.Sub(t.begun))))
 	record.AddAttrs(step.attrs...)
 	// The handler writes to a buffer that never fails.
-	_ = trace.recorder.handler.Handle(context.Background(), record)
+	_ = t.recorder.handler.Handle(context.Background(), record)
 }
 
 // wants decides whether a request of so many lines is written.
-func (recorder *Recorder) wants(noteworthy bool, lines int) bool {
-	if !noteworthy && !recorder.sampled() {
+func (r *Recorder) wants(noteworthy bool, lines int) bool {
+	if !noteworthy && !r.sampled() {
 		return false
 	}
-	if recorder.limiter.AllowN(time.Now(), lines) {
+	if r.limiter.AllowN(time.Now(), lines) {
 		return true
 	}
-	recorder.mutex.Lock()
-	defer recorder.mutex.Unlock()
-	recorder.left++
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.left++
 	return false
 }
 
-func (recorder *Recorder) sampled() bool {
-	recorder.mutex.Lock()
-	defer recorder.mutex.Unlock()
-	if recorder.options.SampleEvery == 0 {
+func (r *Recorder) sampled() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.options.SampleEvery == 0 {
 		return false
 	}
-	recorder.ordinary++
-	return recorder.ordinary%recorder.options.SampleEvery == 0
+	r.ordinary++
+	return r.ordinary%r.options.SampleEvery == 0
 }
 
 // TakeLeftOut returns how many noteworthy or sampled requests were left out by
 // the bound since the last call.
-func (recorder *Recorder) TakeLeftOut() int {
-	recorder.mutex.Lock()
-	defer recorder.mutex.Unlock()
-	left := recorder.left
-	recorder.left = 0
+func (r *Recorder) TakeLeftOut() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	left := r.left
+	r.left = 0
 	return left
 }
 
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -45,62 +45,62 @@
 }
 
 // Forget closes the idle connections of the server.
-func (client *Client) Forget(serverID string) { client.pool.forget(serverID) }
+func (c *Client) Forget(serverID string) { c.pool.forget(serverID) }
 
 // Idle returns the number of idle connections to servers.
-func (client *Client) Idle() int { return client.pool.count() }
+func (c *Client) Idle() int { return c.pool.count() }
 
 // HasIdle reports whether there is an idle connection to the server.
-func (client *Client) HasIdle(serverID string) bool { return client.pool.has(serverID) }
+func (c *Client) HasIdle(serverID string) bool { return c.pool.has(serverID) }
 
 // Connect opens an idle connection to the server, for a later call.
-func (client *Client) Connect(ctx context.Context, serverID, address string, idleLimit int) error {
-	opened, err := client.dialer.DialContext(ctx, "tcp4", address)
+func (c *Client) Connect(ctx context.Context, serverID, address string, idleLimit int) error {
+	opened, err := c.dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return err
 	}
-	conn := &connection{Conn: opened, expires: time.Now().Add(client.idleTimeout() - idleMargin)}
-	client.pool.put(serverID, conn, idleLimit)
+	conn := &connection{Conn: opened, expires: time.Now().Add(c.idleTimeout() - idleMargin)}
+	c.pool.put(serverID, conn, idleLimit)
 	return nil
 }
 
 // idleTimeout returns how long servers keep idle connections, as one of them has
 // announced last.
-func (client *Client) idleTimeout() time.Duration {
-	if announced := client.announced.Load(); announced > 0 {
+func (c *Client) idleTimeout() time.Duration {
+	if announced := c.announced.Load(); announced > 0 {
 		return time.Duration(announced)
 	}
 	return presumedIdleTimeout
 }
 
 // Sweep closes connections that have rested too long.
-func (client *Client) Sweep(now time.Time) { client.pool.sweep(now) }
+func (c *Client) Sweep(now time.Time) { c.pool.sweep(now) }
 
 // Do makes one attempt. It returns at the deadline, or soon after ctx ends, at
 // the latest; the connection is then closed, so that the server can stop.
-func (client *Client) Do(ctx context.Context, call Call) Reply {
-	conn, err := client.connect(ctx, call)
+func (c *Client) Do(ctx context.Context, call Call) Reply {
+	conn, err := c.connect(ctx, call)
 	if err != nil {
 		return failure(ctx, call, Unreachable, verdict.NotRun, err)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
-	reply, reusable := client.exchange(ctx, conn, call)
+	reply, reusable := c.exchange(ctx, conn, call)
 	if !stop() || !reusable {
 		_ = conn.Close()
 		return reply
 	}
-	client.pool.put(call.ServerID, conn, call.IdleLimit)
+	c.pool.put(call.ServerID, conn, call.IdleLimit)
 	return reply
 }
 
-func (client *Client) connect(ctx context.Context, call Call) (*connection, error) {
+func (c *Client) connect(ctx context.Context, call Call) (*connection, error) {
 	now := time.Now()
-	if conn := client.pool.take(call.ServerID, now); conn != nil {
+	if conn := c.pool.take(call.ServerID, now); conn != nil {
 		return conn, conn.SetDeadline(call.Deadline)
 	}
 	dialContext, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
-	opened, err := client.dialer.DialContext(dialContext, "tcp4", call.Address)
+	opened, err := c.dialer.DialContext(dialContext, "tcp4", call.Address)
 	if err != nil {
 		return nil, err
 	}
@@ -109,7 +109,7 @@
 
 // exchange sends the request and reads its answer. The second result tells
 // whether the connection may carry another request.
-func (client *Client) exchange(ctx context.Context, conn *connection, call Call) (Reply, bool) {
+func (c *Client) exchange(ctx context.Context, conn *connection, call Call) (Reply, bool) {
 	left := time.Until(call.Deadline)
 	if left < time.Millisecond {
 		return failure(ctx, call, Expired, verdict.NotRun, errors.New("no time left to send")), false
@@ -117,14 +117,14 @@
 	if call.Permitted != nil && !call.Permitted() {
 		return Reply{Kind: Withheld, Verdict: verdict.NotRun, Err: errWithheld}, conn.used
 	}
-	sent := client.send(conn, call, left)
+	sent := c.send(conn, call, left)
 	if err := sent.failed(); err != nil {
 		return failure(ctx, call, lostKind(conn, err), verdict.MayHaveRun, err), false
 	}
-	reader := client.readers.Get().(*bufio.Reader)
+	reader := c.readers.Get().(*bufio.Reader)
 	reader.Reset(conn)
-	defer client.release(reader)
-	reply, framing := client.receive(reader, call, conn.used)
+	defer c.release(reader)
+	reply, framing := c.receive(reader, call, conn.used)
 	if reply.Err != nil {
 		if reply.Kind == Lost {
 			reply.Kind = lostKind(conn, reply.Err)
@@ -134,7 +134,7 @@
 	reusable := framing.keep && reader.Buffered() == 0 && sent.complete()
 	conn.used = true
 	conn.expires = time.Now().Add(framing.idle - idleMargin)
-	client.announced.Store(int64(framing.idle))
+	c.announced.Store(int64(framing.idle))
 	return reply, reusable
 }
 
@@ -148,9 +148,9 @@
 	return Lost
 }
 
-func (client *Client) release(reader *bufio.Reader) {
+func (c *Client) release(reader *bufio.Reader) {
 	reader.Reset(nil)
-	client.readers.Put(reader)
+	c.readers.Put(reader)
 }
 
 // sending is a request that is being written.
@@ -160,23 +160,23 @@
 }
 
 // failed returns the error of a write that has ended already.
-func (sent *sending) failed() error { return sent.err }
+func (s *sending) failed() error { return s.err }
 
 // complete reports whether the whole request was written.
-func (sent *sending) complete() bool {
-	if sent.done == nil {
-		return sent.err == nil
+func (s *sending) complete() bool {
+	if s.done == nil {
+		return s.err == nil
 	}
 	select {
-	case err := <-sent.done:
+	case err := <-s.done:
 		return err == nil
 	default:
 		return false
 	}
 }
 
-func (client *Client) send(conn *connection, call Call, left time.Duration) *sending {
-	message := client.serialize(call, left)
+func (c *Client) send(conn *connection, call Call, left time.Duration) *sending {
+	message := c.serialize(call, left)
 	if len(call.Request.Body) < largeBodyBytes {
 		_, err := conn.Write(append(message, call.Request.Body...))
 		return &sending{err: err}
@@ -190,14 +190,14 @@
 	return sent
 }
 
-func (client *Client) serialize(call Call, left time.Duration) []byte {
+func (c *Client) serialize(call Call, left time.Duration) []byte {
 	message := make([]byte, 0, len(call.Request.Head)+len(call.Request.Body)+128)
 	message = append(message, call.Request.Head...)
-	message = append(message, client.headers.Deadline...)
+	message = append(message, c.headers.Deadline...)
 	message = append(message, ": "...)
 	message = strconv.AppendInt(message, left.Milliseconds(), 10)
 	message = append(message, "\r\n"...)
-	message = append(message, client.headers.ExpectedInstance...)
+	message = append(message, c.headers.ExpectedInstance...)
 	message = append(message, ": "...)
 	message = append(message, call.ServerID...)
 	return append(message, "\r\n\r\n"...)
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -34,8 +34,8 @@
 }
 
 // quiet reports whether the idle connection is open and has nothing to read.
-func (conn *connection) quiet() bool {
-	source, isSource := conn.Conn.(syscall.Conn)
+func (c *connection) quiet() bool {
+	source, isSource := c.Conn.(syscall.Conn)
 	if !isSource {
 		return true
 	}
--- a/internal/upstream/doc.go
+++ b/internal/upstream/doc.go
@@ -87,7 +87,7 @@
 var kindNames = [...]string{"answered", "refused", "foreign", "reset", "unreachable", "lost", "malformed", "withheld", "expired"}
 
 // String returns the name used in logs and metrics.
-func (kind Kind) String() string { return kindNames[kind] }
+func (k Kind) String() string { return kindNames[k] }
 
 // Reply is what became of an attempt.
 type Reply struct {
@@ -102,6 +102,6 @@
 }
 
 // Success reports whether the reply is a whole answer with a 2xx status.
-func (reply *Reply) Success() bool {
-	return reply.Kind == Answered && reply.Status >= 200 && reply.Status < 300
+func (r *Reply) Success() bool {
+	return r.Kind == Answered && r.Status >= 200 && r.Status < 300
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -24,9 +24,9 @@
 }
 
 // take returns an idle connection to the server that still looks sound, or nil.
-func (pool *pool) take(serverID string, now time.Time) *connection {
+func (p *pool) take(serverID string, now time.Time) *connection {
 	for {
-		conn := pool.pop(serverID)
+		conn := p.pop(serverID)
 		if conn == nil {
 			return nil
 		}
@@ -37,70 +37,70 @@
 	}
 }
 
-func (pool *pool) pop(serverID string) *connection {
-	pool.mutex.Lock()
-	defer pool.mutex.Unlock()
-	idle := pool.idle[serverID]
+func (p *pool) pop(serverID string) *connection {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	idle := p.idle[serverID]
 	if len(idle) == 0 {
 		return nil
 	}
 	last := len(idle) - 1
 	conn := idle[last]
-	pool.idle[serverID] = idle[:last]
+	p.idle[serverID] = idle[:last]
 	return conn
 }
 
 // put keeps an idle connection, or closes it if there are enough; a negative
 // limit is none.
-func (pool *pool) put(serverID string, conn *connection, limit int) {
-	if !pool.keep(serverID, conn, limit) {
+func (p *pool) put(serverID string, conn *connection, limit int) {
+	if !p.keep(serverID, conn, limit) {
 		_ = conn.Close()
 	}
 }
 
-func (pool *pool) keep(serverID string, conn *connection, limit int) bool {
-	pool.mutex.Lock()
-	defer pool.mutex.Unlock()
-	idle := pool.idle[serverID]
+func (p *pool) keep(serverID string, conn *connection, limit int) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	idle := p.idle[serverID]
 	if limit >= 0 && len(idle) >= limit {
 		return false
 	}
-	pool.idle[serverID] = append(idle, conn)
+	p.idle[serverID] = append(idle, conn)
 	return true
 }
 
-func (pool *pool) has(serverID string) bool {
-	pool.mutex.Lock()
-	defer pool.mutex.Unlock()
-	return len(pool.idle[serverID]) > 0
+func (p *pool) has(serverID string) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return len(p.idle[serverID]) > 0
 }
 
-func (pool *pool) count() int {
-	pool.mutex.Lock()
-	defer pool.mutex.Unlock()
+func (p *pool) count() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
 	count := 0
-	for _, idle := range pool.idle {
+	for _, idle := range p.idle {
 		count += len(idle)
 	}
 	return count
 }
 
 // forget closes the idle connections of the server.
-func (pool *pool) forget(serverID string) {
-	pool.mutex.Lock()
-	idle := pool.idle[serverID]
-	delete(pool.idle, serverID)
-	pool.mutex.Unlock()
+func (p *pool) forget(serverID string) {
+	p.mutex.Lock()
+	idle := p.idle[serverID]
+	delete(p.idle, serverID)
+	p.mutex.Unlock()
 	for _, conn := range idle {
 		_ = conn.Close()
 	}
 }
 
 // sweep closes the connections that have rested too long.
-func (pool *pool) sweep(now time.Time) {
-	pool.mutex.Lock()
+func (p *pool) sweep(now time.Time) {
+	p.mutex.Lock()
 	var expired []*connection
-	for serverID, idle := range pool.idle {
+	for serverID, idle := range p.idle {
 		kept := idle[:0]
 		for _, conn := range idle {
 			if now.Before(conn.expires) {
@@ -109,12 +109,12 @@
 				expired = append(expired, conn)
 			}
 		}
-		pool.idle[serverID] = kept
+		p.idle[serverID] = kept
 		if len(kept) == 0 {
-			delete(pool.idle, serverID)
+			delete(p.idle, serverID)
 		}
 	}
-	pool.mutex.Unlock()
+	p.mutex.Unlock()
 	for _, conn := range expired {
 		_ = conn.Close()
 	}
--- a/internal/upstream/receive.go
+++ b/internal/upstream/receive.go
@@ -28,7 +28,7 @@
 var errForeignAnswer = errors.New("only answers to other requests arrived")
 
 // receive reads answers until the one with the request's id.
-func (client *Client) receive(reader *bufio.Reader, call Call, reused bool) (Reply, framing) {
+func (c *Client) receive(reader *bufio.Reader, call Call, reused bool) (Reply, framing) {
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
 	for range maximumForeignAnswers {
@@ -42,8 +42,8 @@
 		if err := response.ReadLimitBody(reader, maximumAnswerBytes); err != nil {
 			return broken(reader, err), framing{}
 		}
-		if client.belongs(response, call, reused) {
-			return client.interpret(response, call), framingOf(response)
+		if c.belongs(response, call, reused) {
+			return c.interpret(response, call), framingOf(response)
 		}
 	}
 	return Reply{Kind: Malformed, Verdict: verdict.MayHaveRun, Err: errForeignAnswer}, framing{}
@@ -62,25 +62,25 @@
 // belongs reports whether the answer is to this request. A refusal may come
 // without an id; on a connection that has carried other requests it could be
 // the late copy of an earlier one and proves nothing.
-func (client *Client) belongs(response *fasthttp.Response, call Call, reused bool) bool {
-	id := response.Header.Peek(client.headers.AttemptID)
+func (c *Client) belongs(response *fasthttp.Response, call Call, reused bool) bool {
+	id := response.Header.Peek(c.headers.AttemptID)
 	if len(id) == 0 {
-		return !reused || len(response.Header.Peek(client.headers.NotExecuted)) == 0
+		return !reused || len(response.Header.Peek(c.headers.NotExecuted)) == 0
 	}
 	return string(id) == call.Request.ID
 }
 
-func (client *Client) interpret(response *fasthttp.Response, call Call) Reply {
+func (c *Client) interpret(response *fasthttp.Response, call Call) Reply {
 	reply := Reply{
 		Kind:    Answered,
 		Verdict: verdict.Ran,
 		Status:  response.StatusCode(),
-		Seal:    string(response.Header.Peek(client.headers.Seal)),
+		Seal:    string(response.Header.Peek(c.headers.Seal)),
 	}
 	switch {
 	case reply.Status == fasthttp.StatusMisdirectedRequest:
 		reply.Kind, reply.Verdict = Foreign, verdict.NotRun
-	case len(response.Header.Peek(client.headers.NotExecuted)) > 0:
+	case len(response.Header.Peek(c.headers.NotExecuted)) > 0:
 		reply.Kind, reply.Verdict = Refused, verdict.NotRun
 	case len(response.Header.ContentEncoding()) > 0:
 		reply.Kind = Malformed
