An outage of the store avoids no node for long; the memory setting bounds the runtime

A node tries all others while the store is away for all; each failed try doubled the time for which the other was passed over, up to a minute after the outage (TestOutageOfTheStoreAvoidsNobodyForLong was red: 1m0s). memory-megabytes was checked but not used.

--- a/cmd/driftrouter/main.go
+++ b/cmd/driftrouter/main.go
@@ -56,6 +56,7 @@
 func serve(request settings.Request[settings.Router], args []string) int {
 	loaded := request.Settings
 	debug.SetGCPercent(edge.GCPercent)
+	limitMemory(loaded.MemoryMegabytes)
 	output := telemetry.NewAsyncWriter(os.Stdout, logBufferBytes)
 	defer output.Close()
 	handler := telemetry.SetupLogs(output, loaded.Name, loaded.LogVerbosity)
@@ -79,6 +80,18 @@
 	return 0
 }
 
+// heapShare is the part of the process's memory that the runtime keeps to; the rest
+// is for stacks of the C library, buffers of the kernel and bytes that wait unread.
+const heapShare = 0.8
+
+// limitMemory makes the runtime collect garbage more often near the limit, which
+// is 0 for none.
+func limitMemory(megabytes int) {
+	if megabytes > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(megabytes<<20)))
+	}
+}
+
 // reload reads the settings once more. Wrong ones are reported, and the node goes
 // on by those it has.
 func reload(node *edge.Node, recorder *trace.Recorder, args []string) {
--- a/internal/peers/selector.go
+++ b/internal/peers/selector.go
@@ -141,6 +141,10 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	length := min(max(2*s.avoided[name].length, firstAvoidance), longestAvoidance)
+	if now.Sub(s.storeFailedAt) < storeAvoidance {
+		// Nobody may have an answer of the store now; that says little of the node.
+		length = firstAvoidance
+	}
 	s.avoided[name] = avoidance{until: now.Add(length), length: length}
 }
 
--- a/internal/peers/selector_test.go
+++ b/internal/peers/selector_test.go
@@ -109,6 +109,20 @@
 	is.Equal(s.avoided["other"].length, firstAvoidance)
 }
 
+// While the store is away for all, nobody has recent answers. The readers have to be
+// found again soon after.
+func TestOutageOfTheStoreAvoidsNobodyForLong(t *testing.T) {
+	is := is.New(t)
+	s := NewSelector(members.Member{Name: "own"}, inRegion)
+	now := epoch
+	for range 10 {
+		s.StoreFailed(now)
+		s.Failed("other", now)
+		now = now.Add(time.Second)
+	}
+	is.Equal(s.avoided["other"].length, firstAvoidance)
+}
+
 func TestAnyNodeIsFollowedWhileTheStoreFails(t *testing.T) {
 	is := is.New(t)
 	own := nodes("near", 1)[0]
