--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -78,7 +78,7 @@
 	mutex sync.Mutex
 	// client calls the node that was followed last.
 	client *fasthttp.HostClient
-	// followed is the node that was picked last; empty for the store.
+	// followed is the node that answered last; empty for the store.
 	followed string
 	// latest is the body that was encoded last.
 	latest encoded
@@ -103,14 +103,16 @@
 // Source implements catalog.Relay.
 func (l *Link[T]) Source() catalog.Watcher[T] {
 	member, found := l.selector.Pick(time.Now())
-	l.note(member.Name)
 	if !found {
+		l.note("")
 		return nil
 	}
 	return source[T]{link: l, member: member}
 }
 
-// note logs when another node is followed than before; empty for the store.
+// note logs when another node has answered than the one that was followed before;
+// empty for the store. A node that does not answer is no line: while the store is
+// away for all, every node tries many.
 func (l *Link[T]) note(name string) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -258,6 +260,7 @@
 		return found, errors.Wrapf(err, "node %s", s.member.Name)
 	}
 	s.link.selector.Answered(s.member.Name)
+	s.link.note(s.member.Name)
 	return found, nil
 }
 
--- a/internal/peers/link_test.go
+++ b/internal/peers/link_test.go
@@ -146,6 +146,28 @@
 	is.Equal(got.Changes[0].Value.Document(), table.Document())
 }
 
+func TestNodeThatDoesNotAnswerIsNotNoted(t *testing.T) {
+	is := is.New(t)
+	reader, source, selector := linked(t, ServerCodec{})
+	link := source.(interface {
+		owner() *Link[endpoints.Server]
+	}).owner()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	_, err := source.Watch(ctx, catalog.WatchRequest{After: 5, Wait: time.Millisecond})
+	is.True(err != nil) // it has read nothing yet
+	is.Equal(link.followed, "")
+	reader.Publish(5, told(7), true)
+	_, err = source.Watch(ctx, catalog.WatchRequest{After: 5, Wait: time.Millisecond})
+	is.NoErr(err)
+	is.Equal(link.followed, "reader")
+	selector.SetMembers(nil)
+	is.True(link.Source() == nil)
+	is.Equal(link.followed, "")
+}
+
+func (s source[T]) owner() *Link[T] { return s.link }
+
 func TestWrongQuestionsAreRejected(t *testing.T) {
 	for _, query := range []string{"", "after=x&wait=1s&age=1s", "after=1&wait=1&age=1s", "after=1&wait=1s", "after=-1&wait=1s&age=1s"} {
 		is := is.New(t)
