Taken back: connections to other regions opened ahead of need

The loss lies in 36 to 42 s, after all machines lost power: servers keep the connections of dead nodes, and with the far ones those and the new ones are over their limit (76).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -220,7 +220,6 @@
 			return
 		case now := <-ticker.C:
 			n.client.Sweep(now)
-			n.connect(ctx, now)
 		}
 	}
 }
--- a/internal/endpoints/directory.go
+++ b/internal/endpoints/directory.go
@@ -34,8 +34,6 @@
 	endpoints      []*Endpoint
 	bucket         retrybudget.Bucket
 	maxConnections int
-	// askedAt is when a request for the service arrived last.
-	askedAt time.Time
 }
 
 // New returns an empty directory without retry budget. The connections may be nil.
@@ -168,7 +166,5 @@
 func (d *Directory) EarnRetries(name string, now time.Time) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	owner := d.service(name)
-	owner.askedAt = now
-	owner.bucket.Earn(d.budget, now)
+	d.service(name).bucket.Earn(d.budget, now)
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -6,7 +6,6 @@
 	"net"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,8 +29,6 @@
 	dialer  net.Dialer
 	pool    *pool
 	readers sync.Pool
-	// announced is the time of idleness that a server has announced last.
-	announced atomic.Int64
 }
 
 // NewClient returns a client that speaks the given headers.
@@ -53,26 +50,6 @@
 // HasIdle reports whether there is an idle connection to the server.
 func (c *Client) HasIdle(serverID string) bool { return c.pool.has(serverID) }
 
-// Connect opens an idle connection to the server, for a later call.
-func (c *Client) Connect(ctx context.Context, serverID, address string, idleLimit int) error {
-	opened, err := c.dialer.DialContext(ctx, "tcp4", address)
-	if err != nil {
-		return err
-	}
-	conn := &connection{Conn: opened, expires: time.Now().Add(c.idleTimeout() - idleMargin)}
-	c.pool.put(serverID, conn, idleLimit)
-	return nil
-}
-
-// idleTimeout returns how long servers keep idle connections, as one of them has
-// announced last.
-func (c *Client) idleTimeout() time.Duration {
-	if announced := c.announced.Load(); announced > 0 {
-		return time.Duration(announced)
-	}
-	return presumedIdleTimeout
-}
-
 // Sweep closes connections that have rested too long.
 func (c *Client) Sweep(now time.Time) { c.pool.sweep(now) }
 
@@ -134,7 +111,6 @@
 	reusable := framing.keep && reader.Buffered() == 0 && sent.complete()
 	conn.used = true
 	conn.expires = time.Now().Add(framing.idle - idleMargin)
-	c.announced.Store(int64(framing.idle))
 	return reply, reusable
 }
 
--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -255,15 +255,3 @@
 	is.Equal(string(reply.Body), answerBody)
 	is.Equal(reply.Seal, server.Seal("id-2"))
 }
-
-func TestConnectionOpenedAheadIsUsed(t *testing.T) {
-	is := is.New(t)
-	server := startServer(t, standin.ServerOptions{})
-	client := newClient()
-	is.NoErr(client.Connect(t.Context(), "i-1", server.Address(), 1))
-	is.True(client.HasIdle("i-1"))
-	is.Equal(client.Do(t.Context(), call(server, "id-1", "")).Kind, upstream.Answered)
-	is.Equal(server.Opened(), 1)
-	is.NoErr(client.Connect(t.Context(), "i-1", server.Address(), 1)) // closed at once: one is enough
-	is.Equal(client.Idle(), 1)
-}
