Selector states once whether the store fails; IdleLimit is one function again

Found in the last read: an exported StoreFails that nobody called, its condition written out twice beside it, and a split of IdleLimit left from connections opened ahead of need. No behaviour changes.

--- a/internal/endpoints/share.go
+++ b/internal/endpoints/share.go
@@ -54,10 +54,6 @@
 func (d *Directory) IdleLimit(server Server) int {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return d.idleLimit(server)
-}
-
-func (d *Directory) idleLimit(server Server) int {
 	share := d.idleShare(server)
 	switch {
 	case share < 0:
--- a/internal/peers/selector.go
+++ b/internal/peers/selector.go
@@ -78,7 +78,7 @@
 func (s *Selector) Pick(now time.Time) (members.Member, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if now.Sub(s.storeFailedAt) < storeAvoidance {
+	if s.storeFails(now) {
 		return s.anyone(now)
 	}
 	if len(s.region) < relayNodes {
@@ -129,10 +129,8 @@
 	s.storeFailedAt = now
 }
 
-// StoreFails reports whether the store has failed lately.
-func (s *Selector) StoreFails(now time.Time) bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
+// storeFails reports whether the store has failed lately.
+func (s *Selector) storeFails(now time.Time) bool {
 	return now.Sub(s.storeFailedAt) < storeAvoidance
 }
 
@@ -141,7 +139,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	length := min(max(2*s.avoided[name].length, firstAvoidance), longestAvoidance)
-	if now.Sub(s.storeFailedAt) < storeAvoidance {
+	if s.storeFails(now) {
 		// Nobody may have an answer of the store now; that says little of the node.
 		length = firstAvoidance
 	}
