A request that reaches a starting node waits for the configuration; a short list after an outage is known as such

Ruled out: Retry-After alone (see docs/DECISIONS.md). A node also waited a second for a read of the store that hung although the store was back by then.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -81,6 +81,8 @@
 
 // Sink takes the state that a follower learns.
 type Sink[T any] interface {
-	Replace(items []T)
+	// Replace takes a whole list. After an outage of the store it may lack objects
+	// that ran out meanwhile and are written again soon.
+	Replace(items []T, afterOutage bool)
 	Apply(change Change[T])
 }
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -20,6 +20,10 @@
 	freshInterval = 14 * time.Second
 	// pageTimeout bounds the read of one page.
 	pageTimeout = time.Second
+	// firstListInterval is the pause after which a node that knows nothing yet reads
+	// again beside a call that hangs, firstListCalls the most reads at a time.
+	firstListInterval = 300 * time.Millisecond
+	firstListCalls    = 4
 	// relayWait takes the place of watchWait where other nodes follow this one: it
 	// bounds how old what they are told may be.
 	relayWait = 600 * time.Millisecond
@@ -48,6 +52,8 @@
 	revision Revision
 	listed   bool
 	failures int
+	// outage is set while the store has not answered since the latest list.
+	outage bool
 	// freshAt is when the state was last known not to lag.
 	freshAt time.Time
 	// relay may be nil: then the store alone is asked.
@@ -91,7 +97,12 @@
 	}
 	f.observer.StoreCalled(f.name, err)
 	f.report(err)
-	if err != nil && f.relay != nil {
+	if err == nil {
+		return nil
+	}
+	// A store that only forgot its history was there all the time.
+	f.outage = f.outage || !errors.Is(err, ErrHistoryGone)
+	if f.relay != nil {
 		f.relay.StoreFailed()
 	}
 	return err
@@ -141,36 +152,40 @@
 
 func (f *Follower[T]) list(ctx context.Context) error {
 	begun := time.Now()
-	items, revision, err := f.readPages(ctx)
+	read, err := f.read(ctx)
 	if err != nil {
 		return err
 	}
-	if revision < f.revision {
+	if read.Revision < f.revision {
 		return errors.New("the list is older than what is known")
 	}
-	f.sink.Replace(items)
-	f.revision, f.listed = revision, true
+	f.sink.Replace(read.Items, f.outage)
+	f.outage = false
+	f.revision, f.listed = read.Revision, true
 	f.freshAt = begun
 	return nil
 }
 
-// readPages returns all objects and the revision of the first page: what changes
-// while the others are read is seen again by the watch from there.
-func (f *Follower[T]) readPages(ctx context.Context) ([]T, Revision, error) {
-	first, err := f.readPage(ctx, "")
-	if err != nil {
-		return nil, 0, err
+// read returns all objects. Requests wait for what a node that has just started
+// reads, so that it does not wait for one call that hangs.
+func (f *Follower[T]) read(ctx context.Context) (Page[T], error) {
+	if f.revision > 0 {
+		return f.readPages(ctx)
 	}
-	items := first.Items
-	for next := first.Next; next != ""; {
-		page, err := f.readPage(ctx, next)
-		if err != nil {
-			return nil, 0, err
-		}
-		items = append(items, page.Items...)
-		next = page.Next
+	return overlapped(ctx, firstListInterval, firstListCalls, f.readPages)
+}
+
+// readPages returns all objects with the revision of the first page: what changes
+// while the others are read is seen again by the watch from there.
+func (f *Follower[T]) readPages(ctx context.Context) (Page[T], error) {
+	whole, err := f.readPage(ctx, "")
+	for err == nil && whole.Next != "" {
+		var page Page[T]
+		page, err = f.readPage(ctx, whole.Next)
+		whole.Items = append(whole.Items, page.Items...)
+		whole.Next = page.Next
 	}
-	return items, first.Revision, nil
+	return whole, err
 }
 
 func (f *Follower[T]) readPage(ctx context.Context, after string) (Page[T], error) {
--- a/internal/catalog/follower_test.go
+++ b/internal/catalog/follower_test.go
@@ -166,7 +166,7 @@
 	replaced int
 }
 
-func (m *memorySink) Replace(items []string) {
+func (m *memorySink) Replace(items []string, afterOutage bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.replaced++
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -45,6 +45,14 @@
 	Arrived time.Time
 }
 
+// Left returns how long the caller goes on waiting; zero if it does not say.
+func (r Request) Left(now time.Time) time.Duration {
+	if r.Allowed == 0 {
+		return 0
+	}
+	return max(r.Allowed-now.Sub(r.Arrived), time.Millisecond)
+}
+
 // Dispatcher carries out requests. It is safe for concurrent use.
 type Dispatcher struct {
 	directory *endpoints.Directory
@@ -128,6 +136,7 @@
 		LeastShards:     1,
 		Target:          target(route),
 		Deadline:        deadline(request),
+		Patience:        Patience(request.Allowed),
 		Returning:       returning(request),
 	}
 	if plan.Gather {
@@ -151,6 +160,25 @@
 	return max(allowed-deadlineMargin, allowed/2)
 }
 
+const (
+	// patienceShare is the part of a caller's time for which a request waits for
+	// what this node does not know yet. What is left lets the caller come back once
+	// to be served by a node that knows more.
+	patienceShare = 0.4
+	// presumedAllowed is the time of callers that do not tell theirs.
+	presumedAllowed = time.Second
+)
+
+// Patience returns how long a request waits, before anything is sent for it, for
+// what the node does not know yet: the configuration, or servers that may be missing
+// in the list.
+func Patience(allowed time.Duration) time.Duration {
+	if allowed <= 0 {
+		allowed = presumedAllowed
+	}
+	return time.Duration(patienceShare * float64(allowed))
+}
+
 // returningShare is the part of the route's timeout below which a caller's
 // deadline shows that it has been waiting before.
 const returningShare = 0.97
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -51,6 +51,12 @@
 	return run
 }
 
+// Listed implements exchange.Servers.
+func (r *run) Listed(service string) bool { return r.dispatcher.directory.Listed(service) }
+
+// Settling implements exchange.Servers.
+func (r *run) Settling() bool { return r.dispatcher.directory.Settling(time.Now()) }
+
 // Feasible implements exchange.Servers.
 func (r *run) Feasible(service string) bool {
 	now := time.Now()
--- a/internal/edge/assemble.go
+++ b/internal/edge/assemble.go
@@ -71,7 +71,7 @@
 func newMeter() *overload.Meter { return overload.NewMeter(GCPercent) }
 
 func newState(directory *endpoints.Directory, client *upstream.Client, meter *overload.Meter) *state {
-	return &state{directory: directory, client: client, load: meter}
+	return &state{directory: directory, client: client, load: meter, knows: make(chan struct{})}
 }
 
 func newSelector(own members.Member, topology endpoints.Topology) *peers.Selector {
@@ -126,6 +126,7 @@
 	node.server = ingress.New(ingress.Options{
 		Names:      parts.Names,
 		Table:      node.state.Table,
+		Known:      node.state.knows,
 		Overloaded: node.state.shedsCallers,
 		Dispatcher: dispatch.New(node.directory, node.client, parts.Logs.Recorder, node.metrics, node.load),
 	})
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -33,6 +33,9 @@
 	// serversListed is set once the store itself has listed them.
 	serversListed atomic.Bool
 	stopping      atomic.Bool
+	// knows is closed once the configuration and the servers are known.
+	knows     chan struct{}
+	knowsOnce sync.Once
 	// replacing keeps a peer's list from taking the place of the store's.
 	replacing sync.Mutex
 }
@@ -99,6 +102,7 @@
 	}
 	s.directory.Configure(table, time.Now())
 	s.table.Store(table)
+	s.noteKnown()
 	klog.InfoS("configuration in force", "version", table.Version, "routes", table.RouteCount())
 }
 
@@ -135,7 +139,7 @@
 type tableSink struct{ state *state }
 
 // Replace implements catalog.Sink.
-func (t tableSink) Replace(tables []*routing.Table) {
+func (t tableSink) Replace(tables []*routing.Table, _ bool) {
 	for _, table := range tables {
 		t.state.adopt(table)
 	}
@@ -153,12 +157,15 @@
 type serverSink struct{ state *state }
 
 // Replace implements catalog.Sink.
-func (s serverSink) Replace(servers []endpoints.Server) {
+func (s serverSink) Replace(servers []endpoints.Server, afterOutage bool) {
 	s.state.replacing.Lock()
 	defer s.state.replacing.Unlock()
+	if afterOutage {
+		s.state.directory.Unsettle(time.Now())
+	}
 	s.state.replaceServers(servers)
 	s.state.serversListed.Store(true)
-	klog.V(1).InfoS("servers listed", "count", len(servers))
+	klog.V(1).InfoS("servers listed", "count", len(servers), "after_outage", afterOutage)
 }
 
 func (s *state) replaceServers(servers []endpoints.Server) {
@@ -166,6 +173,14 @@
 		s.client.Forget(id)
 	}
 	s.serversKnown.Store(true)
+	s.noteKnown()
+}
+
+// noteKnown lets the requests go on that wait until the node is complete.
+func (s *state) noteKnown() {
+	if s.complete() {
+		s.knowsOnce.Do(func() { close(s.knows) })
+	}
 }
 
 // Apply implements catalog.Sink.
--- a/internal/edge/state_test.go
+++ b/internal/edge/state_test.go
@@ -25,7 +25,7 @@
 		{noticeOverload + time.Millisecond, false, true},
 	} {
 		is := is.New(t)
-		state := &state{directory: endpoints.New(endpoints.Topology{}, nil), load: busyFor(test.busy)}
+		state := &state{directory: endpoints.New(endpoints.Topology{}, nil), load: busyFor(test.busy), knows: make(chan struct{})}
 		table, err := routing.NewTable(1, routing.Limits{}, nil, nil)
 		is.NoErr(err)
 		state.adopt(table)
--- a/internal/endpoints/directory.go
+++ b/internal/endpoints/directory.go
@@ -22,11 +22,13 @@
 	// connections may be nil: then no request needs a new connection.
 	connections Connections
 
-	mutex    sync.Mutex
-	budget   retrybudget.Limits
-	sharers  Sharers
-	byID     map[string]*Endpoint
-	services map[string]*service
+	mutex sync.Mutex
+	// settledAt is until when servers that are alive may be missing.
+	settledAt time.Time
+	budget    retrybudget.Limits
+	sharers   Sharers
+	byID      map[string]*Endpoint
+	services  map[string]*service
 }
 
 // service is what the node keeps of one service.
@@ -143,6 +145,31 @@
 	return owner
 }
 
+// settleTime is how long after an outage of the store the list may lack servers
+// that are alive: entries that ran out meanwhile are back within about two seconds.
+const settleTime = 2200 * time.Millisecond
+
+// Unsettle notes that the list was read after an outage of the store.
+func (d *Directory) Unsettle(now time.Time) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.settledAt = now.Add(settleTime)
+}
+
+// Settling reports whether servers that are alive may be missing.
+func (d *Directory) Settling(now time.Time) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return now.Before(d.settledAt)
+}
+
+// Listed reports whether the service has a server that takes requests.
+func (d *Directory) Listed(service string) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return slices.ContainsFunc(d.service(service).endpoints, (*Endpoint).open)
+}
+
 // Count returns the number of servers.
 func (d *Directory) Count() int {
 	d.mutex.Lock()
--- /dev/null
+++ b/internal/exchange/admit.go
@@ -0,0 +1,49 @@
+package exchange
+
+import "time"
+
+// admit decides, before anything is sent, whether a request may start: what has
+// not been sent can be refused with the promise that it has not run.
+//
+//   - Where too few shards have a server at all, the request waits if the list may
+//     be incomplete, and is refused otherwise.
+//   - A request that is not expected to be answered before its target is refused:
+//     what is left out shortens the queues for the others, and a caller that is told
+//     at once can come back in time.
+func (c *Core) admit(now time.Duration, batch *Batch) bool {
+	switch {
+	case c.plan.Gather && c.count(c.servers.Listed) < c.plan.LeastShards:
+		c.awaitServers(now, batch)
+		return false
+	case !c.plan.Returning && c.count(c.servers.Feasible) < c.plan.LeastShards:
+		c.refuse(CauseOverloaded, batch)
+		return false
+	}
+	c.admitted = true
+	return true
+}
+
+// awaitServers puts the request off while servers may be missing in the list.
+func (c *Core) awaitServers(now time.Duration, batch *Batch) {
+	if !c.servers.Settling() || now >= c.plan.Patience {
+		c.refuse(CauseNoServers, batch)
+		return
+	}
+	batch.Wake = min(now+retryPause, c.plan.Patience)
+}
+
+func (c *Core) refuse(cause Cause, batch *Batch) {
+	c.done = true
+	batch.Outcome = &Outcome{Status: StatusRefused, Cause: cause, Missing: len(c.shards)}
+}
+
+// count returns for how many shards the condition holds.
+func (c *Core) count(holds func(service string) bool) int {
+	count := 0
+	for _, service := range c.plan.Services {
+		if holds(service) {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -15,6 +15,9 @@
 	// refusalShare is the part of the target within which a request that no
 	// server takes is refused: a caller that is told early can come back in time.
 	refusalShare = 0.2
+	// budgetShare is the part of the deadline until which a shard of a gathered
+	// request waits for retry budget: what is left is for the answer.
+	budgetShare = 0.75
 )
 
 // Core is the state of one request. It is not safe for concurrent use.
@@ -23,6 +26,8 @@
 	servers Servers
 	shards  []shard
 	done    bool
+	// admitted is set once the first attempts may be sent.
+	admitted bool
 	// withoutBudget is set once a shard is lost for want of retry budget.
 	withoutBudget bool
 }
@@ -36,27 +41,11 @@
 	return core
 }
 
-// Start sends the first attempts, or refuses a request that is not expected to
-// be answered before its target: what is left out shortens the queues for the
-// others, and a caller that is told at once can come back in time.
+// Start sends the first attempts, or refuses or puts off the request (see admit).
 func (c *Core) Start(now time.Duration) Batch {
-	if !c.plan.Returning && c.feasibleShards() < c.plan.LeastShards {
-		c.done = true
-		return Batch{Outcome: &Outcome{Status: StatusRefused, Cause: CauseOverloaded, Missing: len(c.shards)}}
-	}
 	return c.step(now)
 }
 
-func (c *Core) feasibleShards() int {
-	count := 0
-	for _, service := range c.plan.Services {
-		if c.servers.Feasible(service) {
-			count++
-		}
-	}
-	return count
-}
-
 // Tick takes the passing of time into account.
 func (c *Core) Tick(now time.Duration) Batch {
 	return c.step(now)
@@ -102,6 +91,9 @@
 	if c.done {
 		return batch
 	}
+	if !c.admitted && !c.admit(now, &batch) {
+		return batch
+	}
 	for index := range c.shards {
 		c.stepShard(index, now, &batch)
 	}
@@ -184,9 +176,10 @@
 
 // patience returns until when a shard waits for a server to take its request. Busy
 // servers will have room. A service whose servers have all been tried has nothing
-// to wait for. Without retry budget a shard's part is of use until the target, when
-// the answer is given without it; a whole request is answered early, because its
-// caller can ask again, which is no extra send.
+// to wait for. Without retry budget a shard waits for some of it to be earned: if
+// the request failed for want of it, its caller would ask all shards once more. A
+// whole request is answered early, because its caller can ask again, which is no
+// extra send.
 func (c *Core) patience(shard *shard, availability endpoints.Availability) time.Duration {
 	switch {
 	case availability == endpoints.Busy:
@@ -194,7 +187,11 @@
 	case availability == endpoints.NoServer && len(shard.attempts) > 0:
 		return 0
 	case availability == endpoints.NoBudget && c.plan.Gather:
+		return max(c.plan.Target, time.Duration(budgetShare*float64(c.plan.Deadline)))
+	case c.servers.Settling() && c.plan.Gather:
 		return c.plan.Target
+	case c.servers.Settling():
+		return c.plan.Patience
 	}
 	return time.Duration(refusalShare * float64(c.plan.Target))
 }
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -30,6 +30,9 @@
 	Target time.Duration
 	// Deadline is when a final answer has to be given.
 	Deadline time.Duration
+	// Patience is until when the request waits, before anything is sent, for servers
+	// that may be missing in the list.
+	Patience time.Duration
 	// Returning requests were refused before and are not refused again for being
 	// expected to be late.
 	Returning bool
@@ -37,6 +40,10 @@
 
 // Servers chooses servers and keeps the retry budget.
 type Servers interface {
+	// Listed reports whether the service has a server that takes requests.
+	Listed(service string) bool
+	// Settling reports whether servers that are alive may be missing in the list.
+	Settling() bool
 	// Feasible reports whether a server is expected to answer before the target.
 	Feasible(service string) bool
 	// Choose reserves a server other than the ones tried. An extra send, one
--- a/internal/exchange/world_test.go
+++ b/internal/exchange/world_test.go
@@ -24,8 +24,14 @@
 	extra int
 	// slow services are not expected to answer before the target.
 	slow map[string]bool
+	// settling is set while servers may be missing in the list.
+	settling bool
 }
 
+func (f *fleet) Listed(service string) bool { return f.servers[service] > 0 }
+
+func (f *fleet) Settling() bool { return f.settling }
+
 func (f *fleet) Feasible(service string) bool { return !f.slow[service] }
 
 func (f *fleet) Choose(service string, tried []*endpoints.Endpoint, extra bool) (endpoints.Choice, endpoints.Availability) {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -24,7 +24,9 @@
 type Options struct {
 	Names Names
 	// Table returns the configuration in force; nil if none is known yet.
-	Table      func() *routing.Table
+	Table func() *routing.Table
+	// Known is closed once the node knows a configuration and the servers.
+	Known      <-chan struct{}
 	Dispatcher Dispatcher
 	// Overloaded reports whether callers should be sent to other nodes.
 	Overloaded func() bool
@@ -34,6 +36,7 @@
 type Server struct {
 	names      Names
 	table      func() *routing.Table
+	start      start
 	dispatcher Dispatcher
 	overloaded func() bool
 	http       *fasthttp.Server
@@ -62,6 +65,7 @@
 	server := &Server{
 		names:      options.Names,
 		table:      options.Table,
+		start:      start{known: options.Known},
 		dispatcher: options.Dispatcher,
 		overloaded: options.Overloaded,
 		open:       newConnections(),
@@ -126,11 +130,10 @@
 }
 
 func (s *Server) answer(ctx *fasthttp.RequestCtx, arrived time.Time) {
-	table := s.table()
-	if table == nil {
-		refuse(ctx, "no configuration is known yet")
+	if !s.awaitStart(ctx, arrived) {
 		return
 	}
+	table := s.table()
 	if len(ctx.Request.Header.RawHeaders()) > table.Limits.MaximumHeaderBytes {
 		reject(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, errors.New("the headers are too large"))
 		return
@@ -157,22 +160,28 @@
 // dispatch carries out the request; the work ends when the caller hangs up, or
 // when the process cannot wait for it.
 func (s *Server) dispatch(ctx *fasthttp.RequestCtx, request dispatch.Request) {
-	working, cancel := context.WithCancelCause(s.ending)
-	defer cancel(nil)
-	caller := ctx.Conn().(*connection)
-	stopWatch := caller.watch(func() { cancel(dispatch.ErrCallerGone) })
-	outcome := s.dispatcher.Do(working, request)
-	stopWatch()
+	var outcome *exchange.Outcome
+	s.watched(ctx, func(working context.Context) { outcome = s.dispatcher.Do(working, request) })
 	switch {
 	case outcome == nil && s.ending.Err() != nil:
 		ctx.Error("the node stops\n", fasthttp.StatusGatewayTimeout)
 		return
 	case outcome == nil:
 		// Nobody waits for an answer, and no empty one may be sent.
-		_ = caller.Close()
+		_ = ctx.Conn().Close()
 		return
 	}
-	s.writeOutcome(ctx, request.Route, outcome)
+	s.writeOutcome(ctx, request, outcome)
+}
+
+// watched runs the work under a context that ends when the caller hangs up, or
+// when the process cannot wait any more.
+func (s *Server) watched(ctx *fasthttp.RequestCtx, work func(context.Context)) {
+	working, cancel := context.WithCancelCause(s.ending)
+	defer cancel(nil)
+	stopWatch := ctx.Conn().(*connection).watch(func() { cancel(dispatch.ErrCallerGone) })
+	work(working)
+	stopWatch()
 }
 
 // reject answers a request that is wrong in itself and closes its connection.
