A node leaves a slot of each server to others; what is more waits at the node

Hypothesis: requests queue at servers that are slow, paused or cold, and beyond the queue they are refused, which costs retries that nobody has after a start. Kept at the node they can still go to another server.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -164,7 +164,7 @@
 	// patienceShare is the part of a caller's time for which a request waits for
 	// what this node does not know yet. What is left lets the caller come back once
 	// to be served by a node that knows more.
-	patienceShare = 0.4
+	patienceShare = 0.48
 	// presumedAllowed is the time of callers that do not tell theirs.
 	presumedAllowed = time.Second
 )
--- a/internal/endpoints/directory.go
+++ b/internal/endpoints/directory.go
@@ -60,7 +60,7 @@
 	endpoint := newEndpoint(server, now)
 	d.byID[server.ID] = endpoint
 	owner := d.service(server.Service)
-	endpoint.setCeiling(d.ceiling(owner.maxConnections), now)
+	endpoint.setCeiling(d.ceiling(server, owner.maxConnections), now)
 	owner.endpoints = append(owner.endpoints, endpoint)
 }
 
@@ -114,7 +114,7 @@
 	for name, configured := range table.Services {
 		owner := d.service(name)
 		owner.maxConnections = configured.MaximumConnections
-		owner.setCeiling(d.ceiling(configured.MaximumConnections), now)
+		d.setCeilings(owner, now)
 	}
 }
 
@@ -126,13 +126,13 @@
 	d.budget = budget
 	d.sharers = sharers
 	for _, owner := range d.services {
-		owner.setCeiling(d.ceiling(owner.maxConnections), now)
+		d.setCeilings(owner, now)
 	}
 }
 
-func (s *service) setCeiling(ceiling float64, now time.Time) {
-	for _, endpoint := range s.endpoints {
-		endpoint.setCeiling(ceiling, now)
+func (d *Directory) setCeilings(owner *service, now time.Time) {
+	for _, endpoint := range owner.endpoints {
+		endpoint.setCeiling(d.ceiling(endpoint.Server, owner.maxConnections), now)
 	}
 }
 
--- a/internal/endpoints/endpoint.go
+++ b/internal/endpoints/endpoint.go
@@ -177,9 +177,6 @@
 
 // full reports whether the node has as many requests at the server as it may.
 func (e *Endpoint) full(now time.Time) bool {
-	if e.Slots > 0 && len(e.underWay) >= e.Slots+1 {
-		return true
-	}
 	return e.ceiling > 0 && float64(len(e.underWay)) >= e.currentLimit(now)
 }
 
--- a/internal/endpoints/share.go
+++ b/internal/endpoints/share.go
@@ -41,11 +41,33 @@
 }
 
 // ceiling returns how many requests the node may have at a server; 0 for no bound.
-func (d *Directory) ceiling(maxConnections int) float64 {
+func (d *Directory) ceiling(server Server, maxConnections int) float64 {
+	bound := d.slotCeiling(server.Slots)
 	if maxConnections == 0 {
+		return bound
+	}
+	connections := max(busyShare*float64(maxConnections), 1)
+	if bound == 0 {
+		return connections
+	}
+	return min(bound, connections)
+}
+
+// slotFactor is how many requests for each slot of a server the nodes of its region
+// may have under way together: one that is worked on and one that waits.
+const slotFactor = 2.0
+
+// slotCeiling returns how many requests the node may have at a server of so many
+// slots; 0 for no bound. No node fills a server alone, unless it has hardly any
+// neighbors. What is more waits at the node, where it can still go to another server:
+// in the server's queue it would wait for a slow or paused server to the end, and
+// beyond the queue it is refused, which costs a retry.
+func (d *Directory) slotCeiling(slots int) float64 {
+	if slots == 0 {
 		return 0
 	}
-	return max(busyShare*float64(maxConnections), 1)
+	share := math.Ceil(slotFactor * float64(slots) / float64(max(d.sharers.Near, 1)))
+	return max(float64(slots-1), share)
 }
 
 // IdleLimit returns how many idle connections the node may keep to the server.
