Only what reaches a server is an extra send; a server that resets a new connection is busy for a moment

Cause: after all machines of a large deployment lose power, servers reset 9,331 connections beyond their limit within two seconds; each took a token of the retry budget, one of two attempts of its shard, and put the server behind for 3 s as unreachable. The rule counts arrivals.

Change: attempts that wrote nothing count neither as extra nor as one of the most attempts, and their token is given back. A reset while connecting means too many connections: no new one for 100 ms, the same server may be asked again.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -17,6 +17,9 @@
 	reply  upstream.Reply
 }
 
+// repliesAhead is how many attempts may end before the run looks at their replies.
+const repliesAhead = 16
+
 // run is the execution of one request.
 type run struct {
 	dispatcher *Dispatcher
@@ -40,12 +43,11 @@
 		request:    request,
 		estimate:   dispatcher.estimate(request.Route),
 		context:    ctx,
-		// Every attempt can leave its reply without a reader.
-		replies:  make(chan ended, len(plan.Services)*plan.MaximumAttempts),
-		cancels:  make(map[exchange.AttemptID]context.CancelFunc, len(plan.Services)),
-		deadline: request.Arrived.Add(plan.Deadline),
-		trace:    dispatcher.recorder.Begin(request.Message.ID, request.Arrived),
-		plan:     plan,
+		replies:    make(chan ended, repliesAhead),
+		cancels:    make(map[exchange.AttemptID]context.CancelFunc, len(plan.Services)),
+		deadline:   request.Arrived.Add(plan.Deadline),
+		trace:      dispatcher.recorder.Begin(request.Message.ID, request.Arrived),
+		plan:       plan,
 	}
 	run.core = exchange.New(plan, run)
 	return run
@@ -76,6 +78,9 @@
 	return choice, availability
 }
 
+// RefundRetry implements exchange.Servers.
+func (r *run) RefundRetry(service string) { r.dispatcher.directory.RefundRetry(service) }
+
 func (r *run) noteDeferred(service string, availability endpoints.Availability) {
 	if r.deferred == nil {
 		r.deferred = make(map[string]endpoints.Availability)
@@ -156,7 +161,10 @@
 	})
 	choice.Delay = max(choice.Delay, r.dispatcher.delay())
 	r.dispatcher.directory.Finish(choice, r.estimate, result(reply), time.Now())
-	r.replies <- ended{id: send.ID, reason: send.Reason, reply: reply}
+	select {
+	case r.replies <- ended{id: send.ID, reason: send.Reason, reply: reply}:
+	case <-r.context.Done():
+	}
 }
 
 func result(reply upstream.Reply) endpoints.Result {
--- a/internal/endpoints/choose.go
+++ b/internal/endpoints/choose.go
@@ -89,7 +89,7 @@
 		return true
 	}
 	return slices.ContainsFunc(d.service(demand.Service).endpoints, func(endpoint *Endpoint) bool {
-		return endpoint.open() && !endpoint.full(now) && !endpoint.backsOff(now) &&
+		return endpoint.open() && !d.occupied(endpoint, now) && !endpoint.backsOff(now) &&
 			d.expected(endpoint, demand, now) <= demand.Left
 	})
 }
@@ -114,7 +114,7 @@
 		if !endpoint.open() || slices.Contains(demand.Tried, endpoint) {
 			continue
 		}
-		if endpoint.full(now) {
+		if d.occupied(endpoint, now) {
 			availability = Busy
 			continue
 		}
@@ -129,6 +129,11 @@
 	return best, availability
 }
 
+// occupied reports whether the server takes no further request of this node now.
+func (d *Directory) occupied(endpoint *Endpoint, now time.Time) bool {
+	return endpoint.full(now) || endpoint.crowded(now) && d.connecting(endpoint) > 0
+}
+
 const (
 	// backoffCost ranks servers that lately failed behind all others.
 	backoffCost = time.Minute
@@ -192,14 +197,18 @@
 )
 
 // lateAfter returns when an answer is taken for late. Where only a server of
-// another region could take over, that is as late as leaves time for it.
+// another region could take over, that is when the server seems to have stalled as
+// long as there is plenty of retry budget, and as late as leaves time for the other
+// one when there is none.
 func (d *Directory) lateAfter(endpoint *Endpoint, demand Demand, now time.Time) time.Duration {
 	late := endpoint.lateAfter(demand.Work, now) + d.travel(endpoint) + waitingSteps*demand.Delay
 	if d.hasNear(demand, endpoint, now) {
 		return late
 	}
 	needed := time.Duration(hedgeReserve*float64(demand.Work.Late())) + d.farTravel(demand, endpoint) + hedgeMargin
-	return max(late, demand.Left-needed)
+	latest := max(late, demand.Left-needed)
+	earliest := min(max(late, time.Duration(stallFactor*float64(demand.Work.Mean()))+d.travel(endpoint)), latest)
+	return latest - time.Duration(d.service(demand.Service).bucket.Fullness(d.budget)*float64(latest-earliest))
 }
 
 // farTravel returns the least travel to a server besides the one given and those
@@ -287,7 +296,7 @@
 	case ResultRefused:
 		endpoint.refused(now)
 	case ResultReset:
-		endpoint.crowded(now)
+		endpoint.resetConnection(now)
 	case ResultFailed:
 		endpoint.failed(now)
 	case ResultUnreachable:
--- a/internal/endpoints/directory.go
+++ b/internal/endpoints/directory.go
@@ -188,6 +188,14 @@
 	return servers
 }
 
+// RefundRetry gives back what an extra send has taken off the retry budget: it has
+// not reached a server.
+func (d *Directory) RefundRetry(name string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.service(name).bucket.Refund(d.budget)
+}
+
 // EarnRetries adds the allowance of one request that has arrived to the service's
 // retry budget.
 func (d *Directory) EarnRetries(name string, now time.Time) {
--- a/internal/endpoints/endpoint.go
+++ b/internal/endpoints/endpoint.go
@@ -31,6 +31,9 @@
 	limitGrowth = 2.0
 	// refusalBackoff is the pause after a server refused work.
 	refusalBackoff = 100 * time.Millisecond
+	// crowdedPause is how long no new connection is opened to a server that has
+	// reset one.
+	crowdedPause = 100 * time.Millisecond
 )
 
 // Endpoint is a server together with what this node has learned of it. Its
@@ -53,6 +56,8 @@
 	coldUntil    time.Time
 	failures     int
 	backoffUntil time.Time
+	// crowdedUntil is until when no new connection is opened.
+	crowdedUntil time.Time
 	// gone is set once another server has the address.
 	gone bool
 	// answeredAt is when the server last answered anything.
@@ -186,14 +191,19 @@
 	return min(max(grown, 1), e.ceiling)
 }
 
-// crowded cuts the limit: the server has reset a new connection, as it does when
+// resetConnection cuts the limit: the server has reset a new connection, as it does when
 // all callers together have too many.
-func (e *Endpoint) crowded(now time.Time) {
+func (e *Endpoint) resetConnection(now time.Time) {
 	e.limit = max(float64(len(e.underWay))*limitCut, 1)
 	e.limitAt = now
+	e.crowdedUntil = now.Add(crowdedPause)
 	e.backoffUntil = now.Add(refusalBackoff)
 }
 
+// crowded reports whether the server has just reset a new connection: another one
+// would be reset as well.
+func (e *Endpoint) crowded(now time.Time) bool { return now.Before(e.crowdedUntil) }
+
 func (e *Endpoint) setCeiling(ceiling float64, now time.Time) {
 	if e.ceiling == ceiling {
 		return
--- /dev/null
+++ b/internal/exchange/admit_test.go
@@ -0,0 +1,88 @@
+package exchange
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/driftstage/driftstage/internal/upstream"
+)
+
+// Where too few shards have a server, nothing is sent, so that the refusal can be
+// promised: at once if the list is whole, after some patience if it may not be.
+func TestTooFewShardsWithServersAreRefusedBeforeAnythingIsSent(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		settling bool
+		want     time.Duration
+	}{
+		{"whole list", false, 0},
+		{"list just after an outage", true, testPatience},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			plan := gatherPlan("a", "b", "c")
+			plan.Returning = true
+			core := New(plan, &fleet{servers: map[string]int{"a": 1, "b": 1}, settling: test.settling})
+			now := time.Duration(0)
+			batch := core.Start(now)
+			for batch.Outcome == nil {
+				is.Equal(len(batch.Sends), 0)
+				now = batch.Wake
+				batch = core.Tick(now)
+			}
+			is.Equal(now, test.want)
+			is.Equal(batch.Outcome.Status, StatusRefused)
+			is.Equal(batch.Outcome.Cause, CauseNoServers)
+			is.Equal(core.Sends(), 0)
+		})
+	}
+}
+
+func TestServersThatAppearAreAsked(t *testing.T) {
+	is := is.New(t)
+	servers := &fleet{servers: map[string]int{"a": 1}, settling: true}
+	core := New(gatherPlan("a", "b"), servers)
+	is.Equal(len(core.Start(0).Sends), 0)
+	servers.servers["b"] = 1
+	is.Equal(ids(core.Tick(retryPause)), []AttemptID{{0, 0}, {1, 0}})
+}
+
+// A shard without servers does not hold up a request that has enough of the others.
+func TestShardWithoutServersIsLeftOut(t *testing.T) {
+	is := is.New(t)
+	plan := gatherPlan("a", "b")
+	plan.LeastShards = 1
+	core := New(plan, &fleet{servers: map[string]int{"a": 1}})
+	is.Equal(ids(core.Start(0)), []AttemptID{{0, 0}})
+}
+
+// Only what reaches a server is extra: an attempt for which no connection came up
+// costs no budget, and neither does the one that takes its place.
+func TestUnsentAttemptsCostNoBudget(t *testing.T) {
+	for _, reply := range []upstream.Reply{unconnected, crowded} {
+		is := is.New(t)
+		servers := &fleet{servers: map[string]int{"a": 3}}
+		core := New(gatherPlan("a"), servers)
+		core.Start(0)
+		batch := core.Reply(AttemptID{0, 0}, reply, ms)
+		is.Equal(ids(batch), []AttemptID{{0, 1}}) // without any budget
+		batch = core.Reply(AttemptID{0, 1}, reply, 2*ms)
+		is.Equal(ids(batch), []AttemptID{{0, 2}}) // and beyond the most attempts
+		is.Equal(core.Reply(AttemptID{0, 2}, answered(200), 3*ms).Outcome.Status, StatusAnswered)
+	}
+}
+
+func TestHedgeThatWasNotSentIsRefunded(t *testing.T) {
+	is := is.New(t)
+	servers := &fleet{servers: map[string]int{"a": 3}, budget: 1}
+	core := New(gatherPlan("a"), servers)
+	core.Start(0)
+	core.Tick(testLateAfter)
+	is.Equal(servers.budget, 0)
+	batch := core.Reply(AttemptID{0, 1}, unconnected, testLateAfter+ms)
+	is.Equal(ids(batch), []AttemptID{{0, 2}}) // with the token of the first hedge
+	is.Equal(servers.budget, 0)
+	is.Equal(servers.extra, 1)
+}
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -12,6 +12,8 @@
 	// retryPause is how long a shard waits for a server or for retry budget
 	// before it looks again.
 	retryPause = 20 * time.Millisecond
+	// maximumUnsent bounds the attempts of a shard for which no connection came up.
+	maximumUnsent = 8
 	// refusalShare is the part of the target within which a request that no
 	// server takes is refused: a caller that is told early can come back in time.
 	refusalShare = 0.2
@@ -55,20 +57,36 @@
 func (c *Core) Reply(id AttemptID, reply upstream.Reply, now time.Duration) Batch {
 	shard := &c.shards[id.Shard]
 	shard.attempts[id.Number].finished = true
+	if reply.Unsent {
+		c.noteUnsent(shard)
+	}
 	if c.done || shard.answer != nil {
 		return c.step(now)
 	}
-	c.judge(shard, reply)
+	c.judge(shard, id, reply)
 	shard.nextAt = now
 	return c.step(now)
 }
 
+// noteUnsent takes into account that an attempt reached no server: only arrivals
+// beyond a shard's first one are extra.
+func (c *Core) noteUnsent(shard *shard) {
+	shard.unsent++
+	if shard.charged > max(shard.arrivals()-1, 0) {
+		shard.charged--
+		c.servers.RefundRetry(shard.service)
+	}
+}
+
 // judge records what a reply means for its shard.
-func (c *Core) judge(shard *shard, reply upstream.Reply) {
+func (c *Core) judge(shard *shard, id AttemptID, reply upstream.Reply) {
 	shard.ran = shard.ran.With(reply.Verdict)
 	switch {
 	case reply.Success():
 		shard.answer = &reply
+	case reply.Kind == upstream.Reset && reply.Unsent:
+		// The server has no connection left now; it may have one in a moment.
+		shard.forget(id)
 	case reply.Kind != upstream.Answered:
 	case c.final(&reply):
 		shard.answer = &reply
@@ -131,15 +149,21 @@
 
 // mayRetry reports whether another attempt is allowed after all have ended.
 func (c *Core) mayRetry(shard *shard) bool {
-	if len(shard.attempts) >= c.plan.MaximumAttempts {
+	if !c.mayAttempt(shard) {
 		return false
 	}
 	return c.plan.Repeatable || shard.ran == verdict.NotRun
 }
 
+// mayAttempt reports whether the shard has attempts left. Those that reached no
+// server do not count, within reason.
+func (c *Core) mayAttempt(shard *shard) bool {
+	return shard.arrivals() < c.plan.MaximumAttempts && shard.unsent <= maximumUnsent
+}
+
 // mayHedge reports whether another attempt is allowed beside those under way.
 func (c *Core) mayHedge(shard *shard) bool {
-	return c.plan.Repeatable && len(shard.attempts) < c.plan.MaximumAttempts
+	return c.plan.Repeatable && c.mayAttempt(shard)
 }
 
 func (c *Core) nextLook(shard *shard, now time.Duration) time.Duration {
@@ -151,11 +175,15 @@
 
 func (c *Core) send(index int, reason Reason, now time.Duration, batch *Batch) {
 	shard := &c.shards[index]
-	choice, availability := c.servers.Choose(shard.service, shard.tried, reason != ReasonFirst)
+	extra := shard.arrivals() > 0
+	choice, availability := c.servers.Choose(shard.service, shard.tried, extra)
 	if availability != endpoints.Chosen {
 		c.wait(shard, availability, now)
 		return
 	}
+	if extra {
+		shard.charged++
+	}
 	shard.attempts = append(shard.attempts, attempt{choice: choice, sentAt: now})
 	shard.tried = append(shard.tried, choice.Endpoint)
 	shard.nextAt = c.nextLook(shard, now)
--- a/internal/exchange/shard.go
+++ b/internal/exchange/shard.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"slices"
 	"time"
 
 	"github.com/driftstage/driftstage/internal/endpoints"
@@ -24,6 +25,9 @@
 	answer *upstream.Reply
 	// fallback is a server's failure that is handed on if nothing better comes.
 	fallback *upstream.Reply
+	// unsent is how many attempts ended before anything was written, charged how
+	// many were taken off the retry budget.
+	unsent, charged int
 	// lost is set when no attempt is under way and none can be made.
 	lost bool
 	// ran is what is known of the attempts that have ended.
@@ -36,6 +40,12 @@
 	return shard{service: service, ran: verdict.NotRun}
 }
 
+// forget lets the server of an attempt be chosen again.
+func (s *shard) forget(id AttemptID) {
+	endpoint := s.attempts[id.Number].choice.Endpoint
+	s.tried = slices.DeleteFunc(s.tried, func(other *endpoints.Endpoint) bool { return other == endpoint })
+}
+
 func (s *shard) resolved() bool {
 	return s.answer != nil || s.lost
 }
@@ -51,6 +61,9 @@
 	return count
 }
 
+// arrivals returns how many attempts reached a server or still may.
+func (s *shard) arrivals() int { return len(s.attempts) - s.unsent }
+
 // verdict joins what is known of ended attempts with those under way.
 func (s *shard) verdict() verdict.Verdict {
 	if s.underWay() > 0 {
@@ -59,12 +72,15 @@
 	return s.ran
 }
 
-// late reports whether the newest attempt has taken longer than expected.
+// late reports whether the newest attempt under way has taken longer than expected.
 func (s *shard) late(now time.Duration) bool {
 	return now >= s.lateAt()
 }
 
 func (s *shard) lateAt() time.Duration {
-	newest := s.attempts[len(s.attempts)-1]
-	return newest.sentAt + newest.choice.LateAfter
+	newest := len(s.attempts) - 1
+	for newest > 0 && s.attempts[newest].finished {
+		newest--
+	}
+	return s.attempts[newest].sentAt + s.attempts[newest].choice.LateAfter
 }
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -49,6 +49,8 @@
 	// Choose reserves a server other than the ones tried. An extra send, one
 	// beyond the first, is taken off the retry budget of the service.
 	Choose(service string, tried []*endpoints.Endpoint, extra bool) (endpoints.Choice, endpoints.Availability)
+	// RefundRetry gives back what an extra send took off the retry budget.
+	RefundRetry(service string)
 }
 
 // AttemptID names an attempt within a request.
--- a/internal/exchange/world_test.go
+++ b/internal/exchange/world_test.go
@@ -11,6 +11,7 @@
 const (
 	testTarget    = 200 * time.Millisecond
 	testDeadline  = 2 * time.Second
+	testPatience  = time.Second
 	testLateAfter = 50 * time.Millisecond
 )
 
@@ -49,6 +50,11 @@
 	return endpoints.Choice{Endpoint: &endpoints.Endpoint{}, LateAfter: testLateAfter}, endpoints.Chosen
 }
 
+func (f *fleet) RefundRetry(string) {
+	f.budget++
+	f.extra--
+}
+
 func gatherPlan(services ...string) Plan {
 	return Plan{
 		Services:        services,
@@ -58,6 +64,7 @@
 		LeastShards:     len(services),
 		Target:          testTarget,
 		Deadline:        testDeadline,
+		Patience:        testPatience,
 	}
 }
 
@@ -69,6 +76,7 @@
 		LeastShards:     1,
 		Target:          testTarget,
 		Deadline:        testDeadline,
+		Patience:        testPatience,
 	}
 }
 
@@ -79,4 +87,7 @@
 var (
 	refused = upstream.Reply{Kind: upstream.Refused, Verdict: verdict.NotRun}
 	lost    = upstream.Reply{Kind: upstream.Lost, Verdict: verdict.MayHaveRun}
+	// unconnected and crowded are attempts for which no connection came up.
+	unconnected = upstream.Reply{Kind: upstream.Unreachable, Verdict: verdict.NotRun, Unsent: true}
+	crowded     = upstream.Reply{Kind: upstream.Reset, Verdict: verdict.NotRun, Unsent: true}
 )
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -45,6 +45,19 @@
 	return true
 }
 
+// Refund gives a token back that was spent on a send that came to nothing.
+func (b *Bucket) Refund(limits Limits) {
+	b.tokens = min(b.tokens+1, limits.Capacity)
+}
+
+// Fullness returns how full the bucket is, 0 to 1.
+func (b *Bucket) Fullness(limits Limits) float64 {
+	if limits.Capacity <= 0 {
+		return 0
+	}
+	return min(b.tokens/limits.Capacity, 1)
+}
+
 // Tokens returns the allowance that is left.
 func (b *Bucket) Tokens() float64 {
 	return b.tokens
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -58,7 +58,7 @@
 func (c *Client) Do(ctx context.Context, call Call) Reply {
 	conn, err := c.connect(ctx, call)
 	if err != nil {
-		return failure(ctx, call, Unreachable, verdict.NotRun, err)
+		return unsent(failure(ctx, call, unconnectedKind(err), verdict.NotRun, err))
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	reply, reusable := c.exchange(ctx, conn, call)
@@ -89,10 +89,10 @@
 func (c *Client) exchange(ctx context.Context, conn *connection, call Call) (Reply, bool) {
 	left := time.Until(call.Deadline)
 	if left < time.Millisecond {
-		return failure(ctx, call, Expired, verdict.NotRun, errors.New("no time left to send")), false
+		return unsent(failure(ctx, call, Expired, verdict.NotRun, errors.New("no time left to send"))), false
 	}
 	if call.Permitted != nil && !call.Permitted() {
-		return Reply{Kind: Withheld, Verdict: verdict.NotRun, Err: errWithheld}, conn.used
+		return unsent(Reply{Kind: Withheld, Verdict: verdict.NotRun, Err: errWithheld}), conn.used
 	}
 	sent := c.send(conn, call, left)
 	if err := sent.failed(); err != nil {
@@ -116,6 +116,21 @@
 
 var errWithheld = errors.New("the server takes no more requests")
 
+// unconnectedKind tells a connection that the server reset while it came up, as it
+// does beyond its limit of connections, from an address where nobody answers.
+func unconnectedKind(err error) Kind {
+	if errors.Is(err, unix.ECONNRESET) {
+		return Reset
+	}
+	return Unreachable
+}
+
+// unsent marks the reply of an attempt that wrote nothing.
+func unsent(reply Reply) Reply {
+	reply.Unsent = true
+	return reply
+}
+
 // lostKind tells a reset of a new connection from other losses.
 func lostKind(conn *connection, err error) Kind {
 	if !conn.used && (errors.Is(err, unix.ECONNRESET) || errors.Is(err, unix.EPIPE)) {
--- a/internal/upstream/doc.go
+++ b/internal/upstream/doc.go
@@ -93,10 +93,12 @@
 type Reply struct {
 	Kind    Kind
 	Verdict verdict.Verdict
-	Status  int
-	Seal    string
-	Fields  []Field
-	Body    []byte
+	// Unsent is set if no byte of the request was written.
+	Unsent bool
+	Status int
+	Seal   string
+	Fields []Field
+	Body   []byte
 	// Err is the cause of a failure, for logs.
 	Err error
 }
