--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -59,6 +59,9 @@
 // Settling implements exchange.Servers.
 func (r *run) Settling() bool { return r.dispatcher.directory.Settling(time.Now()) }
 
+// Growing implements exchange.Servers.
+func (r *run) Growing() bool { return r.dispatcher.directory.Growing(time.Now()) }
+
 // Feasible implements exchange.Servers.
 func (r *run) Feasible(service string) bool {
 	now := time.Now()
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -160,10 +160,10 @@
 func (s serverSink) Replace(servers []endpoints.Server, afterOutage bool) {
 	s.state.replacing.Lock()
 	defer s.state.replacing.Unlock()
+	s.state.replaceServers(servers)
 	if afterOutage {
 		s.state.directory.Unsettle(time.Now())
 	}
-	s.state.replaceServers(servers)
 	s.state.serversListed.Store(true)
 	klog.V(1).InfoS("servers listed", "count", len(servers), "after_outage", afterOutage)
 }
--- a/internal/endpoints/directory.go
+++ b/internal/endpoints/directory.go
@@ -22,13 +22,12 @@
 	// connections may be nil: then no request needs a new connection.
 	connections Connections
 
-	mutex sync.Mutex
-	// settledAt is until when servers that are alive may be missing.
-	settledAt time.Time
-	budget    retrybudget.Limits
-	sharers   Sharers
-	byID      map[string]*Endpoint
-	services  map[string]*service
+	mutex    sync.Mutex
+	settling settling
+	budget   retrybudget.Limits
+	sharers  Sharers
+	byID     map[string]*Endpoint
+	services map[string]*service
 }
 
 // service is what the node keeps of one service.
@@ -59,6 +58,7 @@
 	}
 	endpoint := newEndpoint(server, now)
 	d.byID[server.ID] = endpoint
+	d.settling.add(now)
 	owner := d.service(server.Service)
 	endpoint.setCeiling(d.ceiling(server, owner.maxConnections), now)
 	owner.endpoints = append(owner.endpoints, endpoint)
@@ -145,24 +145,6 @@
 	return owner
 }
 
-// settleTime is how long after an outage of the store the list may lack servers
-// that are alive: entries that ran out meanwhile are back within about two seconds.
-const settleTime = 2200 * time.Millisecond
-
-// Unsettle notes that the list was read after an outage of the store.
-func (d *Directory) Unsettle(now time.Time) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	d.settledAt = now.Add(settleTime)
-}
-
-// Settling reports whether servers that are alive may be missing.
-func (d *Directory) Settling(now time.Time) bool {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	return now.Before(d.settledAt)
-}
-
 // Listed reports whether the service has a server that takes requests.
 func (d *Directory) Listed(service string) bool {
 	d.mutex.Lock()
--- a/internal/exchange/admit.go
+++ b/internal/exchange/admit.go
@@ -5,6 +5,8 @@
 // admit decides, before anything is sent, whether a request may start: what has
 // not been sent can be refused with the promise that it has not run.
 //
+//   - While a list that is short grows, the request waits: the few servers that are
+//     known would get the requests of all, and reset connections.
 //   - Where too few shards have a server at all, the request waits if the list may
 //     be incomplete, and is refused otherwise.
 //   - A request that is not expected to be answered before its target is refused:
@@ -12,6 +14,9 @@
 //     at once can come back in time.
 func (c *Core) admit(now time.Duration, batch *Batch) bool {
 	switch {
+	case c.plan.Gather && c.servers.Growing() && now < c.plan.Patience:
+		c.awaitServers(now, batch)
+		return false
 	case c.plan.Gather && c.count(c.servers.Listed) < c.plan.LeastShards:
 		c.awaitServers(now, batch)
 		return false
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -42,8 +42,10 @@
 type Servers interface {
 	// Listed reports whether the service has a server that takes requests.
 	Listed(service string) bool
-	// Settling reports whether servers that are alive may be missing in the list.
+	// Settling reports whether servers that are alive may be missing in the list,
+	// Growing whether they are and come one by one.
 	Settling() bool
+	Growing() bool
 	// Feasible reports whether a server is expected to answer before the target.
 	Feasible(service string) bool
 	// Choose reserves a server other than the ones tried. An extra send, one
--- a/internal/exchange/world_test.go
+++ b/internal/exchange/world_test.go
@@ -27,12 +27,16 @@
 	slow map[string]bool
 	// settling is set while servers may be missing in the list.
 	settling bool
+	// growing is set while they come one by one.
+	growing bool
 }
 
 func (f *fleet) Listed(service string) bool { return f.servers[service] > 0 }
 
 func (f *fleet) Settling() bool { return f.settling }
 
+func (f *fleet) Growing() bool { return f.growing }
+
 func (f *fleet) Feasible(service string) bool { return !f.slow[service] }
 
 func (f *fleet) Choose(service string, tried []*endpoints.Endpoint, extra bool) (endpoints.Choice, endpoints.Availability) {
