Requests that waited for a list go on one after the other

Cause: all held requests went on in the same moment (104 of them failed for resets). Each now waits for a random part of its wait once more.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -136,7 +136,8 @@
 		LeastShards:     1,
 		Target:          target(route),
 		Deadline:        deadline(request),
-		Patience:        Patience(request.Allowed),
+		Patience:        patience(request),
+		Spread:          rand.Float64(),
 		Returning:       returning(request),
 	}
 	if plan.Gather {
@@ -169,6 +170,18 @@
 	presumedAllowed = time.Second
 )
 
+// lastShare takes the place of patienceShare for callers that have come back: they
+// are not likely to come once more.
+const lastShare = 0.8
+
+// patience returns how long the request waits for servers that may be missing.
+func patience(request Request) time.Duration {
+	if returning(request) {
+		return time.Duration(lastShare * float64(request.Allowed))
+	}
+	return Patience(request.Allowed)
+}
+
 // Patience returns how long a request waits, before anything is sent for it, for
 // what the node does not know yet: the configuration, or servers that may be missing
 // in the list.
--- a/internal/exchange/admit.go
+++ b/internal/exchange/admit.go
@@ -14,12 +14,14 @@
 //     at once can come back in time.
 func (c *Core) admit(now time.Duration, batch *Batch) bool {
 	switch {
-	case c.plan.Gather && c.servers.Growing() && now < c.plan.Patience:
+	case c.plan.Gather && now < c.plan.Patience && c.servers.Growing():
 		c.awaitServers(now, batch)
 		return false
 	case c.plan.Gather && c.count(c.servers.Listed) < c.plan.LeastShards:
 		c.awaitServers(now, batch)
 		return false
+	case c.waited && !c.released(now, batch):
+		return false
 	case !c.plan.Returning && c.count(c.servers.Feasible) < c.plan.LeastShards:
 		c.refuse(CauseOverloaded, batch)
 		return false
@@ -34,9 +36,20 @@
 		c.refuse(CauseNoServers, batch)
 		return
 	}
+	c.waited, c.releaseAt = true, 0
 	batch.Wake = min(now+retryPause, c.plan.Patience)
 }
 
+// released reports whether a request may go on that had to wait. Many wait for the
+// same servers; all at once they would be more than these can take.
+func (c *Core) released(now time.Duration, batch *Batch) bool {
+	if c.releaseAt == 0 {
+		c.releaseAt = min(now+time.Duration(c.plan.Spread*float64(now)), max(now, c.plan.Patience))
+	}
+	batch.Wake = c.releaseAt
+	return now >= c.releaseAt
+}
+
 func (c *Core) refuse(cause Cause, batch *Batch) {
 	c.done = true
 	batch.Outcome = &Outcome{Status: StatusRefused, Cause: cause, Missing: len(c.shards)}
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -30,6 +30,10 @@
 	done    bool
 	// admitted is set once the first attempts may be sent.
 	admitted bool
+	// releaseAt is when a request that had to wait for servers goes on; zero if it
+	// had not to.
+	releaseAt time.Duration
+	waited    bool
 	// withoutBudget is set once a shard is lost for want of retry budget.
 	withoutBudget bool
 }
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -33,6 +33,9 @@
 	// Patience is until when the request waits, before anything is sent, for servers
 	// that may be missing in the list.
 	Patience time.Duration
+	// Spread, 0 to 1, sets requests apart that have waited for the same: after its wait,
+	// a request waits for this part of it once more.
+	Spread float64
 	// Returning requests were refused before and are not refused again for being
 	// expected to be late.
 	Returning bool
