--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -31,9 +31,11 @@
 	relayTimeout = relayWait + 400*time.Millisecond
 	// relayFreshInterval takes the place of freshInterval there.
 	relayFreshInterval = 5 * time.Second
-	// firstPause is the pause after a failed call; it doubles up to longestPause.
-	firstPause   = 100 * time.Millisecond
-	longestPause = 400 * time.Millisecond
+	// firstPause is the pause after a failed call; it doubles up to longestPause, or
+	// to longestFirstPause as long as nothing is known: callers wait for that.
+	firstPause        = 100 * time.Millisecond
+	longestPause      = 1600 * time.Millisecond
+	longestFirstPause = 400 * time.Millisecond
 )
 
 // Observer counts calls. Its methods do not block.
@@ -243,7 +245,11 @@
 }
 
 func (f *Follower[T]) pause(ctx context.Context) {
-	pause := min(firstPause<<min(f.failures-1, 10), longestPause)
+	longest := longestPause
+	if f.revision == 0 {
+		longest = longestFirstPause
+	}
+	pause := min(firstPause<<min(f.failures-1, 10), longest)
 	pause = pause/2 + rand.N(pause/2)
 	sleep(ctx, pause)
 }
--- a/internal/members/announcer.go
+++ b/internal/members/announcer.go
@@ -24,8 +24,10 @@
 	startInterval = 4 * time.Second
 	// callTimeout bounds one call to the registry.
 	callTimeout = time.Second
-	// retryInterval is the pause after a call that failed.
-	retryInterval = 2 * time.Second
+	// retryInterval is the pause after a call that failed, startRetryInterval as long
+	// as the node has not read who else is there.
+	retryInterval      = 5 * time.Second
+	startRetryInterval = 2 * time.Second
 )
 
 // intervals are the times of announcing and reading at a number of nodes.
@@ -111,7 +113,7 @@
 func (a *Announcer) announce(now time.Time) {
 	a.member.Sequence++
 	if err := a.registry.Announce(a.member, now.Add(callTimeout)); err != nil {
-		a.announceAt = now.Add(retryInterval)
+		a.announceAt = now.Add(a.retryInterval())
 		return
 	}
 	a.announceAt = now.Add(jittered(a.intervals().announce))
@@ -120,7 +122,7 @@
 func (a *Announcer) read(now time.Time) {
 	all, err := a.registry.Members(now.Add(callTimeout))
 	if err != nil {
-		a.readAt = now.Add(retryInterval)
+		a.readAt = now.Add(a.retryInterval())
 		return
 	}
 	settled := !now.Before(a.trustedAt)
@@ -140,6 +142,13 @@
 	}
 }
 
+func (a *Announcer) retryInterval() time.Duration {
+	if !a.count.Settled {
+		return startRetryInterval
+	}
+	return retryInterval
+}
+
 func (a *Announcer) intervals() intervals { return intervalsAt(a.count.All) }
 
 // jittered spreads the calls of nodes that started together.
