--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -102,7 +102,7 @@
 	defer cancel()
 	plan := d.plan(request)
 	run := newRun(ctx, d, request, plan)
-	if d.overloaded(plan) {
+	if d.overloaded(request) {
 		return run.refuse(exchange.CauseNodeOverloaded)
 	}
 	for _, service := range plan.Services {
@@ -122,8 +122,8 @@
 
 // overloaded decides whether this node refuses a request because it would be late
 // for want of processor time here.
-func (d *Dispatcher) overloaded(plan exchange.Plan) bool {
-	return rand.Float64() < overload.Refused(d.load.Delay(), plan.Returning)
+func (d *Dispatcher) overloaded(request Request) bool {
+	return rand.Float64() < overload.Refused(d.load.Delay(), returning(request))
 }
 
 func (d *Dispatcher) plan(request Request) exchange.Plan {
@@ -138,7 +138,6 @@
 		Deadline:        deadline(request),
 		Patience:        patience(request),
 		Spread:          rand.Float64(),
-		Returning:       returning(request),
 	}
 	if plan.Gather {
 		plan.LeastShards = route.LeastShards()
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -62,12 +62,6 @@
 // Growing implements exchange.Servers.
 func (r *run) Growing() bool { return r.dispatcher.directory.Growing(time.Now()) }
 
-// Feasible implements exchange.Servers.
-func (r *run) Feasible(service string) bool {
-	now := time.Now()
-	return r.dispatcher.directory.Feasible(r.demand(service, now), now)
-}
-
 // Choose implements exchange.Servers.
 func (r *run) Choose(service string, tried []*endpoints.Endpoint, extra bool) (endpoints.Choice, endpoints.Availability) {
 	now := time.Now()
--- a/internal/endpoints/choose.go
+++ b/internal/endpoints/choose.go
@@ -79,21 +79,6 @@
 	return d.reserve(best, demand, now), Chosen
 }
 
-// Feasible reports whether some server is expected to answer in the time left. Where
-// not even an idle server would, waiting for a better moment is of no use, and
-// the answer is true.
-func (d *Directory) Feasible(demand Demand, now time.Time) bool {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if demand.Work.Mean()+sameZoneRoundTrip > demand.Left {
-		return true
-	}
-	return slices.ContainsFunc(d.service(demand.Service).endpoints, func(endpoint *Endpoint) bool {
-		return endpoint.open() && !d.occupied(endpoint, now) && !endpoint.backsOff(now) &&
-			d.expected(endpoint, demand, now) <= demand.Left
-	})
-}
-
 // expected returns the predicted time until an answer, round trip included.
 func (d *Directory) expected(endpoint *Endpoint, demand Demand, now time.Time) time.Duration {
 	return endpoint.predict(demand.Work.Mean(), now) + d.travel(endpoint)
--- a/internal/exchange/admit.go
+++ b/internal/exchange/admit.go
@@ -9,22 +9,19 @@
 //     known would get the requests of all, and reset connections.
 //   - Where too few shards have a server at all, the request waits if the list may
 //     be incomplete, and is refused otherwise.
-//   - A request that is not expected to be answered before its target is refused:
-//     what is left out shortens the queues for the others, and a caller that is told
-//     at once can come back in time.
+//
+// A request that is only expected to be late is not refused: its caller would come
+// back after its target, so that the refusal itself would make it late.
 func (c *Core) admit(now time.Duration, batch *Batch) bool {
 	switch {
 	case c.plan.Gather && now < c.plan.Patience && c.servers.Growing():
 		c.awaitServers(now, batch)
 		return false
-	case c.plan.Gather && c.count(c.servers.Listed) < c.plan.LeastShards:
+	case c.plan.Gather && c.listedShards() < c.plan.LeastShards:
 		c.awaitServers(now, batch)
 		return false
 	case c.waited && !c.released(now, batch):
 		return false
-	case !c.plan.Returning && c.count(c.servers.Feasible) < c.plan.LeastShards:
-		c.refuse(CauseOverloaded, batch)
-		return false
 	}
 	c.admitted = true
 	return true
@@ -55,11 +52,11 @@
 	batch.Outcome = &Outcome{Status: StatusRefused, Cause: cause, Missing: len(c.shards)}
 }
 
-// count returns for how many shards the condition holds.
-func (c *Core) count(holds func(service string) bool) int {
+// listedShards returns how many shards have a server.
+func (c *Core) listedShards() int {
 	count := 0
 	for _, service := range c.plan.Services {
-		if holds(service) {
+		if c.servers.Listed(service) {
 			count++
 		}
 	}
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -36,9 +36,6 @@
 	// Spread, 0 to 1, sets requests apart that have waited for the same: after its wait,
 	// a request waits for this part of it once more.
 	Spread float64
-	// Returning requests were refused before and are not refused again for being
-	// expected to be late.
-	Returning bool
 }
 
 // Servers chooses servers and keeps the retry budget.
@@ -49,8 +46,6 @@
 	// Growing whether they are and come one by one.
 	Settling() bool
 	Growing() bool
-	// Feasible reports whether a server is expected to answer before the target.
-	Feasible(service string) bool
 	// Choose reserves a server other than the ones tried. An extra send, one
 	// beyond the first, is taken off the retry budget of the service.
 	Choose(service string, tried []*endpoints.Endpoint, extra bool) (endpoints.Choice, endpoints.Availability)
@@ -139,7 +134,6 @@
 	CauseDeadline     Cause = "deadline_reached"
 	CauseShardsLost   Cause = "shards_lost"
 	CauseNoServers    Cause = "no_servers"
-	CauseOverloaded   Cause = "overloaded"
 	CauseServerFailed Cause = "server_failed"
 	// CauseNoBudget is a retry that was needed and not allowed.
 	CauseNoBudget Cause = "no_budget"
