Servers whose entries ran out together are kept until the list is whole

Cause: a living node that lists just after an outage of the store took the short list as it was. Change: if a quarter or more of the known servers is missing in the first list after an outage, they are kept until entries are back (2.2 s), and dropped if they are missing then. Fewer missing ones are gone at once (DRAIN).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -220,6 +220,7 @@
 			return
 		case now := <-ticker.C:
 			n.client.Sweep(now)
+			n.state.dropUnlisted(now)
 		}
 	}
 }
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -160,18 +160,39 @@
 func (s serverSink) Replace(servers []endpoints.Server, afterOutage bool) {
 	s.state.replacing.Lock()
 	defer s.state.replacing.Unlock()
-	s.state.replaceServers(servers)
 	if afterOutage {
-		s.state.directory.Unsettle(time.Now())
+		s.state.forget(s.state.directory.ReplaceAfterOutage(servers, time.Now()))
+		s.state.noteServers()
+	} else {
+		s.state.replaceServers(servers)
 	}
 	s.state.serversListed.Store(true)
 	klog.V(1).InfoS("servers listed", "count", len(servers), "after_outage", afterOutage)
 }
 
 func (s *state) replaceServers(servers []endpoints.Server) {
-	for _, id := range s.directory.Replace(servers, time.Now()) {
+	s.forget(s.directory.Replace(servers, time.Now()))
+	s.noteServers()
+}
+
+// dropUnlisted forgets servers that did not come back into the list.
+func (s *state) dropUnlisted(now time.Time) {
+	removed := s.directory.DropUnlisted(now)
+	if len(removed) > 0 {
+		s.forget(removed)
+		klog.InfoS("servers gone", "count", len(removed))
+	}
+}
+
+// forget closes the connections to servers that were removed.
+func (s *state) forget(removed []string) {
+	for _, id := range removed {
 		s.client.Forget(id)
 	}
+}
+
+// noteServers notes that the servers are known.
+func (s *state) noteServers() {
 	s.serversKnown.Store(true)
 	s.noteKnown()
 }
--- a/internal/endpoints/directory.go
+++ b/internal/endpoints/directory.go
@@ -54,6 +54,7 @@
 	defer d.mutex.Unlock()
 	if known, found := d.byID[server.ID]; found {
 		known.Server = server
+		known.unlisted = false
 		return
 	}
 	endpoint := newEndpoint(server, now)
--- a/internal/endpoints/settling.go
+++ b/internal/endpoints/settling.go
@@ -37,8 +37,8 @@
 	return now.Before(s.until) && float64(s.added) > shortGrowth*float64(s.listed) && now.Sub(s.addedAt) < growthPause
 }
 
-// Unsettle notes that the list in force was read after an outage of the store.
-func (d *Directory) Unsettle(now time.Time) {
+// unsettle notes that the list in force was read after an outage of the store.
+func (d *Directory) unsettle(now time.Time) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.settling = settling{until: now.Add(settleTime), listed: len(d.byID)}
@@ -58,3 +58,72 @@
 	defer d.mutex.Unlock()
 	return d.settling.growing(now)
 }
+
+// lapsedShare is the part of the known servers that has to be missing in a list after
+// an outage for their entries to have run out together: servers do not end in such
+// numbers while the store is away.
+const lapsedShare = 0.25
+
+// ReplaceAfterOutage is Replace for a list that was read after an outage of the
+// store. If many of the servers known before are missing, they are kept until the
+// list is whole (see DropUnlisted): they have had no way to stay in it, and none of
+// them has said that it leaves.
+func (d *Directory) ReplaceAfterOutage(servers []Server, now time.Time) []string {
+	if !d.lapsed(servers) {
+		removed := d.Replace(servers, now)
+		d.unsettle(now)
+		return removed
+	}
+	for _, server := range servers {
+		d.Put(server, now)
+	}
+	d.markUnlisted(servers)
+	d.unsettle(now)
+	return nil
+}
+
+// lapsed reports whether many servers that are known are missing in the list.
+func (d *Directory) lapsed(servers []Server) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	kept := 0
+	for _, server := range servers {
+		if _, known := d.byID[server.ID]; known {
+			kept++
+		}
+	}
+	missing := len(d.byID) - kept
+	return missing > 0 && float64(missing) >= lapsedShare*float64(len(d.byID))
+}
+
+func (d *Directory) markUnlisted(servers []Server) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	listed := make(map[string]bool, len(servers))
+	for _, server := range servers {
+		listed[server.ID] = true
+	}
+	for id, endpoint := range d.byID {
+		endpoint.unlisted = !listed[id]
+	}
+}
+
+// DropUnlisted forgets the servers that are still missing once the list is whole: a
+// server that is not back by then is gone. It returns their ids.
+func (d *Directory) DropUnlisted(now time.Time) []string {
+	if d.Settling(now) {
+		return nil
+	}
+	var missing []string
+	d.mutex.Lock()
+	for id, endpoint := range d.byID {
+		if endpoint.unlisted {
+			missing = append(missing, id)
+		}
+	}
+	d.mutex.Unlock()
+	for _, id := range missing {
+		d.Remove(id)
+	}
+	return missing
+}
--- /dev/null
+++ b/internal/endpoints/settling_test.go
@@ -0,0 +1,74 @@
+package endpoints
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func someServers(count int) []Server {
+	servers := make([]Server, count)
+	for index := range servers {
+		servers[index] = server(fmt.Sprint("i-", index), "near-1")
+	}
+	return servers
+}
+
+// Entries run out while the store is away; servers that were known before are kept
+// until the list is whole, and are gone if they are missing then.
+func TestLapsedServersAreKeptUntilTheListIsWhole(t *testing.T) {
+	is := is.New(t)
+	all := someServers(8)
+	directory := directoryOf(all...)
+	is.Equal(len(directory.ReplaceAfterOutage(all[:2], epoch)), 0)
+	is.Equal(directory.Count(), 8)
+	is.True(!directory.Growing(epoch)) // nothing is missing here
+	for _, back := range all[2:7] {
+		directory.Put(back, epoch.Add(time.Second))
+	}
+	is.Equal(len(directory.DropUnlisted(epoch.Add(settleTime-time.Millisecond))), 0)
+	is.Equal(directory.DropUnlisted(epoch.Add(settleTime)), []string{"i-7"})
+	is.Equal(directory.Count(), 7)
+}
+
+// A few servers that are missing after an outage have ended or leave: they may get no
+// new requests.
+func TestFewMissingServersAreRemovedAtOnce(t *testing.T) {
+	is := is.New(t)
+	all := someServers(8)
+	directory := directoryOf(all...)
+	is.Equal(directory.ReplaceAfterOutage(all[:7], epoch), []string{"i-7"})
+}
+
+func TestDrainingServerIsNotKept(t *testing.T) {
+	is := is.New(t)
+	all := someServers(4)
+	directory := directoryOf(all...)
+	leaving := all[0]
+	leaving.Draining = true
+	directory.Put(leaving, epoch)
+	directory.ReplaceAfterOutage(all[1:2], epoch)
+	is.True(!directory.byID["i-0"].open())
+}
+
+// A node that starts after an outage sees a short list grow.
+func TestShortListGrows(t *testing.T) {
+	is := is.New(t)
+	all := someServers(20)
+	directory := directoryOf()
+	directory.ReplaceAfterOutage(all[:4], epoch)
+	is.True(directory.Settling(epoch))
+	is.True(!directory.Growing(epoch))
+	now := epoch.Add(300 * time.Millisecond)
+	directory.Put(all[4], now)
+	is.True(!directory.Growing(now)) // a single new server
+	directory.Put(all[5], now)
+	is.True(directory.Growing(now))
+	is.True(!directory.Growing(now.Add(growthPause))) // no more come
+	late := epoch.Add(settleTime)
+	directory.Put(all[6], late)
+	is.True(!directory.Growing(late))
+	is.True(!directory.Settling(late))
+}
