--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -17,9 +17,6 @@
 	// refusalShare is the part of the target within which a request that no
 	// server takes is refused: a caller that is told early can come back in time.
 	refusalShare = 0.2
-	// budgetShare is the part of the deadline until which a shard of a gathered
-	// request waits for retry budget: what is left is for the answer.
-	budgetShare = 0.75
 )
 
 // Core is the state of one request. It is not safe for concurrent use.
@@ -208,10 +205,9 @@
 
 // patience returns until when a shard waits for a server to take its request. Busy
 // servers will have room. A service whose servers have all been tried has nothing
-// to wait for. Without retry budget a shard waits for some of it to be earned: if
-// the request failed for want of it, its caller would ask all shards once more. A
-// whole request is answered early, because its caller can ask again, which is no
-// extra send.
+// to wait for. Without retry budget a shard's part is of use until the target, when
+// the answer is given without it; a whole request is answered early, because its
+// caller can ask again, which is no extra send.
 func (c *Core) patience(shard *shard, availability endpoints.Availability) time.Duration {
 	switch {
 	case availability == endpoints.Busy:
@@ -219,7 +215,7 @@
 	case availability == endpoints.NoServer && len(shard.attempts) > 0:
 		return 0
 	case availability == endpoints.NoBudget && c.plan.Gather:
-		return max(c.plan.Target, time.Duration(budgetShare*float64(c.plan.Deadline)))
+		return c.plan.Target
 	case c.servers.Settling() && c.plan.Gather:
 		return c.plan.Target
 	case c.servers.Settling():
--- a/internal/exchange/core_test.go
+++ b/internal/exchange/core_test.go
@@ -250,9 +250,7 @@
 }
 
 // A request whose retry is not allowed gets its final answer soon, not at its
-// deadline: the caller may ask again. A shard waits for budget that is earned
-// meanwhile, since its caller would ask all shards once more, but leaves the caller
-// time for that.
+// deadline: the caller may ask again.
 func TestRequestWithoutBudgetIsAnsweredSoon(t *testing.T) {
 	for _, test := range []struct {
 		name    string
@@ -266,7 +264,7 @@
 	}{
 		{"refused, no budget", singlePlan(false), &fleet{servers: map[string]int{"a": 2}}, refused, testTarget / 4, StatusRefused},
 		{"lost, no budget", singlePlan(true), &fleet{servers: map[string]int{"a": 2}}, lost, testTarget / 4, StatusFailed},
-		{"shard without budget", gatherPlan("a"), &fleet{servers: map[string]int{"a": 2}}, lost, testDeadline*3/4 + retryPause, StatusFailed},
+		{"shard without budget", gatherPlan("a"), &fleet{servers: map[string]int{"a": 2}}, lost, testTarget + retryPause, StatusFailed},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
