--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -45,14 +45,6 @@
 	Arrived time.Time
 }
 
-// Left returns how long the caller goes on waiting; zero if it does not say.
-func (r Request) Left(now time.Time) time.Duration {
-	if r.Allowed == 0 {
-		return 0
-	}
-	return max(r.Allowed-now.Sub(r.Arrived), time.Millisecond)
-}
-
 // Dispatcher carries out requests. It is safe for concurrent use.
 type Dispatcher struct {
 	directory *endpoints.Directory
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -1,27 +1,27 @@
 package ingress
 
 import (
+	"math/rand/v2"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/driftstage/driftstage/internal/dispatch"
 	"github.com/driftstage/driftstage/internal/exchange"
 	"github.com/driftstage/driftstage/internal/records"
 	"github.com/driftstage/driftstage/internal/routing"
 )
 
 // writeOutcome writes the final answer of a request.
-func (s *Server) writeOutcome(ctx *fasthttp.RequestCtx, request dispatch.Request, outcome *exchange.Outcome) {
+func (s *Server) writeOutcome(ctx *fasthttp.RequestCtx, route *routing.Route, outcome *exchange.Outcome) {
 	switch {
-	case outcome.Status == exchange.StatusAnswered && request.Route.Gathers():
-		s.writeMerged(ctx, request.Route, outcome)
+	case outcome.Status == exchange.StatusAnswered && route.Gathers():
+		s.writeMerged(ctx, route, outcome)
 	case outcome.Status == exchange.StatusAnswered:
 		writeReply(ctx, outcome)
 	case outcome.Status == exchange.StatusRefused:
-		refuse(ctx, string(outcome.Cause), retryAfter(outcome.Cause, request.Left(time.Now())))
+		refuse(ctx, string(outcome.Cause))
 	case outcome.Status == exchange.StatusExpired:
 		ctx.Error(string(outcome.Cause)+"\n", fasthttp.StatusGatewayTimeout)
 	default:
@@ -29,9 +29,16 @@
 	}
 }
 
+// Times after which refused callers may come back; spread, so that they do not
+// come back together.
+const (
+	shortestRetryAfter = 300 * time.Millisecond
+	retryAfterSpread   = 500 * time.Millisecond
+)
+
 // refuse promises that the request has not run and says when to come back.
-func refuse(ctx *fasthttp.RequestCtx, reason string, after time.Duration) {
-	after = after.Round(time.Millisecond)
+func refuse(ctx *fasthttp.RequestCtx, reason string) {
+	after := (shortestRetryAfter + rand.N(retryAfterSpread)).Round(time.Millisecond)
 	ctx.Error(reason+"\n", fasthttp.StatusServiceUnavailable)
 	ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(after.Seconds(), 'f', -1, 64))
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -171,7 +171,7 @@
 		_ = ctx.Conn().Close()
 		return
 	}
-	s.writeOutcome(ctx, request, outcome)
+	s.writeOutcome(ctx, request.Route, outcome)
 }
 
 // watched runs the work under a context that ends when the caller hangs up, or
--- a/internal/ingress/start.go
+++ b/internal/ingress/start.go
@@ -80,7 +80,7 @@
 	case s.start.over() && !gone:
 		return true
 	case s.ending.Err() != nil || !gone:
-		refuse(ctx, string(causeUnknown), retryAfter(causeUnknown, dispatch.Request{Allowed: allowed, Arrived: arrived}.Left(time.Now())))
+		refuse(ctx, "no configuration is known yet")
 	default:
 		// Nobody waits for an answer, and no empty one may be sent.
 		_ = ctx.Conn().Close()
