--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"strings"
 	"time"
 
 	"github.com/driftstage/driftstage/internal/endpoints"
@@ -67,10 +68,15 @@
 func (r *run) recordFinished(outcome *exchange.Outcome) {
 	now := time.Now()
 	r.dispatcher.observer.RequestFinished(r.plan.Gather, outcome, now.Sub(r.request.Arrived))
-	r.trace.Add(trace.EventFinished, now,
+	attrs := []slog.Attr{
 		slog.String("status", outcome.Status.String()),
 		slog.String("cause", string(outcome.Cause)),
-		slog.Int("missing", outcome.Missing))
+		slog.Int("missing", outcome.Missing),
+	}
+	if len(outcome.Unlisted) > 0 {
+		attrs = append(attrs, slog.String("unlisted", strings.Join(outcome.Unlisted, ",")))
+	}
+	r.trace.Add(trace.EventFinished, now, attrs...)
 	late := now.Sub(r.request.Arrived) > r.plan.Target
 	extra := r.core.Sends() > len(r.plan.Services)
 	r.trace.End(outcome.Status != exchange.StatusAnswered || outcome.Missing > 0 || late || extra)
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -184,13 +184,7 @@
 	world.serve(standin.ServerOptions{ID: "i-1", Service: "s"})
 	world.store.SetFaults(standin.StoreFaults{Unavailable: true})
 	world.start()
-	world.eventually("an answer", func() bool {
-		conn, err := net.Dial("tcp4", world.loaded.ListenAddress)
-		if err == nil {
-			conn.Close()
-		}
-		return err == nil
-	})
+	world.eventually("a listener", world.listening)
 	got := world.ask("/one/", "id")
 	is.Equal(got.status, 503) // never 404
 	is.True(got.header.Get("Retry-After") != "")
@@ -207,13 +201,7 @@
 	world.serve(standin.ServerOptions{ID: "i-1", Service: "s"})
 	world.store.SetFaults(standin.StoreFaults{Unavailable: true})
 	world.start()
-	world.eventually("an answer", func() bool {
-		conn, err := net.Dial("tcp4", world.loaded.ListenAddress)
-		if err == nil {
-			conn.Close()
-		}
-		return err == nil
-	})
+	world.eventually("a listener", world.listening)
 	time.AfterFunc(200*time.Millisecond, func() { world.store.SetFaults(standin.StoreFaults{}) })
 	is.Equal(world.ask("/one/", "id").status, 200)
 }
--- a/internal/edge/world_test.go
+++ b/internal/edge/world_test.go
@@ -131,6 +131,16 @@
 	}
 }
 
+// listening reports whether the node accepts callers' connections.
+func (w *world) listening() bool {
+	conn, err := net.Dial("tcp4", w.loaded.ListenAddress)
+	if err != nil {
+		return false
+	}
+	conn.Close()
+	return true
+}
+
 func (w *world) ready() bool {
 	answer, err := http.Get("http://" + w.loaded.ReadinessAddress + "/-/readiness")
 	if err != nil {
--- a/internal/exchange/admit.go
+++ b/internal/exchange/admit.go
@@ -17,7 +17,7 @@
 	case c.plan.Gather && now < c.plan.Patience && c.servers.Growing():
 		c.awaitServers(now, batch)
 		return false
-	case c.plan.Gather && c.listedShards() < c.plan.LeastShards:
+	case c.plan.Gather && len(c.shards)-len(c.unlisted()) < c.plan.LeastShards:
 		c.awaitServers(now, batch)
 		return false
 	case c.waited && !c.released(now, batch):
@@ -49,16 +49,16 @@
 
 func (c *Core) refuse(cause Cause, batch *Batch) {
 	c.done = true
-	batch.Outcome = &Outcome{Status: StatusRefused, Cause: cause, Missing: len(c.shards)}
+	batch.Outcome = &Outcome{Status: StatusRefused, Cause: cause, Missing: len(c.shards), Unlisted: c.unlisted()}
 }
 
-// listedShards returns how many shards have a server.
-func (c *Core) listedShards() int {
-	count := 0
+// unlisted returns the services that have no server.
+func (c *Core) unlisted() []string {
+	var services []string
 	for _, service := range c.plan.Services {
-		if c.servers.Listed(service) {
-			count++
+		if !c.servers.Listed(service) {
+			services = append(services, service)
 		}
 	}
-	return count
+	return services
 }
--- a/internal/exchange/admit_test.go
+++ b/internal/exchange/admit_test.go
@@ -34,6 +34,7 @@
 			is.Equal(now, test.want)
 			is.Equal(batch.Outcome.Status, StatusRefused)
 			is.Equal(batch.Outcome.Cause, CauseNoServers)
+			is.Equal(batch.Outcome.Unlisted, []string{"c"})
 			is.Equal(core.Sends(), 0)
 		})
 	}
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -122,6 +122,8 @@
 	Missing int
 	// Cause says what decided the outcome.
 	Cause Cause
+	// Unlisted are the services that had no server when nothing was sent for that.
+	Unlisted []string
 }
 
 // Cause says what decided an outcome.
