--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -163,7 +163,7 @@
 
 // lastShare takes the place of patienceShare for callers that have come back: they
 // are not likely to come once more.
-const lastShare = 0.8
+const lastShare = 0.7
 
 // patience returns how long the request waits for servers that may be missing.
 func patience(request Request) time.Duration {
