--- a/internal/catalog/follower_test.go
+++ b/internal/catalog/follower_test.go
@@ -191,6 +191,14 @@
 	return m.last
 }
 
+// lists returns how many lists the sink was told, and whether the latest one came
+// after an outage.
+func (m *memorySink) lists() (int, bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.replaced, m.afterOutage
+}
+
 // uncounted is an observer that counts nothing.
 type uncounted struct{}
 
@@ -246,14 +254,17 @@
 		}, true},
 	} {
 		follow(t, func(is *is.I, feed *memoryFeed, sink *memorySink) {
-			is.True(!sink.afterOutage) // the first list of a sound store
+			lists, outage := sink.lists()
+			is.Equal(lists, 1)
+			is.True(!outage) // the first list of a sound store
 			test.trouble(feed)
 			feed.set("main", "two")
 			feed.set("main", "three")
 			feed.forget()
 			time.Sleep(3 * watchWait)
-			is.Equal(sink.replaced, 2)
-			is.Equal(sink.afterOutage, test.want)
+			lists, outage = sink.lists()
+			is.Equal(lists, 2)
+			is.Equal(outage, test.want)
 		})
 	}
 }
