Test of the settings watch lets each look end before it writes the file

Traced: it wrote the file in the same instant of simulated time in which the watch looked; a file read between its truncation and its content is one more change. Same assertions. In the product such a look loads half a file, which is rejected, and the next look takes the whole one.

--- a/internal/settings/watch_test.go
+++ b/internal/settings/watch_test.go
@@ -14,6 +14,12 @@
 func TestWatchTellsOfChangesOnly(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "settings.yaml")
 	write := func(text string) { is.New(t).NoErr(os.WriteFile(path, []byte(text), 0o600)) }
+	// rest lets time pass. The look at the end of it is over when it returns: a file
+	// that is read while it is written looks like one more change.
+	rest := func(pause time.Duration) {
+		time.Sleep(pause)
+		synctest.Wait()
+	}
 	write("zone: a")
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -23,22 +29,20 @@
 		go Watch(ctx, path, signals, func() { calls++ })
 		synctest.Wait()
 		signals <- os.Interrupt
-		time.Sleep(3 * watchInterval)
+		rest(3 * watchInterval)
 		is.Equal(calls, 0) // a signal alone is no change
 		write("zone: b")
 		signals <- os.Interrupt
 		synctest.Wait()
 		is.Equal(calls, 1) // at once
 		write("zone: c")
-		time.Sleep(watchInterval)
-		synctest.Wait()
+		rest(watchInterval)
 		is.Equal(calls, 2) // without a signal
 		is.NoErr(os.Remove(path))
-		time.Sleep(2 * watchInterval)
+		rest(2 * watchInterval)
 		is.Equal(calls, 2) // it is being replaced
 		write("zone: d")
-		time.Sleep(watchInterval)
-		synctest.Wait()
+		rest(watchInterval)
 		is.Equal(calls, 3)
 	})
 }
