A request waits for a growing list of its own shards' servers only; the wait is logged and counted

Cause: after an outage that a node has seen, the whole directory was judged: servers that came for the next version of the index (135 beside 111) made the list count as growing, and every request waited up to 1.9 s although each of its shards had its servers. Nothing was logged for it. Change: growth is counted for each service and judged for the services of the request. `request held` with its cause, and driftstage_request_held_total.

--- a/internal/dispatch/observer.go
+++ b/internal/dispatch/observer.go
@@ -17,6 +17,8 @@
 	RequestAbandoned(gather bool)
 	// AttemptEnded is told each end of an attempt that was still wanted.
 	AttemptEnded(reason exchange.Reason, kind upstream.Kind)
+	// RequestHeld is told that a request waits before anything is sent for it.
+	RequestHeld(hold exchange.Hold)
 	// SendDeferred is told that a send had to wait.
 	SendDeferred(cause endpoints.Availability)
 }
@@ -33,5 +35,8 @@
 // AttemptEnded implements Observer.
 func (NoObserver) AttemptEnded(exchange.Reason, upstream.Kind) {}
 
+// RequestHeld implements Observer.
+func (NoObserver) RequestHeld(exchange.Hold) {}
+
 // SendDeferred implements Observer.
 func (NoObserver) SendDeferred(endpoints.Availability) {}
--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -31,6 +31,15 @@
 		slog.String("cause", availability.String()))
 }
 
+// recordHold records why the request begins to wait before anything is sent.
+func (r *run) recordHold(hold exchange.Hold) {
+	if hold == exchange.HoldNone {
+		return
+	}
+	r.dispatcher.observer.RequestHeld(hold)
+	r.trace.Add(trace.EventHeld, time.Now(), slog.String("cause", hold.String()))
+}
+
 func (r *run) recordSent(send exchange.Send) {
 	r.trace.Add(trace.EventSent, time.Now(),
 		slog.String("service", r.plan.Services[send.ID.Shard]),
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -35,6 +35,9 @@
 	// once, not at each look.
 	deferred map[string]endpoints.Availability
 	plan     exchange.Plan
+	// hold is why the request waits before anything is sent; each cause is recorded
+	// once, not at each look.
+	hold exchange.Hold
 }
 
 func newRun(ctx context.Context, dispatcher *Dispatcher, request Request, plan exchange.Plan) *run {
@@ -60,7 +63,9 @@
 func (r *run) Settling() bool { return r.dispatcher.directory.Settling(time.Now()) }
 
 // Growing implements exchange.Servers.
-func (r *run) Growing() bool { return r.dispatcher.directory.Growing(time.Now()) }
+func (r *run) Growing() bool {
+	return r.dispatcher.directory.Growing(r.plan.Services, time.Now())
+}
 
 // Choose implements exchange.Servers.
 func (r *run) Choose(service string, tried []*endpoints.Endpoint, extra bool) (endpoints.Choice, endpoints.Availability) {
@@ -132,6 +137,10 @@
 }
 
 func (r *run) apply(batch exchange.Batch) {
+	if batch.Hold != r.hold {
+		r.hold = batch.Hold
+		r.recordHold(batch.Hold)
+	}
 	for _, id := range batch.Cancels {
 		r.cancels[id]()
 		r.recordCanceled(id)
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -28,6 +28,7 @@
 	duration *prometheus.HistogramVec
 	missing  prometheus.Counter
 	attempts *prometheus.CounterVec
+	held     *prometheus.CounterVec
 	deferred *prometheus.CounterVec
 	calls    *prometheus.CounterVec
 
@@ -46,6 +47,7 @@
 		finished: counterVector("request", "finished_total", "Requests by their end.", "gather", "status", "cause"),
 		missing:  counter("request", "missing_shards_total", "Shards left out of answers."),
 		attempts: counterVector("attempt", "ended_total", "Attempts at servers by reason and result.", "reason", "result"),
+		held:     counterVector("request", "held_total", "Requests that waited before anything was sent, by cause.", "cause"),
 		deferred: counterVector("attempt", "deferred_total", "Sends that had to wait, by cause.", "cause"),
 		calls:    counterVector("store", "calls_total", "Calls to the store by feed and result.", "feed", "result"),
 		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -53,7 +55,7 @@
 			Help: "Time from the arrival of a request to its final answer.", Buckets: requestBuckets,
 		}, []string{"gather"}),
 	}
-	counters.registry.MustRegister(counters.finished, counters.missing, counters.attempts, counters.deferred, counters.calls, counters.duration)
+	counters.registry.MustRegister(counters.finished, counters.missing, counters.attempts, counters.held, counters.deferred, counters.calls, counters.duration)
 	counters.registerGauges(node, logs)
 	return counters
 }
@@ -123,6 +125,13 @@
 	}
 }
 
+// RequestHeld implements dispatch.Observer.
+func (m *metrics) RequestHeld(hold exchange.Hold) {
+	if m.enabled() {
+		m.held.WithLabelValues(hold.String()).Inc()
+	}
+}
+
 // SendDeferred implements dispatch.Observer.
 func (m *metrics) SendDeferred(cause endpoints.Availability) {
 	if m.enabled() {
--- a/internal/endpoints/directory.go
+++ b/internal/endpoints/directory.go
@@ -22,12 +22,14 @@
 	// connections may be nil: then no request needs a new connection.
 	connections Connections
 
-	mutex    sync.Mutex
-	settling settling
-	budget   retrybudget.Limits
-	sharers  Sharers
-	byID     map[string]*Endpoint
-	services map[string]*service
+	mutex sync.Mutex
+	// settledAt is when a list that was read after an outage of the store is whole
+	// at the latest.
+	settledAt time.Time
+	budget    retrybudget.Limits
+	sharers   Sharers
+	byID      map[string]*Endpoint
+	services  map[string]*service
 }
 
 // service is what the node keeps of one service.
@@ -35,6 +37,8 @@
 	endpoints      []*Endpoint
 	bucket         retrybudget.Bucket
 	maxConnections int
+	// growth is how the list has grown since an outage of the store.
+	growth growth
 }
 
 // New returns an empty directory without retry budget. The connections may be nil.
@@ -59,8 +63,8 @@
 	}
 	endpoint := newEndpoint(server, now)
 	d.byID[server.ID] = endpoint
-	d.settling.add(now)
 	owner := d.service(server.Service)
+	owner.growth.add(now)
 	endpoint.setCeiling(d.ceiling(server, owner.maxConnections), now)
 	owner.endpoints = append(owner.endpoints, endpoint)
 }
--- a/internal/endpoints/settling.go
+++ b/internal/endpoints/settling.go
@@ -14,49 +14,65 @@
 	growthPause = 500 * time.Millisecond
 )
 
-// settling is what is known of a list of servers that was read after an outage of
-// the store. The zero value is a list that is whole.
-type settling struct {
-	// until is when the list is whole at the latest.
-	until time.Time
+// growth counts the servers of one service since its list was read after an outage
+// of the store. The zero value is a list without servers.
+type growth struct {
 	// listed is how many servers were in the list, added how many have come since.
 	listed, added int
 	addedAt       time.Time
 }
 
 // add notes a server that is new.
-func (s *settling) add(now time.Time) {
-	if now.Before(s.until) {
-		s.added++
-		s.addedAt = now
+func (g *growth) add(now time.Time) {
+	g.added++
+	g.addedAt = now
+}
+
+// join adds what is known of another service.
+func (g *growth) join(other growth) {
+	g.listed += other.listed
+	g.added += other.added
+	if other.addedAt.After(g.addedAt) {
+		g.addedAt = other.addedAt
 	}
 }
 
 // growing reports whether the list was short and still grows.
-func (s *settling) growing(now time.Time) bool {
-	return now.Before(s.until) && float64(s.added) > shortGrowth*float64(s.listed) && now.Sub(s.addedAt) < growthPause
+func (g *growth) growing(now time.Time) bool {
+	return float64(g.added) > shortGrowth*float64(g.listed) && now.Sub(g.addedAt) < growthPause
 }
 
 // unsettle notes that the list in force was read after an outage of the store.
 func (d *Directory) unsettle(now time.Time) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.settling = settling{until: now.Add(settleTime), listed: len(d.byID)}
+	d.settledAt = now.Add(settleTime)
+	for _, owner := range d.services {
+		owner.growth = growth{listed: len(owner.endpoints)}
+	}
 }
 
 // Settling reports whether servers that are alive may be missing.
 func (d *Directory) Settling(now time.Time) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return now.Before(d.settling.until)
+	return now.Before(d.settledAt)
 }
 
-// Growing reports whether the list is short: the few servers that are known would
-// get the requests of all.
-func (d *Directory) Growing(now time.Time) bool {
+// Growing reports whether the lists of the services are short taken together: the
+// few servers that are known would get the requests of all. Servers that come for
+// other services, as for the next version of an index, tell nothing of these.
+func (d *Directory) Growing(services []string, now time.Time) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return d.settling.growing(now)
+	if !now.Before(d.settledAt) {
+		return false
+	}
+	var joint growth
+	for _, name := range services {
+		joint.join(d.service(name).growth)
+	}
+	return joint.growing(now)
 }
 
 // lapsedShare is the part of the known servers that has to be missing in a list after
--- a/internal/endpoints/settling_test.go
+++ b/internal/endpoints/settling_test.go
@@ -24,7 +24,7 @@
 	directory := directoryOf(all...)
 	is.Equal(len(directory.ReplaceAfterOutage(all[:2], epoch)), 0)
 	is.Equal(directory.Count(), 8)
-	is.True(!directory.Growing(epoch)) // nothing is missing here
+	is.True(!directory.Growing([]string{"s"}, epoch)) // nothing is missing here
 	for _, back := range all[2:7] {
 		directory.Put(back, epoch.Add(time.Second))
 	}
@@ -53,6 +53,23 @@
 	is.True(!directory.byID["i-0"].open())
 }
 
+// A server that comes for another service, as when an index is cut anew, tells nothing
+// of a request whose shards have theirs.
+func TestGrowthOfOtherServicesDoesNotCount(t *testing.T) {
+	is := is.New(t)
+	all := someServers(8)
+	directory := directoryOf(all...)
+	directory.ReplaceAfterOutage(all, epoch)
+	now := epoch.Add(time.Second)
+	for _, added := range someServers(40) {
+		added.ID, added.Service = "next-"+added.ID, "next"
+		directory.Put(added, now)
+	}
+	is.True(!directory.Growing([]string{"s"}, now))
+	is.True(directory.Growing([]string{"next"}, now))
+	is.True(directory.Growing([]string{"s", "next"}, now)) // 40 of 48 have just come
+}
+
 // A node that starts after an outage sees a short list grow.
 func TestShortListGrows(t *testing.T) {
 	is := is.New(t)
@@ -60,15 +77,15 @@
 	directory := directoryOf()
 	directory.ReplaceAfterOutage(all[:4], epoch)
 	is.True(directory.Settling(epoch))
-	is.True(!directory.Growing(epoch))
+	is.True(!directory.Growing([]string{"s"}, epoch))
 	now := epoch.Add(300 * time.Millisecond)
 	directory.Put(all[4], now)
-	is.True(!directory.Growing(now)) // a single new server
+	is.True(!directory.Growing([]string{"s"}, now)) // a single new server
 	directory.Put(all[5], now)
-	is.True(directory.Growing(now))
-	is.True(!directory.Growing(now.Add(growthPause))) // no more come
+	is.True(directory.Growing([]string{"s"}, now))
+	is.True(!directory.Growing([]string{"s"}, now.Add(growthPause))) // no more come
 	late := epoch.Add(settleTime)
 	directory.Put(all[6], late)
-	is.True(!directory.Growing(late))
+	is.True(!directory.Growing([]string{"s"}, late))
 	is.True(!directory.Settling(late))
 }
--- a/internal/exchange/admit.go
+++ b/internal/exchange/admit.go
@@ -5,8 +5,8 @@
 // admit decides, before anything is sent, whether a request may start: what has
 // not been sent can be refused with the promise that it has not run.
 //
-//   - While a list that is short grows, the request waits: the few servers that are
-//     known would get the requests of all, and reset connections.
+//   - While the list of its shards' servers is short and grows, the request waits: the
+//     few servers that are known would get the requests of all, and reset connections.
 //   - Where too few shards have a server at all, the request waits if the list may
 //     be incomplete, and is refused otherwise.
 //
@@ -15,10 +15,10 @@
 func (c *Core) admit(now time.Duration, batch *Batch) bool {
 	switch {
 	case c.plan.Gather && now < c.plan.Patience && c.servers.Growing():
-		c.awaitServers(now, batch)
+		c.awaitServers(HoldGrowing, now, batch)
 		return false
 	case c.plan.Gather && len(c.shards)-len(c.unlisted()) < c.plan.LeastShards:
-		c.awaitServers(now, batch)
+		c.awaitServers(HoldUnlisted, now, batch)
 		return false
 	case c.waited && !c.released(now, batch):
 		return false
@@ -28,12 +28,13 @@
 }
 
 // awaitServers puts the request off while servers may be missing in the list.
-func (c *Core) awaitServers(now time.Duration, batch *Batch) {
+func (c *Core) awaitServers(hold Hold, now time.Duration, batch *Batch) {
 	if !c.servers.Settling() || now >= c.plan.Patience {
 		c.refuse(CauseNoServers, batch)
 		return
 	}
 	c.waited, c.releaseAt = true, 0
+	batch.Hold = hold
 	batch.Wake = min(now+retryPause, c.plan.Patience)
 }
 
@@ -43,8 +44,11 @@
 	if c.releaseAt == 0 {
 		c.releaseAt = min(now+time.Duration(c.plan.Spread*float64(now)), max(now, c.plan.Patience))
 	}
-	batch.Wake = c.releaseAt
-	return now >= c.releaseAt
+	if now >= c.releaseAt {
+		return true
+	}
+	batch.Hold, batch.Wake = HoldSpread, c.releaseAt
+	return false
 }
 
 func (c *Core) refuse(cause Cause, batch *Batch) {
--- a/internal/exchange/admit_test.go
+++ b/internal/exchange/admit_test.go
@@ -49,6 +49,23 @@
 	is.Equal(ids(core.Tick(retryPause)), []AttemptID{{0, 0}, {1, 0}})
 }
 
+// A request that waits before anything is sent says why at each step.
+func TestHeldRequestSaysWhy(t *testing.T) {
+	is := is.New(t)
+	servers := &fleet{servers: map[string]int{"a": 1}, settling: true}
+	plan := gatherPlan("a", "b")
+	plan.Spread = 0.5
+	core := New(plan, servers)
+	is.Equal(core.Start(0).Hold, HoldUnlisted)
+	servers.servers["b"], servers.growing = 1, true
+	is.Equal(core.Tick(20*ms).Hold, HoldGrowing)
+	servers.growing = false
+	is.Equal(core.Tick(40*ms).Hold, HoldSpread) // until 60 ms
+	batch := core.Tick(60 * ms)
+	is.Equal(batch.Hold, HoldNone)
+	is.Equal(len(batch.Sends), 2)
+}
+
 // A shard without servers does not hold up a request that has enough of the others.
 func TestShardWithoutServersIsLeftOut(t *testing.T) {
 	is := is.New(t)
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -43,7 +43,7 @@
 	// Listed reports whether the service has a server that takes requests.
 	Listed(service string) bool
 	// Settling reports whether servers that are alive may be missing in the list,
-	// Growing whether they are and come one by one.
+	// Growing whether servers of the request's shards are and come one by one.
 	Settling() bool
 	Growing() bool
 	// Choose reserves a server other than the ones tried. An extra send, one
@@ -90,10 +90,32 @@
 	Cancels []AttemptID
 	// Outcome is set once the request has its final answer.
 	Outcome *Outcome
+	// Hold is why nothing has been sent yet.
+	Hold Hold
 	// Wake is when Tick has to be called at the latest.
 	Wake time.Duration
 }
 
+// Hold tells why a request waits before anything is sent for it.
+type Hold uint8
+
+const (
+	// HoldNone means that the request does not wait, or waits for what it has sent.
+	HoldNone Hold = iota
+	// HoldGrowing means that the list of its shards' servers is short and grows.
+	HoldGrowing
+	// HoldUnlisted means that too few shards have a server in a list that may not
+	// be whole.
+	HoldUnlisted
+	// HoldSpread sets requests apart that have waited for the same servers.
+	HoldSpread
+)
+
+var holdNames = [...]string{"none", "list_growing", "shards_unlisted", "spread"}
+
+// String returns the name used in logs and metrics.
+func (h Hold) String() string { return holdNames[h] }
+
 // Status tells how a request ended.
 type Status uint8
 
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -118,7 +118,7 @@
 // does not have.
 func (l *Line) departs() bool {
 	switch l.Event {
-	case trace.EventDeferred:
+	case trace.EventDeferred, trace.EventHeld:
 		return true
 	case trace.EventSent:
 		return l.value("reason") != "first"
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -20,6 +20,7 @@
 // Events of a request, in the order in which they can occur.
 const (
 	EventAccepted Event = "request accepted"
+	EventHeld     Event = "request held"
 	EventSent     Event = "attempt sent"
 	EventDeferred Event = "attempt deferred"
 	EventEnded    Event = "attempt ended"
