Servers whose entries run out just after the store's return are kept until the list is whole

Cause: entries that missed their heartbeats during an outage of the store run out when it is back, as one event each, after the node has listed. Ruled out: lists alone (ReplaceAfterOutage handled those). Servers that said that they leave are removed at once.

--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -207,8 +207,9 @@
 // Apply implements catalog.Sink.
 func (s serverSink) Apply(change catalog.Change[endpoints.Server]) {
 	if change.Removed {
-		s.state.directory.Remove(change.Name)
-		s.state.client.Forget(change.Name)
+		if s.state.directory.Withdraw(change.Name, time.Now()) {
+			s.state.client.Forget(change.Name)
+		}
 		return
 	}
 	s.state.directory.Put(change.Value, time.Now())
--- a/internal/endpoints/choose.go
+++ b/internal/endpoints/choose.go
@@ -96,7 +96,7 @@
 	var bestCost time.Duration
 	availability := NoServer
 	for _, endpoint := range d.service(demand.Service).endpoints {
-		if !endpoint.open() || slices.Contains(demand.Tried, endpoint) {
+		if !d.takes(endpoint, now) || slices.Contains(demand.Tried, endpoint) {
 			continue
 		}
 		if d.occupied(endpoint, now) {
--- a/internal/endpoints/settling.go
+++ b/internal/endpoints/settling.go
@@ -124,6 +124,36 @@
 	}
 }
 
+// Withdraw takes into account that the entry of a server has gone and reports whether
+// the server is forgotten for that. While the store settles after an outage, entries
+// run out because their servers could not write them: such servers are kept until
+// the list is whole, as in ReplaceAfterOutage. One that has said that it leaves is not.
+func (d *Directory) Withdraw(id string, now time.Time) bool {
+	if d.keepUnlisted(id, now) {
+		return false
+	}
+	d.Remove(id)
+	return true
+}
+
+// keepUnlisted marks the server as missing if it may only have run out of the list.
+func (d *Directory) keepUnlisted(id string, now time.Time) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	endpoint, known := d.byID[id]
+	if !known || !endpoint.open() || !now.Before(d.settledAt) {
+		return false
+	}
+	endpoint.unlisted = true
+	return true
+}
+
+// takes reports whether the server may get new requests: one that is missing in the
+// list is gone once the list is whole.
+func (d *Directory) takes(endpoint *Endpoint, now time.Time) bool {
+	return endpoint.open() && (!endpoint.unlisted || now.Before(d.settledAt))
+}
+
 // DropUnlisted forgets the servers that are still missing once the list is whole: a
 // server that is not back by then is gone. It returns their ids.
 func (d *Directory) DropUnlisted(now time.Time) []string {
--- a/internal/endpoints/settling_test.go
+++ b/internal/endpoints/settling_test.go
@@ -33,6 +33,40 @@
 	is.Equal(directory.Count(), 7)
 }
 
+// Entries also run out just after the store's return, one event each; their servers
+// write them again within seconds and serve all the time.
+func TestEntriesThatRunOutWhileTheStoreSettlesAreKept(t *testing.T) {
+	is := is.New(t)
+	all := someServers(3)
+	directory := directoryOf(all...)
+	work := NewEstimate(20 * time.Millisecond)
+	is.True(directory.Withdraw("i-0", epoch)) // no outage
+	directory.ReplaceAfterOutage(all[1:], epoch)
+	is.True(!directory.Withdraw("i-1", epoch))
+	is.True(!directory.Withdraw("i-2", epoch))
+	is.Equal(directory.Count(), 2)
+	choose(t, directory, demand(work), epoch.Add(time.Second))
+	directory.Put(all[1], epoch.Add(time.Second)) // it is back
+	is.True(!directory.Growing([]string{"s"}, epoch.Add(time.Second)))
+	settled := epoch.Add(settleTime)
+	for range 3 {
+		is.Equal(choose(t, directory, demand(work), settled).Server.ID, "i-1") // the other one is gone
+	}
+	is.Equal(directory.DropUnlisted(settled), []string{"i-2"})
+}
+
+func TestLeavingServerIsNotKeptWhileTheStoreSettles(t *testing.T) {
+	is := is.New(t)
+	all := someServers(2)
+	directory := directoryOf(all...)
+	directory.ReplaceAfterOutage(all, epoch)
+	leaving := all[0]
+	leaving.Draining = true
+	directory.Put(leaving, epoch)
+	is.True(directory.Withdraw("i-0", epoch))
+	is.Equal(directory.Count(), 1)
+}
+
 // A few servers that are missing after an outage have ended or leave: they may get no
 // new requests.
 func TestFewMissingServersAreRemovedAtOnce(t *testing.T) {
