Only a node that knew no servers before an outage takes its list for short

Change: growth holds requests only on a node whose first list was read after an outage, the case for which the hold was made. Shards without any server are handled as before.

--- a/internal/endpoints/directory.go
+++ b/internal/endpoints/directory.go
@@ -26,6 +26,8 @@
 	// settledAt is when a list that was read after an outage of the store is whole
 	// at the latest.
 	settledAt time.Time
+	// firstList is set if that list was the first one of this node.
+	firstList bool
 	budget    retrybudget.Limits
 	sharers   Sharers
 	byID      map[string]*Endpoint
--- a/internal/endpoints/settling.go
+++ b/internal/endpoints/settling.go
@@ -42,11 +42,13 @@
 	return float64(g.added) > shortGrowth*float64(g.listed) && now.Sub(g.addedAt) < growthPause
 }
 
-// unsettle notes that the list in force was read after an outage of the store.
-func (d *Directory) unsettle(now time.Time) {
+// unsettle notes that the list in force was read after an outage of the store; first
+// is set if nothing was known before.
+func (d *Directory) unsettle(first bool, now time.Time) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.settledAt = now.Add(settleTime)
+	d.firstList = first
 	for _, owner := range d.services {
 		owner.growth = growth{listed: len(owner.endpoints)}
 	}
@@ -61,11 +63,12 @@
 
 // Growing reports whether the lists of the services are short taken together: the
 // few servers that are known would get the requests of all. Servers that come for
-// other services, as for the next version of an index, tell nothing of these.
+// other services, as for the next version of an index, tell nothing of these, and a
+// node that has known servers before the outage still has them (see Withdraw).
 func (d *Directory) Growing(services []string, now time.Time) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if !now.Before(d.settledAt) {
+	if !d.firstList || !now.Before(d.settledAt) {
 		return false
 	}
 	var joint growth
@@ -85,16 +88,17 @@
 // list is whole (see DropUnlisted): they have had no way to stay in it, and none of
 // them has said that it leaves.
 func (d *Directory) ReplaceAfterOutage(servers []Server, now time.Time) []string {
+	first := d.Count() == 0
 	if !d.lapsed(servers) {
 		removed := d.Replace(servers, now)
-		d.unsettle(now)
+		d.unsettle(first, now)
 		return removed
 	}
 	for _, server := range servers {
 		d.Put(server, now)
 	}
 	d.markUnlisted(servers)
-	d.unsettle(now)
+	d.unsettle(first, now)
 	return nil
 }
 
