On a node that has just started, requests that are late already give way to others

Servers' queues overflow (1,400 refusals in 0.2 s), a request fails with the sixth refused shard of 45 after the other shards have worked for it, and its caller comes back once more: 205 of 527 requests failed in four seconds. `request held`, cause yield.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -129,8 +129,10 @@
 		Target:          target(route),
 		Deadline:        deadline(request),
 		Patience:        patience(request),
+		Late:            late(request),
 		Spread:          rand.Float64(),
 	}
+	plan.Yield = time.Duration(yieldShare * float64(plan.Deadline))
 	if plan.Gather {
 		plan.LeastShards = route.LeastShards()
 	} else {
@@ -161,6 +163,16 @@
 	presumedAllowed = time.Second
 )
 
+// yieldShare is the part of a late request's time for which it gives way to others: what
+// is left is several times what an answer takes under load.
+const yieldShare = 0.6
+
+// late reports whether the route's target had passed for the caller before the request
+// arrived, by the time that it still waits.
+func late(request Request) bool {
+	return request.Allowed > 0 && request.Route.Timeout-request.Allowed > request.Route.Target
+}
+
 // lastShare takes the place of patienceShare for callers that have come back: they
 // are not likely to come once more.
 const lastShare = 0.7
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -67,6 +67,12 @@
 	return r.dispatcher.directory.Growing(r.plan.Services, time.Now())
 }
 
+// Pressed implements exchange.Servers.
+func (r *run) Pressed() bool { return r.dispatcher.directory.Pressed(time.Now()) }
+
+// Fresh implements exchange.Servers.
+func (r *run) Fresh() bool { return r.dispatcher.directory.Fresh(time.Now()) }
+
 // Choose implements exchange.Servers.
 func (r *run) Choose(service string, tried []*endpoints.Endpoint, extra bool) (endpoints.Choice, endpoints.Availability) {
 	now := time.Now()
--- a/internal/endpoints/choose.go
+++ b/internal/endpoints/choose.go
@@ -269,6 +269,9 @@
 		estimate.observe(elapsed)
 	}
 	ratio := float64(elapsed) / float64(max(estimate.Mean(), time.Millisecond))
+	if result == ResultAnswered || result == ResultRefused {
+		d.pressure.add(result == ResultRefused, now)
+	}
 	switch result {
 	case ResultAnswered:
 		endpoint.succeeded(now)
--- a/internal/endpoints/directory.go
+++ b/internal/endpoints/directory.go
@@ -26,6 +26,10 @@
 	// settledAt is when a list that was read after an outage of the store is whole
 	// at the latest.
 	settledAt time.Time
+	// knownSince is when the first server was put into the directory.
+	knownSince time.Time
+	// pressure is how often servers refuse.
+	pressure pressure
 	// firstList is set if that list was the first one of this node.
 	firstList bool
 	budget    retrybudget.Limits
@@ -63,6 +67,9 @@
 		known.unlisted = false
 		return
 	}
+	if d.knownSince.IsZero() {
+		d.knownSince = now
+	}
 	endpoint := newEndpoint(server, now)
 	d.byID[server.ID] = endpoint
 	owner := d.service(server.Service)
--- a/internal/exchange/admit.go
+++ b/internal/exchange/admit.go
@@ -7,6 +7,10 @@
 //
 //   - While the list of its shards' servers is short and grows, the request waits: the
 //     few servers that are known would get the requests of all, and reset connections.
+//   - On a node that has just started, a request that is late already lets those go
+//     before it that can still be in time: after a random part of the time that it can
+//     wait, and for longer while servers refuse work. Where all nodes start at once,
+//     the callers that waited would fill the servers' queues together.
 //   - Where too few shards have a server at all, the request waits if the list may
 //     be incomplete, and is refused otherwise.
 //
@@ -22,6 +26,8 @@
 		return false
 	case c.waited && !c.released(now, batch):
 		return false
+	case c.plan.Gather && c.yields(now, batch):
+		return false
 	}
 	c.admitted = true
 	return true
@@ -51,6 +57,31 @@
 	return false
 }
 
+// yields reports whether a late request gives way to others on a node that has just
+// started, and sets its next look.
+func (c *Core) yields(now time.Duration, batch *Batch) bool {
+	if now >= c.plan.Yield || !c.plan.Late && now < c.plan.Target {
+		return false
+	}
+	if now >= c.yieldsUntil {
+		if !c.mustYield() {
+			return false
+		}
+		c.yieldsUntil = now + retryPause + time.Duration(c.plan.Spread*float64(c.plan.Yield-now))
+	}
+	batch.Hold, batch.Wake = HoldYield, min(c.yieldsUntil, c.plan.Yield)
+	return true
+}
+
+// mustYield decides at each look: at the first one for a node that has just started, and
+// by what the servers refuse after that.
+func (c *Core) mustYield() bool {
+	if c.yieldsUntil == 0 {
+		return c.servers.Fresh()
+	}
+	return c.servers.Pressed()
+}
+
 func (c *Core) refuse(cause Cause, batch *Batch) {
 	c.done = true
 	batch.Outcome = &Outcome{Status: StatusRefused, Cause: cause, Missing: len(c.shards), Unlisted: c.unlisted()}
--- a/internal/exchange/admit_test.go
+++ b/internal/exchange/admit_test.go
@@ -75,6 +75,50 @@
 	is.Equal(ids(core.Start(0)), []AttemptID{{0, 0}})
 }
 
+// On a node that has just started, a late request lets others go first, for longer while
+// servers refuse work; one that can be in time does not wait.
+func TestLateRequestYieldsOnAFreshNode(t *testing.T) {
+	is := is.New(t)
+	servers := &fleet{servers: map[string]int{"a": 1}, fresh: true, pressed: true}
+	plan := gatherPlan("a")
+	plan.Yield, plan.Spread = time.Second, 0.5
+	is.Equal(len(New(plan, servers).Start(0).Sends), 1) // in time
+
+	plan.Late = true
+	core := New(plan, servers)
+	batch := core.Start(0)
+	is.Equal(batch.Hold, HoldYield)
+	is.Equal(batch.Wake, 520*ms)
+	is.Equal(len(core.Tick(100*ms).Sends), 0)
+	batch = core.Tick(520 * ms) // servers still refuse
+	is.Equal(len(batch.Sends), 0)
+	servers.pressed = false
+	is.Equal(len(core.Tick(batch.Wake-ms).Sends), 0)
+	is.Equal(len(core.Tick(batch.Wake).Sends), 1)
+}
+
+func TestLateRequestYieldsForAPartOfItsTime(t *testing.T) {
+	is := is.New(t)
+	plan := gatherPlan("a")
+	plan.Late, plan.Yield, plan.Spread = true, time.Second, 0.9
+	core := New(plan, &fleet{servers: map[string]int{"a": 1}, fresh: true, pressed: true})
+	batch := core.Start(0)
+	for len(batch.Sends) == 0 {
+		is.True(batch.Wake <= plan.Yield)
+		batch = core.Tick(batch.Wake)
+	}
+}
+
+// Callers that come back late to a node that has served for a while are no wave: held
+// back, they would only prolong an overload.
+func TestLateRequestGoesOnAtOnceOnAnOlderNode(t *testing.T) {
+	is := is.New(t)
+	plan := gatherPlan("a")
+	plan.Late, plan.Yield = true, time.Second
+	core := New(plan, &fleet{servers: map[string]int{"a": 1}, pressed: true})
+	is.Equal(len(core.Start(0).Sends), 1)
+}
+
 // Only what reaches a server is extra: an attempt for which no connection came up
 // costs no budget, and neither does the one that takes its place.
 func TestUnsentAttemptsCostNoBudget(t *testing.T) {
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -31,6 +31,9 @@
 	// had not to.
 	releaseAt time.Duration
 	waited    bool
+	// yieldsUntil is when a late request looks again whether it may go on; zero before
+	// its first look.
+	yieldsUntil time.Duration
 	// withoutBudget is set once a shard is lost for want of retry budget.
 	withoutBudget bool
 }
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -33,6 +33,12 @@
 	// Patience is until when the request waits, before anything is sent, for servers
 	// that may be missing in the list.
 	Patience time.Duration
+	// Late is set if the target had passed for the caller before the request arrived:
+	// it has been waiting, or comes again.
+	Late bool
+	// Yield is until when a late request gives way to others on a node that has just
+	// started.
+	Yield time.Duration
 	// Spread, 0 to 1, sets requests apart that have waited for the same: after its wait,
 	// a request waits for this part of it once more.
 	Spread float64
@@ -46,6 +52,10 @@
 	// Growing whether servers of the request's shards are and come one by one.
 	Settling() bool
 	Growing() bool
+	// Pressed reports whether servers refuse work, Fresh whether too little is known
+	// of them to tell.
+	Pressed() bool
+	Fresh() bool
 	// Choose reserves a server other than the ones tried. An extra send, one
 	// beyond the first, is taken off the retry budget of the service.
 	Choose(service string, tried []*endpoints.Endpoint, extra bool) (endpoints.Choice, endpoints.Availability)
@@ -109,9 +119,12 @@
 	HoldUnlisted
 	// HoldSpread sets requests apart that have waited for the same servers.
 	HoldSpread
+	// HoldYield lets requests that can still be in time go before late ones on a node
+	// that has just started.
+	HoldYield
 )
 
-var holdNames = [...]string{"none", "list_growing", "shards_unlisted", "spread"}
+var holdNames = [...]string{"none", "list_growing", "shards_unlisted", "spread", "yield"}
 
 // String returns the name used in logs and metrics.
 func (h Hold) String() string { return holdNames[h] }
--- a/internal/exchange/world_test.go
+++ b/internal/exchange/world_test.go
@@ -30,6 +30,8 @@
 	settling bool
 	// growing is set while they come one by one.
 	growing bool
+	// pressed is set while servers refuse work, fresh while nothing is known of them.
+	pressed, fresh bool
 }
 
 func (f *fleet) Listed(service string) bool { return f.servers[service] > 0 }
@@ -38,6 +40,10 @@
 
 func (f *fleet) Growing() bool { return f.growing }
 
+func (f *fleet) Pressed() bool { return f.pressed }
+
+func (f *fleet) Fresh() bool { return f.fresh }
+
 func (f *fleet) Choose(service string, tried []*endpoints.Endpoint, extra bool) (endpoints.Choice, endpoints.Availability) {
 	switch {
 	case f.busy[service]:
