After an outage, nodes go on from the revision they know; both feeds space their calls to a failing store together

Change: a call that failed is followed by a watch from the known revision, a list only where the history is gone or after 12 failures; removals that it tells are taken as after an outage (Resumed); the first watch after it may not lag.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -84,5 +84,8 @@
 	// Replace takes a whole list. After an outage of the store it may lack objects
 	// that ran out meanwhile and are written again soon.
 	Replace(items []T, afterOutage bool)
+	// Resumed is told that changes go on after an outage without a list. Removals may
+	// then be of objects that ran out meanwhile and are written again soon.
+	Resumed()
 	Apply(change Change[T])
 }
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -31,11 +30,9 @@
 	relayTimeout = relayWait + 400*time.Millisecond
 	// relayFreshInterval takes the place of freshInterval there.
 	relayFreshInterval = 5 * time.Second
-	// firstPause is the pause after a failed call; it doubles up to longestPause, or
-	// to longestFirstPause as long as nothing is known: callers wait for that.
-	firstPause        = 100 * time.Millisecond
-	longestPause      = 800 * time.Millisecond
-	longestFirstPause = 400 * time.Millisecond
+	// probesBeforeList is after how many failed calls the state is listed once more, in
+	// case that the store answers but cannot go on from the known revision.
+	probesBeforeList = 12
 )
 
 // Observer counts calls. Its methods do not block.
@@ -44,8 +41,9 @@
 	StoreCalled(feed string, err error)
 }
 
-// Follower keeps a sink current from a feed. It lists once, then watches; after
-// any doubt it lists again.
+// Follower keeps a sink current from a feed. It lists once, then watches. After a call
+// that failed it goes on from the revision that it knows, and lists again where the
+// store has forgotten what happened since.
 type Follower[T any] struct {
 	name     string
 	feed     Feed[T]
@@ -62,16 +60,21 @@
 	relay Relay[T]
 	// settle is the pause after changes, in which more of them gather.
 	settle time.Duration
+	// backoff spaces the calls to a store that fails.
+	backoff *Backoff
 }
 
 // NewFollower returns a follower; the name is used in logs.
 func NewFollower[T any](name string, feed Feed[T], sink Sink[T], observer Observer) *Follower[T] {
-	return &Follower[T]{name: name, feed: feed, sink: sink, observer: observer}
+	return &Follower[T]{name: name, feed: feed, sink: sink, observer: observer, backoff: &Backoff{}}
 }
 
 // Share lets the follower and those of other nodes spare the store.
 func (f *Follower[T]) Share(relay Relay[T]) { f.relay = relay }
 
+// ShareBackoff lets the followers of a node's feeds space their calls together.
+func (f *Follower[T]) ShareBackoff(backoff *Backoff) { f.backoff = backoff }
+
 // Settle sets a pause after changes, in which more of them gather: a call for all
 // of them costs as much as one for each.
 func (f *Follower[T]) Settle(pause time.Duration) { f.settle = pause }
@@ -79,35 +82,53 @@
 // Run follows the feed until ctx ends.
 func (f *Follower[T]) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		err := f.step(ctx)
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			f.pause(ctx)
-		}
+		f.step(ctx)
 	}
 }
 
-func (f *Follower[T]) step(ctx context.Context) error {
+// step makes one call, or waits for the time of the next one.
+func (f *Follower[T]) step(ctx context.Context) {
 	if f.revision > 0 && f.followNode(ctx) {
-		return nil
+		return
+	}
+	if wait := f.wait(); wait > 0 {
+		sleep(ctx, min(wait, longestSleep))
+		return
 	}
 	err := f.ask(ctx)
 	if ctx.Err() != nil {
-		return err
+		return
 	}
 	f.observer.StoreCalled(f.name, err)
 	f.report(err)
+	f.judge(ctx, err)
+}
+
+// wait returns how long the next call to the store has to wait.
+func (f *Follower[T]) wait() time.Duration {
+	if f.revision == 0 {
+		return 0
+	}
+	return f.backoff.Reserve(time.Now())
+}
+
+// judge takes the end of a call to the store into account. A node that knows nothing yet
+// makes its own pause: callers wait for it.
+func (f *Follower[T]) judge(ctx context.Context, err error) {
 	if err == nil {
-		return nil
+		f.backoff.Succeeded()
+		return
 	}
 	// A store that only forgot its history was there all the time.
 	f.outage = f.outage || !errors.Is(err, ErrHistoryGone)
 	if f.relay != nil {
 		f.relay.StoreFailed()
 	}
-	return err
+	if f.revision == 0 {
+		sleep(ctx, jittered(min(firstPause<<min(f.failures-1, 10), longestFirstPause)))
+		return
+	}
+	f.backoff.Failed(time.Now())
 }
 
 // ask makes one call to the store.
@@ -135,11 +156,23 @@
 	if err != nil {
 		return false
 	}
+	f.resume()
 	f.apply(changes)
 	f.freshAt = begun.Add(-changes.FreshAge)
 	return true
 }
 
+// resume notes that changes go on after an outage.
+func (f *Follower[T]) resume() {
+	if !f.outage {
+		return
+	}
+	f.outage = false
+	f.sink.Resumed()
+	// What the store told before may have lagged: the next watch may not.
+	f.freshAt = time.Time{}
+}
+
 func (f *Follower[T]) apply(changes Changes[T]) {
 	for _, change := range changes.Changes {
 		f.sink.Apply(change)
@@ -198,20 +231,13 @@
 }
 
 func (f *Follower[T]) watch(ctx context.Context) error {
-	wait, fresh := watchWait, freshInterval
-	if f.followed() {
-		wait, fresh = relayWait, relayFreshInterval
-	}
-	request := WatchRequest{
-		After: f.revision,
-		Wait:  wait,
-		Stale: time.Since(f.freshAt) < fresh,
-	}
+	request := f.nextWatch()
 	changes, err := f.callWatch(ctx, request)
 	if err != nil {
-		f.listed = false
+		f.listed = !errors.Is(err, ErrHistoryGone) && (f.failures+1)%probesBeforeList != 0
 		return err
 	}
+	f.resume()
 	f.apply(changes)
 	if !request.Stale {
 		f.freshAt = time.Now()
@@ -225,6 +251,19 @@
 	return nil
 }
 
+// nextWatch returns the call to make: a cheap one that does not wait as long as it is
+// not known that the store is back.
+func (f *Follower[T]) nextWatch() WatchRequest {
+	if f.outage {
+		return WatchRequest{After: f.revision, Stale: true}
+	}
+	wait, fresh := watchWait, freshInterval
+	if f.followed() {
+		wait, fresh = relayWait, relayFreshInterval
+	}
+	return WatchRequest{After: f.revision, Wait: wait, Stale: time.Since(f.freshAt) < fresh}
+}
+
 func (f *Follower[T]) callWatch(ctx context.Context, request WatchRequest) (Changes[T], error) {
 	ctx, cancel := context.WithTimeout(ctx, request.Wait+watchReserve)
 	defer cancel()
@@ -245,16 +284,6 @@
 	}
 }
 
-func (f *Follower[T]) pause(ctx context.Context) {
-	longest := longestPause
-	if f.revision == 0 {
-		longest = longestFirstPause
-	}
-	pause := min(firstPause<<min(f.failures-1, 10), longest)
-	pause = pause/2 + rand.N(pause/2)
-	sleep(ctx, pause)
-}
-
 // sleep returns after the pause, or when ctx ends.
 func sleep(ctx context.Context, pause time.Duration) {
 	select {
--- a/internal/catalog/follower_test.go
+++ b/internal/catalog/follower_test.go
@@ -166,6 +166,13 @@
 	replaced int
 	// afterOutage is what the sink was told of the last list.
 	afterOutage bool
+	resumed     int
+}
+
+func (m *memorySink) Resumed() {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.resumed++
 }
 
 func (m *memorySink) Replace(items []string, afterOutage bool) {
@@ -238,6 +245,38 @@
 	})
 }
 
+// While the store is away, only cheap calls ask whether it is back; then changes go on
+// from the known revision without a list.
+func TestStoreThatIsAwayIsAskedByCheapCalls(t *testing.T) {
+	follow(t, func(is *is.I, feed *memoryFeed, sink *memorySink) {
+		var fresh, stale int
+		feed.configure(func() { feed.fail, fresh, stale = true, feed.fresh, feed.stale })
+		time.Sleep(watchWait + 3*time.Second) // fewer than probesBeforeList calls
+		feed.set("main", "two")
+		feed.configure(func() {
+			is.True(feed.stale >= stale+4)
+			is.True(feed.fresh <= fresh+1) // the call under way when the outage began
+			feed.fail = false
+		})
+		time.Sleep(longestPause)
+		is.Equal(sink.get(), "two")
+		feed.configure(func() { is.Equal(feed.lists, 1) })
+		is.Equal(sink.resumed, 1)
+	})
+}
+
+// A cheap call may lag: right after an outage one follows that may not.
+func TestChangesAfterAnOutageDoNotLag(t *testing.T) {
+	follow(t, func(is *is.I, feed *memoryFeed, sink *memorySink) {
+		feed.configure(func() { feed.fail = true })
+		time.Sleep(watchWait + time.Second)
+		feed.set("main", "two")
+		feed.configure(func() { feed.fail, feed.staleBehind = false, 1 })
+		time.Sleep(longestPause)
+		is.Equal(sink.get(), "two")
+	})
+}
+
 // A list tells whether the store had been away: entries may have run out meanwhile. A
 // store that only forgot its history was there all the time.
 func TestListsTellOfAnOutage(t *testing.T) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -80,6 +80,8 @@
 	selector   *peers.Selector
 	tableLink  *peers.Link[*routing.Table]
 	serverLink *peers.Link[endpoints.Server]
+	// storeBackoff spaces the calls of all feeds to a store that fails.
+	storeBackoff catalog.Backoff
 }
 
 // Logs are where the node writes what happens to requests; the zero value is
@@ -138,8 +140,10 @@
 func (n *Node) follow(ctx context.Context, tasks *sync.WaitGroup) {
 	tables := catalog.NewFollower(feedTables, n.store.Tables(), tableSink{n.state}, n.metrics)
 	tables.Share(n.tableLink)
+	tables.ShareBackoff(&n.storeBackoff)
 	servers := catalog.NewFollower(feedServers, n.store.Servers(), serverSink{n.state}, n.metrics)
 	servers.Share(n.serverLink)
+	servers.ShareBackoff(&n.storeBackoff)
 	servers.Settle(serversSettle)
 	tasks.Go(func() { tables.Run(ctx) })
 	tasks.Go(func() { servers.Run(ctx) })
@@ -208,6 +212,7 @@
 
 // MembersCounted implements members.Observer.
 func (m memberObserver) MembersCounted(count members.Count) {
+	m.node.storeBackoff.SetCallers(count.All)
 	m.node.shareAmong(count)
 }
 
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -145,6 +145,9 @@
 	}
 }
 
+// Resumed implements catalog.Sink. A configuration does not run out.
+func (t tableSink) Resumed() {}
+
 // Apply implements catalog.Sink. The operators' configuration is never removed;
 // a removal leaves the known one in force.
 func (t tableSink) Apply(change catalog.Change[*routing.Table]) {
@@ -170,6 +173,9 @@
 	klog.V(1).InfoS("servers listed", "count", len(servers), "after_outage", afterOutage)
 }
 
+// Resumed implements catalog.Sink.
+func (s serverSink) Resumed() { s.state.directory.Resume(time.Now()) }
+
 func (s *state) replaceServers(servers []endpoints.Server) {
 	s.forget(s.directory.Replace(servers, time.Now()))
 	s.noteServers()
--- a/internal/endpoints/directory.go
+++ b/internal/endpoints/directory.go
@@ -64,7 +64,7 @@
 	defer d.mutex.Unlock()
 	if known, found := d.byID[server.ID]; found {
 		known.Server = server
-		known.unlisted = false
+		known.goneAt = time.Time{}
 		return
 	}
 	if d.knownSince.IsZero() {
--- a/internal/endpoints/endpoint.go
+++ b/internal/endpoints/endpoint.go
@@ -58,8 +58,9 @@
 	backoffUntil time.Time
 	// crowdedUntil is until when no new connection is opened.
 	crowdedUntil time.Time
-	// unlisted is set while the server is missing in a list that may not be whole.
-	unlisted bool
+	// goneAt is from when the server is gone if it is still missing in the list; zero
+	// while it is listed.
+	goneAt time.Time
 	// gone is set once another server has the address.
 	gone bool
 	// answeredAt is when the server last answered anything.
--- a/internal/endpoints/settling.go
+++ b/internal/endpoints/settling.go
@@ -78,6 +78,9 @@
 	return joint.growing(now)
 }
 
+// Resume notes that changes of the list go on after an outage of the store.
+func (d *Directory) Resume(now time.Time) { d.unsettle(false, now) }
+
 // lapsedShare is the part of the known servers that has to be missing in a list after
 // an outage for their entries to have run out together: servers do not end in such
 // numbers while the store is away.
@@ -97,7 +100,7 @@
 	for _, server := range servers {
 		d.Put(server, now)
 	}
-	d.markUnlisted(servers)
+	d.markUnlisted(servers, now)
 	d.unsettle(first, now)
 	return nil
 }
@@ -116,7 +119,7 @@
 	return missing > 0 && float64(missing) >= lapsedShare*float64(len(d.byID))
 }
 
-func (d *Directory) markUnlisted(servers []Server) {
+func (d *Directory) markUnlisted(servers []Server, now time.Time) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	listed := make(map[string]bool, len(servers))
@@ -124,7 +127,9 @@
 		listed[server.ID] = true
 	}
 	for id, endpoint := range d.byID {
-		endpoint.unlisted = !listed[id]
+		if !listed[id] {
+			endpoint.missUntil(now.Add(settleTime))
+		}
 	}
 }
 
@@ -148,26 +153,35 @@
 	if !known || !endpoint.open() || !now.Before(d.settledAt) {
 		return false
 	}
-	endpoint.unlisted = true
+	endpoint.missUntil(d.settledAt)
 	return true
 }
 
-// takes reports whether the server may get new requests: one that is missing in the
-// list is gone once the list is whole.
+// missUntil notes that the server is missing in the list, and from when it is gone if
+// it does not come back. A later outage does not put that off.
+func (e *Endpoint) missUntil(gone time.Time) {
+	if e.goneAt.IsZero() {
+		e.goneAt = gone
+	}
+}
+
+// missed reports whether the server is gone because it did not come back into the list.
+func (e *Endpoint) missed(now time.Time) bool {
+	return !e.goneAt.IsZero() && !now.Before(e.goneAt)
+}
+
+// takes reports whether the server may get new requests.
 func (d *Directory) takes(endpoint *Endpoint, now time.Time) bool {
-	return endpoint.open() && (!endpoint.unlisted || now.Before(d.settledAt))
+	return endpoint.open() && !endpoint.missed(now)
 }
 
-// DropUnlisted forgets the servers that are still missing once the list is whole: a
-// server that is not back by then is gone. It returns their ids.
+// DropUnlisted forgets the servers that have been missing for too long: a server that
+// is not back once the list is whole is gone. It returns their ids.
 func (d *Directory) DropUnlisted(now time.Time) []string {
-	if d.Settling(now) {
-		return nil
-	}
 	var missing []string
 	d.mutex.Lock()
 	for id, endpoint := range d.byID {
-		if endpoint.unlisted {
+		if endpoint.missed(now) {
 			missing = append(missing, id)
 		}
 	}
--- a/internal/endpoints/settling_test.go
+++ b/internal/endpoints/settling_test.go
@@ -55,6 +55,19 @@
 	is.Equal(directory.DropUnlisted(settled), []string{"i-2"})
 }
 
+// Where the store is away again and again for this node, a server that is missing is
+// gone as soon as after a single outage.
+func TestLaterOutageDoesNotKeepAMissingServer(t *testing.T) {
+	is := is.New(t)
+	directory := directoryOf(someServers(2)...)
+	directory.Resume(epoch)
+	is.True(!directory.Withdraw("i-0", epoch))
+	again := epoch.Add(settleTime / 2)
+	directory.Resume(again)
+	is.True(!directory.Withdraw("i-0", again))
+	is.Equal(directory.DropUnlisted(epoch.Add(settleTime)), []string{"i-0"})
+}
+
 func TestLeavingServerIsNotKeptWhileTheStoreSettles(t *testing.T) {
 	is := is.New(t)
 	all := someServers(2)
--- a/internal/peers/selector.go
+++ b/internal/peers/selector.go
@@ -21,8 +21,9 @@
 	// doubles up to longestAvoidance.
 	firstAvoidance   = 2 * time.Second
 	longestAvoidance = time.Minute
-	// storeAvoidance is how long other nodes are followed after the store failed.
-	storeAvoidance = 2 * time.Second
+	// storeAvoidance is how long other nodes are followed after the store failed: until
+	// it is called again at the latest.
+	storeAvoidance = 3 * time.Second
 )
 
 // avoidance is a node that did not answer.
