Slow servers teach no time of work

Cause: the time of work of a route was learned from all answers. Change: answers of servers that are known to be slow are left out, up to 20 in a row: more mean that the work itself has grown. TestSlowServersTeachNoTimeOfWork (red before), TestWorkThatGrowsAtAllServersIsLearned.

--- a/internal/endpoints/choose.go
+++ b/internal/endpoints/choose.go
@@ -266,7 +266,7 @@
 	endpoint.end(choice.Reserved)
 	elapsed := now.Sub(choice.Reserved) - d.topology.RoundTrip(endpoint.Zone) - choice.Connecting - waitingSteps*choice.Delay
 	if result == ResultAnswered {
-		estimate.observe(elapsed)
+		estimate.observe(elapsed, endpoint.currentSlowness(now) >= slowRatio)
 	}
 	ratio := float64(elapsed) / float64(max(estimate.Mean(), time.Millisecond))
 	if result == ResultAnswered || result == ResultRefused {
--- a/internal/endpoints/directory_test.go
+++ b/internal/endpoints/directory_test.go
@@ -312,7 +312,7 @@
 		if index%50 == 0 { // two in a hundred
 			work = 80 * time.Millisecond
 		}
-		estimate.observe(work)
+		estimate.observe(work, false)
 	}
 	is.True(estimate.Mean() > 8*time.Millisecond && estimate.Mean() < 18*time.Millisecond)
 	is.True(estimate.Late() >= estimate.Mean() && estimate.Late() < 40*time.Millisecond)
--- a/internal/endpoints/estimate.go
+++ b/internal/endpoints/estimate.go
@@ -23,6 +23,9 @@
 	quantile time.Duration
 	// count is the number of observations, up to those after which each weighs workWeight.
 	count int
+	// left is how many answers of slow servers have been left out since the last one of
+	// an ordinary server.
+	left int
 }
 
 // NewEstimate returns an estimate that starts at the given mean.
@@ -36,11 +39,24 @@
 // Late returns the time of work after which a request is taken for late.
 func (e *Estimate) Late() time.Duration { return e.quantile }
 
-// observe takes one answer's time of work into account.
-func (e *Estimate) observe(work time.Duration) {
+// longestLeft is how many answers of slow servers in a row are left out: where there are
+// more, the requests take longer than they did, at all servers.
+const longestLeft = 20
+
+// observe takes one answer's time of work into account. What a slow server takes tells
+// nothing of the others: where a part of the servers is slow, hedges would leave too late
+// and the slow ones would look ordinary.
+func (e *Estimate) observe(work time.Duration, slow bool) {
 	if work <= 0 {
 		return
 	}
+	if slow && e.left < longestLeft {
+		e.left++
+		return
+	}
+	if !slow {
+		e.left = 0
+	}
 	// The first observations weigh more: what the estimate started from is a guess.
 	e.count = min(e.count+1, int(1/workWeight))
 	weight := max(workWeight, 1/float64(e.count+1))
--- a/internal/endpoints/learn_test.go
+++ b/internal/endpoints/learn_test.go
@@ -89,3 +89,25 @@
 	patient.Left = time.Second
 	is.Equal(choose(t, directory, patient, epoch).Server.ID, "near")
 }
+
+// What slow servers take is no time of work: the answers of ordinary ones tell it.
+func TestSlowServersTeachNoTimeOfWork(t *testing.T) {
+	is := is.New(t)
+	work := established(20 * time.Millisecond)
+	for range 30 {
+		work.observe(200*time.Millisecond, true)
+		work.observe(20*time.Millisecond, false)
+	}
+	is.Equal(work.Mean(), 20*time.Millisecond)
+	is.True(work.Late() <= 40*time.Millisecond)
+}
+
+// Requests that take longer at all servers are learned.
+func TestWorkThatGrowsAtAllServersIsLearned(t *testing.T) {
+	is := is.New(t)
+	work := established(20 * time.Millisecond)
+	for range longestLeft + 100 {
+		work.observe(200*time.Millisecond, true)
+	}
+	is.True(work.Mean() > 150*time.Millisecond)
+}
