A hedge leaves while its answer can be in time

Where another near server was there, nothing bounded the wait. TestHedgeLeavesWhileItCanHelp (red before).

--- a/internal/endpoints/choose.go
+++ b/internal/endpoints/choose.go
@@ -187,6 +187,9 @@
 // one when there is none.
 func (d *Directory) lateAfter(endpoint *Endpoint, demand Demand, now time.Time) time.Duration {
 	late := endpoint.lateAfter(demand.Work, now) + d.travel(endpoint) + waitingSteps*demand.Delay
+	if latest, helps := d.latestHedge(endpoint, demand); helps {
+		late = min(late, latest)
+	}
 	if d.hasNear(demand, endpoint, now) {
 		return late
 	}
@@ -196,6 +199,14 @@
 	return latest - time.Duration(d.service(demand.Service).bucket.Fullness(d.budget)*float64(latest-earliest))
 }
 
+// latestHedge returns until when another attempt can be in time, but not before the
+// server seems to have stalled; false if none can any more.
+func (d *Directory) latestHedge(endpoint *Endpoint, demand Demand) (time.Duration, bool) {
+	needed := time.Duration(hedgeReserve*float64(demand.Work.Mean())) + d.farTravel(demand, endpoint) + hedgeMargin
+	stalled := time.Duration(stallFactor*float64(demand.Work.Mean())) + d.travel(endpoint)
+	return max(demand.Left-needed, stalled), demand.Left >= needed
+}
+
 // farTravel returns the least travel to a server besides the one given and those
 // tried, that of another region with an idle connection if there is no other.
 func (d *Directory) farTravel(demand Demand, except *Endpoint) time.Duration {
--- a/internal/endpoints/learn_test.go
+++ b/internal/endpoints/learn_test.go
@@ -111,3 +111,22 @@
 	}
 	is.True(work.Mean() > 150*time.Millisecond)
 }
+
+// A hedge leaves while its answer can be in time, also where some requests take longer
+// than that.
+func TestHedgeLeavesWhileItCanHelp(t *testing.T) {
+	for _, zone := range []string{"near-2", "far-1"} {
+		is := is.New(t)
+		directory := directoryOf(server("near", "near-1"), server("other", zone))
+		work := established(20 * time.Millisecond)
+		work.quantile = 150 * time.Millisecond
+		choice := choose(t, directory, demand(work), epoch)
+		is.Equal(choice.Server.ID, "near")
+		is.True(choice.LateAfter <= 140*time.Millisecond) // of 200 that are left
+		is.True(choice.LateAfter >= 50*time.Millisecond)
+		late := demand(work)
+		late.Left = 20 * time.Millisecond
+		directory.Finish(choice, work, ResultUnused, epoch)
+		is.True(choose(t, directory, late, epoch).LateAfter >= 150*time.Millisecond) // as the work tells
+	}
+}
