Lists, hedges and growth in files of their own; a short first list stays short when the store fails once more

Nothing else changes: list.go holds how a follower reads the whole state, hedge.go when an attempt counts as late, growth.go how a list that was short grows. A node that has just started keeps holding requests for its short list where a call to the store fails meanwhile (TestShortFirstListStaysShortWhenTheStoreFailsOnceMore, red before).

--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -17,12 +17,6 @@
 	// may, which costs a tenth: the store's lag is small unless it is disturbed,
 	// and this bounds what a larger one does.
 	freshInterval = 14 * time.Second
-	// pageTimeout bounds the read of one page.
-	pageTimeout = time.Second
-	// firstListInterval is the pause after which a node that knows nothing yet reads
-	// again beside a call that hangs, firstListCalls the most reads at a time.
-	firstListInterval = 300 * time.Millisecond
-	firstListCalls    = 4
 	// relayWait takes the place of watchWait where other nodes follow this one: it
 	// bounds how old what they are told may be.
 	relayWait = 600 * time.Millisecond
@@ -185,51 +179,6 @@
 	return f.relay != nil && f.relay.Followed()
 }
 
-func (f *Follower[T]) list(ctx context.Context) error {
-	begun := time.Now()
-	read, err := f.readPages(ctx)
-	if err != nil {
-		return err
-	}
-	if read.Revision < f.revision {
-		return errors.New("the list is older than what is known")
-	}
-	f.sink.Replace(read.Items, f.outage)
-	f.outage = false
-	f.revision, f.listed = read.Revision, true
-	f.freshAt = begun
-	return nil
-}
-
-// readPages returns all objects with the revision of the first page: what changes
-// while the others are read is seen again by the watch from there.
-func (f *Follower[T]) readPages(ctx context.Context) (Page[T], error) {
-	whole, err := f.firstPage(ctx)
-	for err == nil && whole.Next != "" {
-		var page Page[T]
-		page, err = f.readPage(ctx, whole.Next)
-		whole.Items = append(whole.Items, page.Items...)
-		whole.Next = page.Next
-	}
-	return whole, err
-}
-
-// firstPage reads the first page. Callers wait for what a node reads that has just
-// started, so that it does not wait for one call that hangs.
-func (f *Follower[T]) firstPage(ctx context.Context) (Page[T], error) {
-	read := func(ctx context.Context) (Page[T], error) { return f.readPage(ctx, "") }
-	if f.revision > 0 {
-		return read(ctx)
-	}
-	return overlapped(ctx, firstListInterval, firstListCalls, read)
-}
-
-func (f *Follower[T]) readPage(ctx context.Context, after string) (Page[T], error) {
-	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
-	defer cancel()
-	return f.feed.List(ctx, after)
-}
-
 func (f *Follower[T]) watch(ctx context.Context) error {
 	request := f.nextWatch()
 	changes, err := f.callWatch(ctx, request)
--- /dev/null
+++ b/internal/endpoints/hedge.go
@@ -0,0 +1,71 @@
+package endpoints
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// hedgeMargin is what a hedge needs besides the times of work and travel.
+	hedgeMargin = 10 * time.Millisecond
+	// hedgeReserve is the part of the late time that is kept for a hedge's work.
+	hedgeReserve = 1.5
+)
+
+// lateAfter returns when an answer is taken for late. Where only a server of
+// another region could take over, that is when the server seems to have stalled as
+// long as there is plenty of retry budget, and as late as leaves time for the other
+// one when there is none.
+func (d *Directory) lateAfter(endpoint *Endpoint, demand Demand, now time.Time) time.Duration {
+	late := endpoint.lateAfter(demand.Work, now) + d.travel(endpoint) + waitingSteps*demand.Delay
+	if latest, helps := d.latestHedge(endpoint, demand); helps {
+		late = min(late, latest)
+	}
+	if d.hasNear(demand, endpoint, now) {
+		return late
+	}
+	needed := time.Duration(hedgeReserve*float64(demand.Work.Late())) + d.farTravel(demand, endpoint) + hedgeMargin
+	latest := max(late, demand.Left-needed)
+	earliest := min(max(late, time.Duration(stallFactor*float64(demand.Work.Mean()))+d.travel(endpoint)), latest)
+	return latest - time.Duration(d.service(demand.Service).bucket.Fullness(d.budget)*float64(latest-earliest))
+}
+
+// latestHedge returns until when another attempt can be in time, but not before the
+// server seems to have stalled; false if none can any more.
+func (d *Directory) latestHedge(endpoint *Endpoint, demand Demand) (time.Duration, bool) {
+	needed := time.Duration(hedgeReserve*float64(demand.Work.Mean())) + d.farTravel(demand, endpoint) + hedgeMargin
+	stalled := time.Duration(stallFactor*float64(demand.Work.Mean())) + d.travel(endpoint)
+	return max(demand.Left-needed, stalled), demand.Left >= needed
+}
+
+// farTravel returns the least travel to a server besides the one given and those
+// tried, that of another region with an idle connection if there is no other.
+func (d *Directory) farTravel(demand Demand, except *Endpoint) time.Duration {
+	least := time.Duration(0)
+	for _, other := range d.service(demand.Service).endpoints {
+		if other == except || !other.open() || slices.Contains(demand.Tried, other) {
+			continue
+		}
+		if travel := d.travel(other); least == 0 || travel < least {
+			least = travel
+		}
+	}
+	return max(least, otherRegionRoundTrip)
+}
+
+// hasNear reports whether a preferred server is there besides the one given and
+// those tried.
+func (d *Directory) hasNear(demand Demand, except *Endpoint, now time.Time) bool {
+	return slices.ContainsFunc(d.service(demand.Service).endpoints, func(other *Endpoint) bool {
+		return other != except && other.open() && !other.backsOff(now) &&
+			d.preferred(other, demand, now) && !slices.Contains(demand.Tried, other)
+	})
+}
+
+// maximumLateFactor bounds how much longer a slow server is waited for.
+const maximumLateFactor = 2.0
+
+func (e *Endpoint) lateAfter(estimate *Estimate, now time.Time) time.Duration {
+	factor := min(max(e.currentSlowness(now), 1), maximumLateFactor)
+	return time.Duration(float64(estimate.Late()) * factor)
+}
--- a/internal/endpoints/settling.go
+++ b/internal/endpoints/settling.go
@@ -2,45 +2,9 @@
 
 import "time"
 
-const (
-	// settleTime is how long after an outage of the store the list may lack servers
-	// that are alive: entries that ran out meanwhile are back within about two seconds.
-	settleTime = 2200 * time.Millisecond
-	// shortGrowth is the growth since the list was read, in parts of it, that shows
-	// that it was short.
-	shortGrowth = 0.25
-	// growthPause is how long a list that was short has to stay as it is to be taken
-	// for whole; changes are read in batches.
-	growthPause = 500 * time.Millisecond
-)
-
-// growth counts the servers of one service since its list was read after an outage
-// of the store. The zero value is a list without servers.
-type growth struct {
-	// listed is how many servers were in the list, added how many have come since.
-	listed, added int
-	addedAt       time.Time
-}
-
-// add notes a server that is new.
-func (g *growth) add(now time.Time) {
-	g.added++
-	g.addedAt = now
-}
-
-// join adds what is known of another service.
-func (g *growth) join(other growth) {
-	g.listed += other.listed
-	g.added += other.added
-	if other.addedAt.After(g.addedAt) {
-		g.addedAt = other.addedAt
-	}
-}
-
-// growing reports whether the list was short and still grows.
-func (g *growth) growing(now time.Time) bool {
-	return float64(g.added) > shortGrowth*float64(g.listed) && now.Sub(g.addedAt) < growthPause
-}
+// settleTime is how long after an outage of the store the list may lack servers that are
+// alive: entries that ran out meanwhile are back within about two seconds.
+const settleTime = 2200 * time.Millisecond
 
 // unsettle notes that the list in force was read after an outage of the store; first
 // is set if nothing was known before.
@@ -61,26 +25,15 @@
 	return now.Before(d.settledAt)
 }
 
-// Growing reports whether the lists of the services are short taken together: the
-// few servers that are known would get the requests of all. Servers that come for
-// other services, as for the next version of an index, tell nothing of these, and a
-// node that has known servers before the outage still has them (see Withdraw).
-func (d *Directory) Growing(services []string, now time.Time) bool {
+// Resume notes that changes of the list go on after an outage of the store. A first
+// list that was short still is, if the store fails once more meanwhile.
+func (d *Directory) Resume(now time.Time) {
 	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if !d.firstList || !now.Before(d.settledAt) {
-		return false
-	}
-	var joint growth
-	for _, name := range services {
-		joint.join(d.service(name).growth)
-	}
-	return joint.growing(now)
+	first := d.firstList && now.Before(d.settledAt)
+	d.mutex.Unlock()
+	d.unsettle(first, now)
 }
 
-// Resume notes that changes of the list go on after an outage of the store.
-func (d *Directory) Resume(now time.Time) { d.unsettle(false, now) }
-
 // lapsedShare is the part of the known servers that has to be missing in a list after
 // an outage for their entries to have run out together: servers do not end in such
 // numbers while the store is away.
--- a/internal/endpoints/settling_test.go
+++ b/internal/endpoints/settling_test.go
@@ -150,3 +150,21 @@
 	is.True(!directory.Growing([]string{"s"}, late))
 	is.True(!directory.Settling(late))
 }
+
+func TestShortFirstListStaysShortWhenTheStoreFailsOnceMore(t *testing.T) {
+	is := is.New(t)
+	all := someServers(20)
+	directory := directoryOf()
+	directory.ReplaceAfterOutage(all[:4], epoch)
+	now := epoch.Add(time.Second)
+	directory.Resume(now)
+	for _, added := range all[4:8] {
+		directory.Put(added, now)
+	}
+	is.True(directory.Growing([]string{"s"}, now))
+	directory.Resume(now.Add(settleTime)) // the list was whole by then
+	directory.Put(all[9], now.Add(settleTime))
+	directory.Put(all[10], now.Add(settleTime))
+	directory.Put(all[11], now.Add(settleTime))
+	is.True(!directory.Growing([]string{"s"}, now.Add(settleTime)))
+}
