--- a/internal/exchange/property_test.go
+++ b/internal/exchange/property_test.go
@@ -29,6 +29,8 @@
 			budget:   rapid.IntRange(0, 6).Draw(t, "budget"),
 			busy:     make(map[string]bool),
 			settling: rapid.Bool().Draw(t, "settling"),
+			fresh:    rapid.Bool().Draw(t, "fresh"),
+			pressed:  rapid.Bool().Draw(t, "pressed"),
 		}
 		for _, service := range plan.Services {
 			servers.servers[service] = rapid.IntRange(0, 3).Draw(t, "servers")
@@ -59,6 +61,9 @@
 		plan := gatherPlan([]string{"a", "b", "c", "d"}[:rapid.IntRange(1, 4).Draw(t, "shards")]...)
 		plan.LeastShards = rapid.IntRange(1, len(plan.Services)).Draw(t, "least")
 		plan.MaximumAttempts = rapid.IntRange(1, 3).Draw(t, "attempts")
+		plan.Late = rapid.Bool().Draw(t, "late")
+		plan.Yield = time.Duration(rapid.IntRange(0, 1200).Draw(t, "yield")) * ms
+		plan.Spread = rapid.Float64Range(0, 1).Draw(t, "spread")
 		return plan
 	}
 	plan := singlePlan(rapid.Bool().Draw(t, "repeatable"))
