Pause after a failure and time of a hedge in one place each; the travel of a hedge is computed once a choice

Behaviour is unchanged: catalog.pauseAfter serves the backoff and a node that knows nothing yet, hedgeTime both bounds of lateAfter, whose list of servers was walked twice for each choice.

--- a/internal/catalog/backoff.go
+++ b/internal/catalog/backoff.go
@@ -73,10 +73,12 @@
 
 func (b *Backoff) pause() time.Duration {
 	longest := min(max(longestPause, time.Duration(b.callers)*pausePerCaller), longestSharedPause)
-	return jittered(min(firstPause<<min(b.failures-1, 10), longest))
+	return pauseAfter(b.failures, longest)
 }
 
-// jittered spreads the calls of nodes for which the store failed together.
-func jittered(pause time.Duration) time.Duration {
+// pauseAfter returns the pause after so many failed calls in a row, one at least. It
+// spreads the calls of nodes for which the store failed together.
+func pauseAfter(failures int, longest time.Duration) time.Duration {
+	pause := min(firstPause<<min(failures-1, 10), longest)
 	return pause/2 + rand.N(pause/2)
 }
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -119,7 +119,7 @@
 		f.relay.StoreFailed()
 	}
 	if f.revision == 0 {
-		sleep(ctx, jittered(min(firstPause<<min(f.failures-1, 10), longestFirstPause)))
+		sleep(ctx, pauseAfter(f.failures, longestFirstPause))
 		return
 	}
 	f.backoff.Failed(time.Now())
--- a/internal/endpoints/hedge.go
+++ b/internal/endpoints/hedge.go
@@ -8,7 +8,7 @@
 const (
 	// hedgeMargin is what a hedge needs besides the times of work and travel.
 	hedgeMargin = 10 * time.Millisecond
-	// hedgeReserve is the part of the late time that is kept for a hedge's work.
+	// hedgeReserve is the time that is kept for a hedge's work, in units of that work.
 	hedgeReserve = 1.5
 )
 
@@ -18,24 +18,24 @@
 // one when there is none.
 func (d *Directory) lateAfter(endpoint *Endpoint, demand Demand, now time.Time) time.Duration {
 	late := endpoint.lateAfter(demand.Work, now) + d.travel(endpoint) + waitingSteps*demand.Delay
-	if latest, helps := d.latestHedge(endpoint, demand); helps {
-		late = min(late, latest)
+	farTravel := d.farTravel(demand, endpoint)
+	stalled := time.Duration(stallFactor*float64(demand.Work.Mean())) + d.travel(endpoint)
+	// While another attempt can be in time, this one is not waited for beyond that, but
+	// until it seems to have stalled.
+	if needed := hedgeTime(demand.Work.Mean(), farTravel); demand.Left >= needed {
+		late = min(late, max(demand.Left-needed, stalled))
 	}
 	if d.hasNear(demand, endpoint, now) {
 		return late
 	}
-	needed := time.Duration(hedgeReserve*float64(demand.Work.Late())) + d.farTravel(demand, endpoint) + hedgeMargin
-	latest := max(late, demand.Left-needed)
-	earliest := min(max(late, time.Duration(stallFactor*float64(demand.Work.Mean()))+d.travel(endpoint)), latest)
+	latest := max(late, demand.Left-hedgeTime(demand.Work.Late(), farTravel))
+	earliest := min(max(late, stalled), latest)
 	return latest - time.Duration(d.service(demand.Service).bucket.Fullness(d.budget)*float64(latest-earliest))
 }
 
-// latestHedge returns until when another attempt can be in time, but not before the
-// server seems to have stalled; false if none can any more.
-func (d *Directory) latestHedge(endpoint *Endpoint, demand Demand) (time.Duration, bool) {
-	needed := time.Duration(hedgeReserve*float64(demand.Work.Mean())) + d.farTravel(demand, endpoint) + hedgeMargin
-	stalled := time.Duration(stallFactor*float64(demand.Work.Mean())) + d.travel(endpoint)
-	return max(demand.Left-needed, stalled), demand.Left >= needed
+// hedgeTime returns what a hedge needs.
+func hedgeTime(work, travel time.Duration) time.Duration {
+	return time.Duration(hedgeReserve*float64(work)) + travel + hedgeMargin
 }
 
 // farTravel returns the least travel to a server besides the one given and those
--- a/internal/peers/publisher.go
+++ b/internal/peers/publisher.go
@@ -10,12 +10,8 @@
 	"github.com/driftstage/driftstage/internal/catalog"
 )
 
-const (
-	// followedFor is how long after a question a node counts as followed.
-	followedFor = 3 * time.Second
-	//
-
-)
+// followedFor is how long after a question a node counts as followed.
+const followedFor = 3 * time.Second
 
 // errNotReading means that this node has not heard of the store for too long to
 // be followed.
