Requests stay in the regions of their route; what no server can take is refused at once

Ruled out: relays of bodies between nodes and caches, which there are none of; the wire names no regions of tenants. The test of waiting requests now waits for a list that may not be whole.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -57,7 +57,9 @@
 }
 
 // Listed implements exchange.Servers.
-func (r *run) Listed(service string) bool { return r.dispatcher.directory.Listed(service) }
+func (r *run) Listed(service string) bool {
+	return r.dispatcher.directory.Listed(service, r.request.Route)
+}
 
 // Settling implements exchange.Servers.
 func (r *run) Settling() bool { return r.dispatcher.directory.Settling(time.Now()) }
@@ -99,6 +101,7 @@
 func (r *run) demand(service string, now time.Time) endpoints.Demand {
 	return endpoints.Demand{
 		Service: service,
+		Route:   r.request.Route,
 		Work:    r.estimate,
 		Left:    r.plan.Target - now.Sub(r.request.Arrived),
 		Delay:   r.dispatcher.delay(),
--- a/internal/dispatch/run_test.go
+++ b/internal/dispatch/run_test.go
@@ -23,12 +23,13 @@
 	var output bytes.Buffer
 	recorder := trace.NewRecorder(slog.NewJSONHandler(&output, nil), trace.Options{LinesPerSecond: 1000})
 	directory := endpoints.New(endpoints.Topology{}, nil)
+	// A list that may not be whole yet is worth waiting for.
+	directory.ReplaceAfterOutage(nil, time.Now())
 	dispatcher := New(directory, upstream.NewClient(upstream.Headers{}), recorder, NoObserver{}, overload.NewMeter(100))
 	route := &routing.Route{Name: "r", Timeout: time.Second, Target: 500 * time.Millisecond, Split: []routing.WeightedService{{Service: "s", Weight: 1}}}
 	outcome := dispatcher.Do(t.Context(), Request{
 		Route:   route,
 		Message: &upstream.Request{ID: "id-1"},
-		// A caller that returns is not refused at once, so it waits for a server.
 		Allowed: 900 * time.Millisecond,
 		Arrived: time.Now(),
 	})
--- a/internal/endpoints/choose.go
+++ b/internal/endpoints/choose.go
@@ -1,8 +1,9 @@
 package endpoints
 
 import (
-	"slices"
 	"time"
+
+	"github.com/driftstage/driftstage/internal/routing"
 )
 
 // Choice is a server for one request together with what is expected of it.
@@ -49,6 +50,8 @@
 // Demand is what a request asks of a server.
 type Demand struct {
 	Service string
+	// Route bounds the regions whose servers may get the request; nil for all.
+	Route *routing.Route
 	// Tried are the servers that are left out.
 	Tried []*Endpoint
 	// Extra sends, those beyond the first, are taken off the retry budget.
@@ -96,7 +99,7 @@
 	var bestCost time.Duration
 	availability := NoServer
 	for _, endpoint := range d.service(demand.Service).endpoints {
-		if !d.takes(endpoint, now) || slices.Contains(demand.Tried, endpoint) {
+		if !d.takes(endpoint, demand, now) {
 			continue
 		}
 		if d.occupied(endpoint, now) {
--- a/internal/endpoints/directory.go
+++ b/internal/endpoints/directory.go
@@ -159,11 +159,13 @@
 	return owner
 }
 
-// Listed reports whether the service has a server that takes requests.
-func (d *Directory) Listed(service string) bool {
+// Listed reports whether the service has a server that may get requests of the route.
+func (d *Directory) Listed(service string, route *routing.Route) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return slices.ContainsFunc(d.service(service).endpoints, (*Endpoint).open)
+	return slices.ContainsFunc(d.service(service).endpoints, func(endpoint *Endpoint) bool {
+		return endpoint.open() && d.allowed(endpoint, route)
+	})
 }
 
 // Count returns the number of servers.
--- a/internal/endpoints/hedge.go
+++ b/internal/endpoints/hedge.go
@@ -18,7 +18,7 @@
 // one when there is none.
 func (d *Directory) lateAfter(endpoint *Endpoint, demand Demand, now time.Time) time.Duration {
 	late := endpoint.lateAfter(demand.Work, now) + d.travel(endpoint) + waitingSteps*demand.Delay
-	farTravel := d.farTravel(demand, endpoint)
+	farTravel := d.farTravel(demand, endpoint, now)
 	stalled := time.Duration(stallFactor*float64(demand.Work.Mean())) + d.travel(endpoint)
 	// While another attempt can be in time, this one is not waited for beyond that, but
 	// until it seems to have stalled.
@@ -40,10 +40,10 @@
 
 // farTravel returns the least travel to a server besides the one given and those
 // tried, that of another region with an idle connection if there is no other.
-func (d *Directory) farTravel(demand Demand, except *Endpoint) time.Duration {
+func (d *Directory) farTravel(demand Demand, except *Endpoint, now time.Time) time.Duration {
 	least := time.Duration(0)
 	for _, other := range d.service(demand.Service).endpoints {
-		if other == except || !other.open() || slices.Contains(demand.Tried, other) {
+		if other == except || !d.takes(other, demand, now) {
 			continue
 		}
 		if travel := d.travel(other); least == 0 || travel < least {
@@ -57,8 +57,8 @@
 // those tried.
 func (d *Directory) hasNear(demand Demand, except *Endpoint, now time.Time) bool {
 	return slices.ContainsFunc(d.service(demand.Service).endpoints, func(other *Endpoint) bool {
-		return other != except && other.open() && !other.backsOff(now) &&
-			d.preferred(other, demand, now) && !slices.Contains(demand.Tried, other)
+		return other != except && d.takes(other, demand, now) && !other.backsOff(now) &&
+			d.preferred(other, demand, now)
 	})
 }
 
--- a/internal/endpoints/settling.go
+++ b/internal/endpoints/settling.go
@@ -123,11 +123,6 @@
 	return !e.goneAt.IsZero() && !now.Before(e.goneAt)
 }
 
-// takes reports whether the server may get new requests.
-func (d *Directory) takes(endpoint *Endpoint, now time.Time) bool {
-	return endpoint.open() && !endpoint.missed(now)
-}
-
 // DropUnlisted forgets the servers that have been missing for too long: a server that
 // is not back once the list is whole is gone. It returns their ids.
 func (d *Directory) DropUnlisted(now time.Time) []string {
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -208,14 +208,14 @@
 
 // patience returns until when a shard waits for a server to take its request. Busy
 // servers will have room. A service whose servers have all been tried has nothing
-// to wait for. Without retry budget a shard's part is of use until the target, when
+// to wait for, nor has one without servers in a list that is whole. Without retry budget a shard's part is of use until the target, when
 // the answer is given without it; a whole request is answered early, because its
 // caller can ask again, which is no extra send.
 func (c *Core) patience(shard *shard, availability endpoints.Availability) time.Duration {
 	switch {
 	case availability == endpoints.Busy:
 		return c.plan.Deadline
-	case availability == endpoints.NoServer && len(shard.attempts) > 0:
+	case availability == endpoints.NoServer && (len(shard.attempts) > 0 || !c.servers.Settling()):
 		return 0
 	case availability == endpoints.NoBudget && c.plan.Gather:
 		return c.plan.Target
--- a/internal/exchange/core_test.go
+++ b/internal/exchange/core_test.go
@@ -284,3 +284,15 @@
 		})
 	}
 }
+
+// A whole list without a server for the request is nothing to wait for.
+func TestRequestWithoutServersIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	core := New(singlePlan(true), &fleet{})
+	batch := core.Start(0)
+	is.True(batch.Outcome != nil)
+	is.Equal(batch.Outcome.Status, StatusRefused)
+	is.Equal(batch.Outcome.Cause, CauseNoServers)
+	waiting := New(singlePlan(true), &fleet{settling: true})
+	is.True(waiting.Start(0).Outcome == nil)
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -58,6 +58,14 @@
 	ResultCount int
 	// LeastShare is the share of the shards below which an answer is no success.
 	LeastShare float64
+	// Regions are the only regions whose servers may get requests of the route, none
+	// for all regions.
+	Regions []string
+}
+
+// Allows reports whether servers of the region may get requests of the route.
+func (r *Route) Allows(region string) bool {
+	return len(r.Regions) == 0 || slices.Contains(r.Regions, region)
 }
 
 // Gathers reports whether requests of the route are sent to all shards.
