Zones are evacuated; cold servers get no more than the rate that they bear

Cause: entries of evacuations were not read, and a service's rate for cold servers had no bound. The zones are kept by endpoints.Directory: nothing is chosen there, and what is reserved and not written yet is withheld. Peers tell a node that starts. Read only where the setting "evacuations" says that the platform asks for them. Change, cold servers: each node has turns at a cold server, spread over the nodes by a hash, so that half of its rate is used by all of them together without a word. Ways weighed: a share of a bucket for each node (its first token comes after the server is warm again; unused tokens of many nodes add up to a burst), a few nodes chosen by rendezvous hashing (needs all names, and nodes that disagree on them double the rate), and turns that lapse (needs the count alone). Known servers that turn cold again, and zones that are taken back, count as cold. Where only cold servers are left, a whole request is refused at once.

--- a/bench/deployment/main.go
+++ b/bench/deployment/main.go
@@ -44,6 +44,10 @@
 	{"slow-store", "a tenth of the store's rates", slowStore},
 	{"far", "40 ms between regions", func(site table) { site["net"].(table)["cross_region_ms"] = 40.0 }},
 	{"busy", "half as many requests more", busy},
+	{"strict", "the stricter accounting of held and withdrawn requests", strict},
+	{"cold-rate", "cold servers bear 12 requests a second", func(site table) { set(site, "services", "cold_per_s", 12.0) }},
+	{"long-pauses", "servers of shards pause for 500 ms at a time", longPauses},
+	{"no-load-header", "servers tell no load", func(site table) { set(site, "services", "load_header", false) }},
 }
 
 func main() {
@@ -169,6 +173,20 @@
 	}
 }
 
+// strict sets the accounting that the newest deployments may ask for.
+func strict(site table) {
+	for _, key := range []string{"even", "closes", "attends"} {
+		site["bounds"].(table)[key] = true
+	}
+	site["timing"].(table)["truthful"] = true
+}
+
+func longPauses(site table) {
+	for _, service := range shardServices(site) {
+		service["pause_ms"] = int64(500)
+	}
+}
+
 func busy(site table) {
 	scale(site, "traffic", "per_s", 1.5)
 	for _, day := range entries(site, "day") {
--- a/internal/edge/assemble.go
+++ b/internal/edge/assemble.go
@@ -33,6 +33,7 @@
 		newSelector,
 		newTableLink,
 		newServerLink,
+		newEvacuationLink,
 		newNode,
 	} {
 		must(container.Provide(constructor))
@@ -83,42 +84,48 @@
 }
 
 func newServerLink(selector *peers.Selector) *peers.Link[endpoints.Server] {
-	return peers.NewLink(feedServers, peers.ServerCodec{}, selector)
+	return peers.NewLink(feedServers, peers.PlainCodec[endpoints.Server]{}, selector)
+}
+
+func newEvacuationLink(selector *peers.Selector) *peers.Link[endpoints.Evacuation] {
+	return peers.NewLink(feedEvacuations, peers.PlainCodec[endpoints.Evacuation]{}, selector)
 }
 
 // parts are what a node consists of.
 type parts struct {
 	dig.In
 
-	Settings   settings.Router
-	Names      ingress.Names
-	Store      Store
-	Logs       Logs
-	Topology   endpoints.Topology
-	Member     members.Member
-	Client     *upstream.Client
-	Directory  *endpoints.Directory
-	Meter      *overload.Meter
-	State      *state
-	Selector   *peers.Selector
-	TableLink  *peers.Link[*routing.Table]
-	ServerLink *peers.Link[endpoints.Server]
+	Settings       settings.Router
+	Names          ingress.Names
+	Store          Store
+	Logs           Logs
+	Topology       endpoints.Topology
+	Member         members.Member
+	Client         *upstream.Client
+	Directory      *endpoints.Directory
+	Meter          *overload.Meter
+	State          *state
+	Selector       *peers.Selector
+	TableLink      *peers.Link[*routing.Table]
+	ServerLink     *peers.Link[endpoints.Server]
+	EvacuationLink *peers.Link[endpoints.Evacuation]
 }
 
 func newNode(parts parts) *Node {
 	node := &Node{
-		settings:   parts.Settings,
-		topology:   parts.Topology,
-		member:     parts.Member,
-		started:    time.Now(),
-		store:      parts.Store,
-		state:      parts.State,
-		directory:  parts.Directory,
-		client:     parts.Client,
-		load:       parts.Meter,
-		selector:   parts.Selector,
-		tableLink:  parts.TableLink,
-		serverLink: parts.ServerLink,
+		settings:       parts.Settings,
+		topology:       parts.Topology,
+		member:         parts.Member,
+		started:        time.Now(),
+		store:          parts.Store,
+		state:          parts.State,
+		directory:      parts.Directory,
+		client:         parts.Client,
+		load:           parts.Meter,
+		selector:       parts.Selector,
+		tableLink:      parts.TableLink,
+		serverLink:     parts.ServerLink,
+		evacuationLink: parts.EvacuationLink,
 	}
 	node.live.Store(&node.settings.Reloadable)
 	node.metrics = newMetrics(node, parts.Logs)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -30,13 +30,15 @@
 type Store interface {
 	Tables() catalog.Feed[*routing.Table]
 	Servers() catalog.Feed[endpoints.Server]
+	Evacuations() catalog.Feed[endpoints.Evacuation]
 	members.Registry
 }
 
 // Names of the feeds in logs and metrics.
 const (
-	feedTables  = "tables"
-	feedServers = "servers"
+	feedTables      = "tables"
+	feedServers     = "servers"
+	feedEvacuations = "evacuations"
 )
 
 const (
@@ -77,9 +79,10 @@
 	readiness *readiness
 	metrics   *metrics
 	// selector picks the node to follow in place of the store.
-	selector   *peers.Selector
-	tableLink  *peers.Link[*routing.Table]
-	serverLink *peers.Link[endpoints.Server]
+	selector       *peers.Selector
+	tableLink      *peers.Link[*routing.Table]
+	serverLink     *peers.Link[endpoints.Server]
+	evacuationLink *peers.Link[endpoints.Evacuation]
 	// storeBackoff spaces the calls of all feeds to a store that fails.
 	storeBackoff catalog.Backoff
 }
@@ -138,15 +141,15 @@
 
 // follow keeps the configuration and the servers current.
 func (n *Node) follow(ctx context.Context, tasks *sync.WaitGroup) {
-	tables := catalog.NewFollower(feedTables, n.store.Tables(), tableSink{n.state}, n.metrics)
-	tables.Share(n.tableLink)
-	tables.ShareBackoff(&n.storeBackoff)
-	servers := catalog.NewFollower(feedServers, n.store.Servers(), serverSink{n.state}, n.metrics)
-	servers.Share(n.serverLink)
-	servers.ShareBackoff(&n.storeBackoff)
+	tables := newFollower(n, feedTables, n.store.Tables(), tableSink{n.state}, n.tableLink)
+	servers := newFollower(n, feedServers, n.store.Servers(), serverSink{n.state}, n.serverLink)
 	servers.Settle(serversSettle)
 	tasks.Go(func() { tables.Run(ctx) })
 	tasks.Go(func() { servers.Run(ctx) })
+	if n.settings.Evacuations {
+		evacuations := newFollower(n, feedEvacuations, n.store.Evacuations(), evacuationSink{n.state}, n.evacuationLink)
+		tasks.Go(func() { evacuations.Run(ctx) })
+	}
 	announcer := members.NewAnnouncer(n.store, n.member, n.topology.Near, memberObserver{n})
 	tasks.Go(func() { announcer.Run(ctx) })
 	starter := peers.Starter{Addresses: func() []string { return n.live.Load().Seeds }, Known: n.state.complete, Adopt: n.state.adoptSnapshot}
@@ -155,6 +158,14 @@
 	tasks.Go(func() { n.load.Run(ctx) })
 }
 
+// newFollower returns a follower that spares the store together with the node's others.
+func newFollower[T any](n *Node, name string, feed catalog.Feed[T], sink catalog.Sink[T], link *peers.Link[T]) *catalog.Follower[T] {
+	follower := catalog.NewFollower(name, feed, sink, n.metrics)
+	follower.Share(link)
+	follower.ShareBackoff(&n.storeBackoff)
+	return follower
+}
+
 // servePeers tells other nodes what this one knows, if it has an address for that.
 func (n *Node) servePeers(failed chan<- error) error {
 	if n.settings.PeerAddress == "" {
@@ -164,7 +175,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
-	server := peers.NewServer(n.state.snapshot, n.tableLink, n.serverLink)
+	server := peers.NewServer(n.state.snapshot, n.tableLink, n.serverLink, n.evacuationLink)
 	go func() { failed <- server.Serve(listener) }()
 	return nil
 }
@@ -184,8 +195,9 @@
 		FillAt:   n.started.Add(live.RetryWindow),
 	}
 	n.directory.Share(budget, endpoints.Sharers{
-		Near: count.Region + spareNodes/2,
-		Far:  count.All - count.Region + spareNodes/2,
+		Near:    count.Region + spareNodes/2,
+		Far:     count.All - count.Region + spareNodes/2,
+		Settled: count.Settled,
 	}, time.Now())
 }
 
--- /dev/null
+++ b/internal/edge/evacuation.go
@@ -0,0 +1,44 @@
+package edge
+
+import (
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/driftstage/driftstage/internal/catalog"
+	"github.com/driftstage/driftstage/internal/endpoints"
+)
+
+// evacuationSink takes the zones to be emptied from a follower. A zone that is not
+// listed takes requests again: the operators alone write and remove the entries, and
+// none runs out while the store is away.
+type evacuationSink struct{ state *state }
+
+// Replace implements catalog.Sink.
+func (e evacuationSink) Replace(evacuations []endpoints.Evacuation, _ bool) {
+	zones := make([]string, len(evacuations))
+	for index, evacuation := range evacuations {
+		zones[index] = evacuation.Zone
+	}
+	e.state.replacing.Lock()
+	defer e.state.replacing.Unlock()
+	e.state.directory.SetEvacuated(zones, time.Now())
+	e.state.evacuationsListed.Store(true)
+	if len(zones) > 0 {
+		klog.InfoS("zones evacuated", "zones", zones)
+	}
+}
+
+// Resumed implements catalog.Sink.
+func (e evacuationSink) Resumed() {}
+
+// Apply implements catalog.Sink.
+func (e evacuationSink) Apply(change catalog.Change[endpoints.Evacuation]) {
+	if change.Removed {
+		e.state.directory.EndEvacuation(change.Name, time.Now())
+		klog.InfoS("evacuation of a zone ended", "zone", change.Name)
+		return
+	}
+	e.state.directory.Evacuate(change.Name)
+	klog.InfoS("zone evacuated", "zone", change.Name)
+}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -73,6 +73,7 @@
 		{"node", "ready_status", "1 while the node takes new connections.", func() float64 { return boolean(node.state.ready()) }},
 		{"log", "dropped_lines_count", "Log lines lost to a slow reader since the start.", logs.dropped},
 		{"store", "tables_age_seconds", "Time since the configuration was last read.", func() float64 { return m.age(feedTables) }},
+		{"server", "evacuated_zones_count", "Zones whose servers get nothing new.", func() float64 { return float64(len(node.directory.Evacuated())) }},
 		{"store", "servers_age_seconds", "Time since the servers were last read.", func() float64 { return m.age(feedServers) }},
 	} {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -32,7 +32,9 @@
 	serversKnown atomic.Bool
 	// serversListed is set once the store itself has listed them.
 	serversListed atomic.Bool
-	stopping      atomic.Bool
+	// evacuationsListed is set once the store itself has told the zones to be emptied.
+	evacuationsListed atomic.Bool
+	stopping          atomic.Bool
 	// knows is closed once the configuration and the servers are known.
 	knows     chan struct{}
 	knowsOnce sync.Once
@@ -117,7 +119,11 @@
 	if !s.complete() {
 		return peers.Snapshot{}, false
 	}
-	return peers.Snapshot{Table: s.table.Load().Document(), Servers: s.directory.Servers()}, true
+	return peers.Snapshot{
+		Table:     s.table.Load().Document(),
+		Servers:   s.directory.Servers(),
+		Evacuated: s.directory.Evacuated(),
+	}, true
 }
 
 // adoptSnapshot takes over what a peer knows, as far as the store has not told.
@@ -129,6 +135,9 @@
 	s.adopt(table)
 	s.replacing.Lock()
 	defer s.replacing.Unlock()
+	if !s.evacuationsListed.Load() {
+		s.directory.SetEvacuated(snapshot.Evacuated, time.Now())
+	}
 	if !s.serversListed.Load() {
 		s.replaceServers(snapshot.Servers)
 	}
--- a/internal/endpoints/choose.go
+++ b/internal/endpoints/choose.go
@@ -38,11 +38,14 @@
 	// Busy means that there are servers but this node's share of their
 	// connections is in use.
 	Busy
+	// Cold means that there are servers, but they have just started and may get no
+	// request of this node now.
+	Cold
 	// NoBudget means that the retry budget of the service is spent.
 	NoBudget
 )
 
-var availabilityNames = [...]string{"chosen", "no_server", "busy", "no_budget"}
+var availabilityNames = [...]string{"chosen", "no_server", "busy", "cold", "no_budget"}
 
 // String returns the name used in logs and metrics.
 func (a Availability) String() string { return availabilityNames[a] }
@@ -102,6 +105,12 @@
 		if !d.takes(endpoint, demand, now) {
 			continue
 		}
+		if !d.mayWarm(endpoint, now) {
+			if availability == NoServer {
+				availability = Cold
+			}
+			continue
+		}
 		if d.occupied(endpoint, now) {
 			availability = Busy
 			continue
@@ -170,6 +179,7 @@
 		Reserved:   now,
 	}
 	endpoint.begin(now)
+	d.noteWarming(endpoint, now)
 	return choice
 }
 
@@ -181,7 +191,7 @@
 func (d *Directory) Open(endpoint *Endpoint) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return endpoint.open() && d.byID[endpoint.ID] == endpoint
+	return endpoint.open() && d.byID[endpoint.ID] == endpoint && !d.evacuated[endpoint.Zone]
 }
 
 // Result tells how a reserved request ended.
--- a/internal/endpoints/directory.go
+++ b/internal/endpoints/directory.go
@@ -14,6 +14,8 @@
 	// Near are those of the server's own region, Far all others.
 	Near int
 	Far  int
+	// Settled is set once both have been counted.
+	Settled bool
 }
 
 // Directory holds the endpoints of all services. It is safe for concurrent use.
@@ -35,6 +37,8 @@
 	budget    retrybudget.Limits
 	sharers   Sharers
 	byID      map[string]*Endpoint
+	// evacuated are the zones whose servers get nothing new.
+	evacuated map[string]bool
 	services  map[string]*service
 }
 
@@ -45,6 +49,9 @@
 	maxConnections int
 	// growth is how the list has grown since an outage of the store.
 	growth growth
+	// coldRate and coldStart are what the service tells of servers that have just started.
+	coldRate  float64
+	coldStart time.Duration
 }
 
 // New returns an empty directory without retry budget. The connections may be nil.
@@ -54,6 +61,7 @@
 		connections: connections,
 		sharers:     Sharers{Near: 1, Far: 1},
 		byID:        make(map[string]*Endpoint),
+		evacuated:   make(map[string]bool),
 		services:    make(map[string]*service),
 	}
 }
@@ -63,8 +71,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if known, found := d.byID[server.ID]; found {
-		known.Server = server
-		known.goneAt = time.Time{}
+		known.update(server, now)
 		return
 	}
 	if d.knownSince.IsZero() {
@@ -128,6 +135,7 @@
 	for name, configured := range table.Services {
 		owner := d.service(name)
 		owner.maxConnections = configured.MaximumConnections
+		owner.coldRate, owner.coldStart = configured.ColdRate, configured.ColdStart
 		d.setCeilings(owner, now)
 	}
 }
--- a/internal/endpoints/endpoint.go
+++ b/internal/endpoints/endpoint.go
@@ -51,9 +51,11 @@
 	halfLife   time.Duration
 	// ratio is the latest observation that was independent of the one before it,
 	// ratioAt when it was made.
-	ratio        float64
-	ratioAt      time.Time
-	coldUntil    time.Time
+	ratio     float64
+	ratioAt   time.Time
+	coldUntil time.Time
+	// coldTurn is this node's turn in which it sent a request to the cold server last.
+	coldTurn     int64
 	failures     int
 	backoffUntil time.Time
 	// crowdedUntil is until when no new connection is opened.
@@ -78,12 +80,22 @@
 	}
 }
 
+// update takes over what the registry tells anew. A server that tells another time for
+// which it is cold has turned cold once more, or still is.
+func (e *Endpoint) update(server Server, now time.Time) {
+	if server.ColdRemaining > 0 && server.ColdRemaining != e.ColdRemaining {
+		e.chill(server.ColdRemaining, now)
+	}
+	e.Server = server
+	e.goneAt = time.Time{}
+}
+
 // currentSlowness returns the learned slowness, forgotten in part.
 func (e *Endpoint) currentSlowness(now time.Time) float64 {
 	age := now.Sub(e.slownessAt)
 	kept := math.Exp2(-float64(age) / float64(e.halfLife))
 	slowness := 1 + (e.slowness-1)*kept
-	if now.Before(e.coldUntil) {
+	if e.cold(now) {
 		slowness = max(slowness, coldFactor)
 	}
 	return slowness
--- a/internal/endpoints/places_test.go
+++ b/internal/endpoints/places_test.go
@@ -1,11 +1,14 @@
 package endpoints
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
+	"github.com/driftstage/driftstage/internal/retrybudget"
 	"github.com/driftstage/driftstage/internal/routing"
 )
 
@@ -60,3 +63,85 @@
 	_, found := directory.Choose(request, epoch)
 	is.Equal(found, NoServer)
 }
+
+func TestEvacuatedZoneGetsNothingNew(t *testing.T) {
+	is := is.New(t)
+	directory := directoryOf(server("near", "near-1"), server("far", "far-1"))
+	before := choose(t, directory, ofRegions(), epoch)
+	is.Equal(before.Server.ID, "near")
+	directory.Evacuate("near-1")
+	is.Equal(directory.Evacuated(), []string{"near-1"})
+	is.True(!directory.Open(before.Endpoint)) // what has not been written yet is withheld
+	is.Equal(choose(t, directory, ofRegions(), epoch).Server.ID, "far")
+	_, found := directory.Choose(ofRegions("near"), epoch)
+	is.Equal(found, NoServer) // no other server is in the route's region
+	is.True(!directory.Listed("s", &routing.Route{Regions: []string{"near"}}))
+	directory.EndEvacuation("near-1", epoch)
+	is.True(directory.Open(before.Endpoint))
+	is.Equal(choose(t, directory, ofRegions(), epoch).Server.ID, "near")
+}
+
+// Servers of a zone that takes requests again count as cold where their service names a
+// rate for that, and only those.
+func TestZoneThatIsTakenBackIsCold(t *testing.T) {
+	is := is.New(t)
+	directory := nodeAmong(t, "a", 60, 12, server("a", "near-1"), server("b", "near-2"))
+	directory.SetEvacuated([]string{"near-1"}, epoch)
+	directory.SetEvacuated(nil, epoch.Add(time.Second))
+	is.True(directory.byID["a"].cold(epoch.Add(3900 * time.Millisecond)))
+	is.True(!directory.byID["a"].cold(epoch.Add(4100 * time.Millisecond)))
+	is.True(!directory.byID["b"].cold(epoch.Add(time.Second)))
+	directory.EndEvacuation("near-2", epoch.Add(time.Second)) // was not evacuated
+	is.True(!directory.byID["b"].cold(epoch.Add(time.Second)))
+}
+
+// TestRequestsGoOnlyWhereTheyMay draws routes, servers that come, drain, end and are
+// found elsewhere, and evacuations, and checks every choice against them.
+func TestRequestsGoOnlyWhereTheyMay(t *testing.T) {
+	zones := []string{"near-1", "near-2", "far-1"}
+	regions := []string{"near", "far", "elsewhere"}
+	rapid.Check(t, func(t *rapid.T) {
+		directory := New(testTopology(), nil)
+		directory.Share(retrybudget.Limits{Ratio: 1, Capacity: 100}, Sharers{Near: 1, Far: 1}, epoch)
+		now := epoch
+		var tried []*Endpoint
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
+			id := rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(t, "id")
+			zone := rapid.SampledFrom(zones).Draw(t, "zone")
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			case 0, 1:
+				listed := server(id, zone)
+				listed.Draining = rapid.IntRange(0, 4).Draw(t, "draining") == 0
+				if known, found := directory.byID[id]; found {
+					listed.Zone = known.Zone // a server does not move
+				}
+				directory.Put(listed, now)
+			case 2:
+				directory.Withdraw(id, now)
+			case 3:
+				directory.Evacuate(zone)
+			case 4:
+				directory.EndEvacuation(zone, now)
+			default:
+				request := ofRegions(rapid.SliceOfN(rapid.SampledFrom(regions), 0, 2).Draw(t, "regions")...)
+				request.Tried, request.Extra = tried, len(tried) > 0
+				choice, found := directory.Choose(request, now)
+				tried = nil
+				if found != Chosen {
+					continue
+				}
+				endpoint := choice.Endpoint
+				region := testTopology().Regions[endpoint.Zone]
+				if !request.Route.Allows(region) || endpoint.Draining || directory.evacuated[endpoint.Zone] ||
+					slices.Contains(request.Tried, endpoint) || directory.byID[endpoint.ID] != endpoint {
+					t.Fatalf("a request of regions %v was given to %+v", request.Route.Regions, endpoint.Server)
+				}
+				tried = []*Endpoint{endpoint}
+				if rapid.Bool().Draw(t, "answered") {
+					directory.Finish(choice, established(20*time.Millisecond), ResultAnswered, now.Add(time.Millisecond))
+				}
+			}
+		}
+	})
+}
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -208,8 +208,9 @@
 
 // patience returns until when a shard waits for a server to take its request. Busy
 // servers will have room. A service whose servers have all been tried has nothing
-// to wait for, nor has one without servers in a list that is whole. Without retry budget a shard's part is of use until the target, when
-// the answer is given without it; a whole request is answered early, because its
+// to wait for, nor has one without servers in a list that is whole. With cold servers
+// alone, this node's next turn may be seconds away: a whole request is refused at once. Without retry budget, or a turn, a shard's part is of use until the target,
+// when the answer is given without it; a whole request is answered early, because its
 // caller can ask again, which is no extra send.
 func (c *Core) patience(shard *shard, availability endpoints.Availability) time.Duration {
 	switch {
@@ -217,7 +218,9 @@
 		return c.plan.Deadline
 	case availability == endpoints.NoServer && (len(shard.attempts) > 0 || !c.servers.Settling()):
 		return 0
-	case availability == endpoints.NoBudget && c.plan.Gather:
+	case availability == endpoints.Cold && !c.plan.Gather:
+		return 0
+	case (availability == endpoints.NoBudget || availability == endpoints.Cold) && c.plan.Gather:
 		return c.plan.Target
 	case c.servers.Settling() && c.plan.Gather:
 		return c.plan.Target
--- a/internal/exchange/core_test.go
+++ b/internal/exchange/core_test.go
@@ -285,6 +285,24 @@
 	}
 }
 
+// Cold servers take nothing more of this node for seconds: nobody waits for that. The
+// part of a shard is of use until the target.
+func TestColdServersAreNotWaitedFor(t *testing.T) {
+	is := is.New(t)
+	servers := &fleet{servers: map[string]int{"a": 1, "b": 1}, cold: map[string]bool{"a": true}}
+	outcome := New(singlePlan(true), servers).Start(0).Outcome
+	is.True(outcome != nil)
+	is.Equal(outcome.Status, StatusRefused)
+	plan := gatherPlan("a", "b")
+	plan.LeastShards = 1
+	core := New(plan, servers)
+	is.Equal(len(core.Start(0).Sends), 1)
+	is.True(core.Reply(AttemptID{Shard: 1}, answered(200), testTarget/4).Outcome == nil)
+	outcome = core.Tick(testTarget).Outcome
+	is.True(outcome != nil)
+	is.Equal(outcome.Missing, 1)
+}
+
 // A whole list without a server for the request is nothing to wait for.
 func TestRequestWithoutServersIsRefusedAtOnce(t *testing.T) {
 	is := is.New(t)
--- a/internal/exchange/world_test.go
+++ b/internal/exchange/world_test.go
@@ -22,7 +22,9 @@
 	servers map[string]int
 	budget  int
 	// busy services have servers that take nothing now.
-	busy  map[string]bool
+	busy map[string]bool
+	// cold services have servers that may get nothing of this node now.
+	cold  map[string]bool
 	extra int
 	// lateAfter takes the place of testLateAfter if it is set.
 	lateAfter time.Duration
@@ -46,6 +48,8 @@
 
 func (f *fleet) Choose(service string, tried []*endpoints.Endpoint, extra bool) (endpoints.Choice, endpoints.Availability) {
 	switch {
+	case f.cold[service]:
+		return endpoints.Choice{}, endpoints.Cold
 	case f.busy[service]:
 		return endpoints.Choice{}, endpoints.Busy
 	case len(tried) >= f.servers[service]:
--- a/internal/peers/codec.go
+++ b/internal/peers/codec.go
@@ -3,23 +3,22 @@
 import (
 	"encoding/json"
 
-	"github.com/driftstage/driftstage/internal/endpoints"
 	"github.com/driftstage/driftstage/internal/routing"
 )
 
-// ServerCodec encodes servers.
-type ServerCodec struct{}
+// PlainCodec encodes values that JSON carries as they are.
+type PlainCodec[T any] struct{}
 
 // Encode implements Codec.
-func (ServerCodec) Encode(server endpoints.Server) (json.RawMessage, error) {
-	return json.Marshal(server)
+func (PlainCodec[T]) Encode(value T) (json.RawMessage, error) {
+	return json.Marshal(value)
 }
 
 // Decode implements Codec.
-func (ServerCodec) Decode(encoded json.RawMessage) (endpoints.Server, error) {
-	var server endpoints.Server
-	err := json.Unmarshal(encoded, &server)
-	return server, err
+func (PlainCodec[T]) Decode(encoded json.RawMessage) (T, error) {
+	var value T
+	err := json.Unmarshal(encoded, &value)
+	return value, err
 }
 
 // TableCodec encodes configurations.
--- a/internal/peers/link_test.go
+++ b/internal/peers/link_test.go
@@ -88,7 +88,7 @@
 
 func TestServersArriveAtFollowers(t *testing.T) {
 	is := is.New(t)
-	reader, source, selector := linked(t, ServerCodec{})
+	reader, source, selector := linked(t, PlainCodec[endpoints.Server]{})
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
 	reader.Publish(5, told(7, put("a"), catalog.Change[endpoints.Server]{Name: "b", Removed: true}), true)
@@ -109,7 +109,7 @@
 // compressed.
 func TestAnswersAreEncodedOnce(t *testing.T) {
 	is := is.New(t)
-	reader, source, _ := linked(t, ServerCodec{})
+	reader, source, _ := linked(t, PlainCodec[endpoints.Server]{})
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
 	var many []catalog.Change[endpoints.Server]
@@ -148,7 +148,7 @@
 
 func TestNodeThatDoesNotAnswerIsNotNoted(t *testing.T) {
 	is := is.New(t)
-	reader, source, selector := linked(t, ServerCodec{})
+	reader, source, selector := linked(t, PlainCodec[endpoints.Server]{})
 	link := source.(interface {
 		owner() *Link[endpoints.Server]
 	}).owner()
@@ -171,7 +171,7 @@
 func TestWrongQuestionsAreRejected(t *testing.T) {
 	for _, query := range []string{"", "after=x&wait=1s&age=1s", "after=1&wait=1&age=1s", "after=1&wait=1s", "after=-1&wait=1s&age=1s"} {
 		is := is.New(t)
-		_, source, _ := linked(t, ServerCodec{})
+		_, source, _ := linked(t, PlainCodec[endpoints.Server]{})
 		address := source.(interface{ address() string }).address()
 		status, _, err := newClient(address, 1).Get(nil, "http://"+address+changesPath+"kind?"+query)
 		is.NoErr(err)
--- a/internal/peers/starter.go
+++ b/internal/peers/starter.go
@@ -25,6 +25,8 @@
 type Snapshot struct {
 	Table   routing.Document
 	Servers []endpoints.Server
+	// Evacuated are the zones whose servers get nothing new.
+	Evacuated []string
 }
 
 const (
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -25,6 +25,11 @@
 	Name string
 	// MaximumConnections is what each server accepts from all callers together.
 	MaximumConnections int
+	// ColdRate is how many requests a second a server bears, from all nodes together,
+	// while it is cold; beyond that it fails. Zero for no such bound.
+	ColdRate float64
+	// ColdStart is how long a server is cold after its start.
+	ColdStart time.Duration
 }
 
 // WeightedService is one part of a split route.
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -27,6 +27,9 @@
 	MetricsAddress string
 	// StoreAddress is the platform's store (IP:port).
 	StoreAddress string
+	// Evacuations is set where the platform asks for zones to be emptied: then the store
+	// is read for that, too.
+	Evacuations bool
 	// MemoryMegabytes is the memory that the process may take; 0 for unbounded.
 	MemoryMegabytes int
 	Reloadable
@@ -103,6 +106,9 @@
 	{"stop-timeout", "6s", "time from the signal to stop to the end of the process, 1s to 10m", func(s *Router, text string) error {
 		return duration(&s.StopTimeout, text, time.Second, 10*time.Minute)
 	}},
+	{"evacuations", "false", "whether the platform asks for zones to be emptied: true or false", func(s *Router, text string) error {
+		return boolean(&s.Evacuations, text)
+	}},
 	{"memory-megabytes", "0", "memory that the process may take, 0 (unbounded) to 1000000", func(s *Router, text string) error {
 		return integer(&s.MemoryMegabytes, text, 0, 1_000_000)
 	}},
--- a/internal/settings/router_test.go
+++ b/internal/settings/router_test.go
@@ -16,7 +16,7 @@
 
 func TestRouterSettings(t *testing.T) {
 	is := is.New(t)
-	request, err := LoadRouter(append(requiredRouter(), "--zones", "z=r, y=q", "--retry-ratio", "0.25", "--stop-timeout", "4s", "--seeds", "127.0.0.1:1,127.0.0.1:2"))
+	request, err := LoadRouter(append(requiredRouter(), "--zones", "z=r, y=q", "--retry-ratio", "0.25", "--stop-timeout", "4s", "--seeds", "127.0.0.1:1,127.0.0.1:2", "--evacuations", "true"))
 	is.NoErr(err)
 	is.Equal(request.Mode, ModeRun)
 	loaded := request.Settings
@@ -25,6 +25,7 @@
 	is.Equal(loaded.StopTimeout, 4*time.Second)
 	is.Equal(loaded.Seeds, []string{"127.0.0.1:1", "127.0.0.1:2"})
 	is.Equal(loaded.MetricsAddress, "")
+	is.True(loaded.Evacuations)
 }
 
 func TestChangesOfSettings(t *testing.T) {
@@ -62,9 +63,9 @@
 	is := is.New(t)
 	_, err := LoadRouter([]string{"--name", "n", "--zone", "", "--region", "r", "--store-address", "127.0.0.1:0",
 		"--zones", "z", "--retry-ratio", "NaN", "--listen-address", "nowhere", "--log-lines", "0",
-		"--readiness-address", "127.0.0.1:7", "--metrics-address", "127.0.0.1:7"})
+		"--readiness-address", "127.0.0.1:7", "--metrics-address", "127.0.0.1:7", "--evacuations", "yes"})
 	is.True(err != nil)
-	for _, key := range []string{"zone:", "store-address:", "zones:", "retry-ratio:", "listen-address:", "log-lines:", "metrics-address:"} {
+	for _, key := range []string{"zone:", "store-address:", "zones:", "retry-ratio:", "listen-address:", "log-lines:", "metrics-address:", "evacuations:"} {
 		is.True(strings.Contains(err.Error(), key)) // every wrong value is named
 	}
 }
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -127,6 +127,15 @@
 	return nil
 }
 
+func boolean(field *bool, text string) error {
+	switch text {
+	case "true", "false":
+		*field = text == "true"
+		return nil
+	}
+	return errors.New("want true or false")
+}
+
 func duration(field *time.Duration, text string, low, high time.Duration) error {
 	parsed, err := time.ParseDuration(text)
 	if err != nil || parsed < low || parsed > high {
