Lists of evacuations are as fresh as the others

Cause: the list of evacuations was allowed to lag. Change: the list does not lag, the watch after it may, as for the other feeds.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -25,8 +25,6 @@
 	Revision Revision
 	// Next is the name after which the state goes on; empty at its end.
 	Next string
-	// Stale is set if the page may lag behind the store.
-	Stale bool
 }
 
 // Changes are what happened to a kind of objects up to a revision.
@@ -54,7 +52,7 @@
 // Feed reads one kind of objects from a store.
 type Feed[T any] interface {
 	// List returns the objects after a name, or the first ones without a name, not
-	// older than the call unless the page says so.
+	// older than the call.
 	List(ctx context.Context, after string) (Page[T], error)
 	Watcher[T]
 }
--- a/internal/catalog/list.go
+++ b/internal/catalog/list.go
@@ -29,10 +29,6 @@
 	f.outage = false
 	f.revision, f.listed = read.Revision, true
 	f.freshAt = begun
-	if read.Stale {
-		// The next watch may not lag.
-		f.freshAt = time.Time{}
-	}
 	return nil
 }
 
