The retry budget counts the sends of the window, in place of a bucket

The rule would allow all retries that were needed, but the bucket of a node held 2.5 tokens and got back 0.36 a second. Ruled out: a lack of the slack itself (a window of all nodes together would have had 430 sends for 325 needed). Change: a budget counts requests and extra sends in 50 slots of the window; in any window a node spends capacity + ratio x requests of the same time. Proof: property tests of one node and of 1 to 70 nodes of unequal load that restart and whose load falls, counted as the users count (1,000 draws), take the place of the bucket's.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -89,7 +89,7 @@
 }
 
 // RefundRetry implements exchange.Servers.
-func (r *run) RefundRetry(service string) { r.dispatcher.directory.RefundRetry(service) }
+func (r *run) RefundRetry(service string) { r.dispatcher.directory.RefundRetry(service, time.Now()) }
 
 func (r *run) noteDeferred(service string, availability endpoints.Availability) {
 	if r.deferred == nil {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -46,6 +46,9 @@
 	spareNodes = 2
 	// retryReserve is kept from the retry ratio: nodes count in windows of their own.
 	retryReserve = 0.02
+	// windowReserve lengthens the window in which extra sends are counted: they arrive
+	// up to a slow connection later than they are counted.
+	windowReserve = 1.02
 	// sweepInterval is how often idle connections are looked at.
 	sweepInterval = time.Second
 	// serversSettle is how long changes of servers gather before they are read.
@@ -192,7 +195,8 @@
 	budget := retrybudget.Limits{
 		Ratio:    max(live.RetryRatio-retryReserve, 0),
 		Capacity: max(live.RetrySlack/float64(count.All+spareNodes), 1),
-		FillAt:   n.started.Add(live.RetryWindow),
+		Window:   time.Duration(windowReserve * float64(live.RetryWindow)),
+		Started:  n.started,
 	}
 	n.directory.Share(budget, endpoints.Sharers{
 		Near:    count.Region + spareNodes/2,
--- a/internal/endpoints/choose.go
+++ b/internal/endpoints/choose.go
@@ -79,7 +79,7 @@
 	switch {
 	case availability != Chosen:
 		return Choice{}, availability
-	case demand.Extra && !d.service(demand.Service).bucket.Take():
+	case demand.Extra && !d.service(demand.Service).extra.Take(d.budget, now):
 		return Choice{}, NoBudget
 	}
 	return d.reserve(best, demand, now), Chosen
@@ -175,7 +175,7 @@
 		Connecting: d.connecting(endpoint),
 		Delay:      demand.Delay,
 		UnderWay:   len(endpoint.underWay),
-		BudgetLeft: d.service(endpoint.Service).bucket.Tokens(),
+		BudgetLeft: d.service(endpoint.Service).extra.Left(d.budget, now),
 		Reserved:   now,
 	}
 	endpoint.begin(now)
--- a/internal/endpoints/directory.go
+++ b/internal/endpoints/directory.go
@@ -44,8 +44,9 @@
 
 // service is what the node keeps of one service.
 type service struct {
-	endpoints      []*Endpoint
-	bucket         retrybudget.Bucket
+	endpoints []*Endpoint
+	// extra counts the sends beyond the first one of each request.
+	extra          retrybudget.Budget
 	maxConnections int
 	// growth is how the list has grown since an outage of the store.
 	growth growth
@@ -196,10 +197,10 @@
 
 // RefundRetry gives back what an extra send has taken off the retry budget: it has
 // not reached a server.
-func (d *Directory) RefundRetry(name string) {
+func (d *Directory) RefundRetry(name string, now time.Time) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.service(name).bucket.Refund(d.budget)
+	d.service(name).extra.Refund(d.budget, now)
 }
 
 // EarnRetries adds the allowance of one request that has arrived to the service's
@@ -207,5 +208,5 @@
 func (d *Directory) EarnRetries(name string, now time.Time) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.service(name).bucket.Earn(d.budget, now)
+	d.service(name).extra.Earn(d.budget, now)
 }
--- a/internal/endpoints/directory_test.go
+++ b/internal/endpoints/directory_test.go
@@ -270,7 +270,7 @@
 func TestRetryBudgetOfAService(t *testing.T) {
 	is := is.New(t)
 	directory := directoryOf(server("a", "near-1"))
-	directory.Share(retrybudget.Limits{Ratio: 0.5, Capacity: 1, FillAt: epoch.Add(time.Hour)}, Sharers{Near: 1, Far: 1}, epoch)
+	directory.Share(retrybudget.Limits{Ratio: 0.5, Capacity: 1, Started: epoch.Add(time.Hour)}, Sharers{Near: 1, Far: 1}, epoch)
 	work := NewEstimate(20 * time.Millisecond)
 	extra := demand(work)
 	extra.Extra = true
--- a/internal/endpoints/hedge.go
+++ b/internal/endpoints/hedge.go
@@ -30,7 +30,7 @@
 	}
 	latest := max(late, demand.Left-hedgeTime(demand.Work.Late(), farTravel))
 	earliest := min(max(late, stalled), latest)
-	return latest - time.Duration(d.service(demand.Service).bucket.Fullness(d.budget)*float64(latest-earliest))
+	return latest - time.Duration(d.service(demand.Service).extra.Fullness(d.budget, now)*float64(latest-earliest))
 }
 
 // hedgeTime returns what a hedge needs.
--- a/internal/retrybudget/retrybudget_test.go
+++ b/internal/retrybudget/retrybudget_test.go
@@ -8,27 +8,51 @@
 	"pgregory.net/rapid"
 )
 
-// In every span of a run, the extra sends stay within capacity + ratio x requests.
+var epoch = time.Unix(1_000_000, 0)
+
+// sent is what one node did: a request, or an extra send beside it.
+type sent struct {
+	at    time.Time
+	extra bool
+}
+
+// within counts the requests and extra sends of a window that ends at the time.
+func within(events []sent, window time.Duration, end time.Time) (requests, extra int) {
+	for _, event := range events {
+		if event.at.After(end) || end.Sub(event.at) >= window {
+			continue
+		}
+		if event.extra {
+			extra++
+		} else {
+			requests++
+		}
+	}
+	return requests, extra
+}
+
+// In every window that ends with an extra send, the extra sends of a node stay within
+// capacity + ratio x requests, whatever the pauses between them.
 func TestEveryWindowIsBounded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		limits := Limits{Ratio: rapid.Float64Range(0, 0.5).Draw(t, "ratio"), Capacity: rapid.Float64Range(1, 20).Draw(t, "capacity")}
-		var bucket Bucket
-		var requests, sends []int
-		requestCount, sendCount := 0, 0
-		for _, isRequest := range rapid.SliceOfN(rapid.Bool(), 1, 200).Draw(t, "events") {
-			if isRequest {
-				requestCount++
-				bucket.Earn(limits, time.Unix(1, 0))
-			} else if bucket.Take() {
-				sendCount++
-			}
-			requests, sends = append(requests, requestCount), append(sends, sendCount)
+		limits := Limits{
+			Ratio:    rapid.Float64Range(0, 0.5).Draw(t, "ratio"),
+			Capacity: rapid.Float64Range(1, 20).Draw(t, "capacity"),
+			Window:   10 * time.Second,
 		}
-		for begin := range sends {
-			for end := begin; end < len(sends); end++ {
-				extra := float64(sends[end] - sends[begin])
-				allowed := limits.Capacity + limits.Ratio*float64(requests[end]-requests[begin])
-				if extra > allowed+1e-9 {
+		var budget Budget
+		var events []sent
+		now := epoch
+		for range rapid.IntRange(1, 300).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 1, 30, 200, 900, 4000}).Draw(t, "pause")) * time.Millisecond)
+			switch {
+			case rapid.Bool().Draw(t, "request"):
+				budget.Earn(limits, now)
+				events = append(events, sent{at: now})
+			case budget.Take(limits, now):
+				events = append(events, sent{at: now, extra: true})
+				requests, extra := within(events, limits.Window, now)
+				if allowed := limits.Capacity + limits.Ratio*float64(requests); float64(extra) > allowed+1e-9 {
 					t.Fatalf("%v extra sends, allowed %v", extra, allowed)
 				}
 			}
@@ -36,36 +60,120 @@
 	})
 }
 
-func TestBucketOfAYoungProcessStartsEmpty(t *testing.T) {
+// All nodes together stay within slack + ratio x requests in every window: nodes of
+// unequal load that stop, start anew, and count each other late. The requests that count
+// are, as for the users, those of the window, of the one before it or of the one half a
+// window before, whichever are the most.
+func TestAllNodesTogetherAreBounded(t *testing.T) {
+	const (
+		slack, ratio, reserve = 170.0, 0.2, 0.02
+		window                = 10 * time.Second
+		step                  = 50 * time.Millisecond
+		spare                 = 2
+	)
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 70).Draw(t, "nodes")
+		greed := rapid.Float64Range(0.3, 3).Draw(t, "wanted sends a request")
+		budgets := make([]Budget, count)
+		limits := make([]Limits, count)
+		load := make([]int, count)
+		for index := range limits {
+			limits[index] = Limits{Ratio: ratio - reserve, Capacity: slack / float64(count+spare), Window: window + window/50}
+			load[index] = rapid.SampledFrom([]int{0, 1, 1, 2, 6}).Draw(t, "load")
+		}
+		var requests, extra [800]int // a step each, 40 seconds
+		fall := rapid.IntRange(100, 700).Draw(t, "the load falls at")
+		for at := range requests {
+			now := epoch.Add(time.Duration(at) * step)
+			if rapid.IntRange(0, 40).Draw(t, "restart") == 0 {
+				index := rapid.IntRange(0, count-1).Draw(t, "restarted")
+				budgets[index], limits[index].Started = Budget{}, now
+			}
+			for index := range budgets {
+				if at > fall && at%10 != 0 || at%(1+index%5) != 0 {
+					continue
+				}
+				for range load[index] {
+					budgets[index].Earn(limits[index], now)
+					requests[at]++
+				}
+				for range int(greed * float64(load[index])) {
+					if budgets[index].Take(limits[index], now) {
+						extra[at]++
+					}
+				}
+			}
+		}
+		check(t, requests[:], extra[:], int(window/step), slack, ratio)
+	})
+}
+
+// check fails if the extra sends of a window are more than all nodes may make together.
+func check(t *rapid.T, requests, extra []int, window int, slack, ratio float64) {
+	sum := func(values []int, end int) (total int) {
+		for index := max(end-window, 0); index < end; index++ {
+			total += values[index]
+		}
+		return total
+	}
+	for end := 1; end <= len(extra); end++ {
+		counted := max(sum(requests, end), sum(requests, max(end-window/2, 0)), sum(requests, max(end-window, 0)))
+		if sent := sum(extra, end); float64(sent) > slack+ratio*float64(counted) {
+			t.Fatalf("%d extra sends in the window before step %d, %d requests", sent, end, counted)
+		}
+	}
+}
+
+// The capacity is there again a window after it was spent, however few requests come.
+func TestCapacityComesBackWithTheWindow(t *testing.T) {
+	is := is.New(t)
+	limits := Limits{Capacity: 3, Window: 10 * time.Second}
+	var budget Budget
+	for range 3 {
+		is.True(budget.Take(limits, epoch))
+	}
+	is.True(!budget.Take(limits, epoch.Add(10*time.Second)))
+	is.True(budget.Take(limits, epoch.Add(10*time.Second+limits.Window/slotsPerWindow)))
+}
+
+func TestBudgetOfAYoungProcessHasNoCapacity(t *testing.T) {
 	is := is.New(t)
-	start := time.Unix(100, 0)
-	limits := Limits{Ratio: 0.1, Capacity: 5, FillAt: start.Add(10 * time.Second)}
-	var bucket Bucket
-	bucket.Earn(limits, start)
-	is.Equal(bucket.Take(), false) // the process before may have spent the slack
-	bucket.Earn(limits, limits.FillAt)
+	limits := Limits{Ratio: 0.1, Capacity: 5, Window: 10 * time.Second, Started: epoch}
+	var budget Budget
+	budget.Earn(limits, epoch)
+	is.Equal(budget.Take(limits, epoch), false) // the process before may have spent the slack
+	later := epoch.Add(limits.Window)
 	for range 5 {
-		is.True(bucket.Take())
+		is.True(budget.Take(limits, later))
 	}
-	is.Equal(bucket.Take(), false)
-	bucket.Earn(limits, limits.FillAt.Add(time.Hour))
-	is.Equal(bucket.Take(), false) // filled only once
+	is.Equal(budget.Take(limits, later), false)
 }
 
-func TestRefundedTokenIsSpentOnce(t *testing.T) {
+func TestRefundedSendIsSpentOnce(t *testing.T) {
 	is := is.New(t)
-	limits := Limits{Ratio: 1, Capacity: 2}
-	var bucket Bucket
-	limits.FillAt = time.Unix(1, 0)
-	bucket.Earn(limits, time.Time{})
-	is.True(bucket.Take())
-	is.Equal(bucket.Fullness(limits), 0.0)
-	bucket.Refund(limits)
-	is.Equal(bucket.Fullness(limits), 0.5)
-	is.True(bucket.Take())
-	is.True(!bucket.Take())
+	limits := Limits{Capacity: 2}
+	var budget Budget
+	is.True(budget.Take(limits, epoch))
+	is.Equal(budget.Fullness(limits, epoch), 0.5)
+	budget.Refund(limits, epoch)
+	is.Equal(budget.Fullness(limits, epoch), 1.0)
+	is.True(budget.Take(limits, epoch))
+	is.True(budget.Take(limits, epoch))
+	is.True(!budget.Take(limits, epoch))
 	for range 5 {
-		bucket.Refund(limits)
+		budget.Refund(limits, epoch)
 	}
-	is.Equal(bucket.Tokens(), limits.Capacity) // never more than a bucket holds
+	is.Equal(budget.Left(limits, epoch), limits.Capacity) // never more than the window allows
+}
+
+// What is refunded is the oldest send that counts: the newer one counts to the end of
+// its window.
+func TestRefundDoesNotShortenTheWindow(t *testing.T) {
+	is := is.New(t)
+	limits := Limits{Capacity: 2, Window: 10 * time.Second}
+	var budget Budget
+	is.True(budget.Take(limits, epoch))
+	is.True(budget.Take(limits, epoch.Add(5*time.Second)))
+	budget.Refund(limits, epoch.Add(6*time.Second))
+	is.Equal(budget.Left(limits, epoch.Add(14*time.Second)), 1.0)
 }
