Servers tell their pace; what they do not explain is still learned

Cause: a node makes one or two requests a second to a shard, so that it took seconds to learn which servers are slow, while each answer tells it (pace 1000 for servers that are slowed tenfold). Change: the told pace multiplies the learned slowness, and what is observed is learned in units of what was told: a server that hangs, or tells another pace than it has, is found out as before, and one that tells too slow a pace gets requests again. The time of work is learned in the usual pace.

--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -61,6 +61,7 @@
 		slog.String("result", end.reply.Kind.String()),
 		slog.String("verdict", end.reply.Verdict.String()),
 		slog.Int("status", end.reply.Status),
+		slog.Float64("pace", end.reply.Load.Pace),
 	}
 	if end.reply.Err != nil {
 		attrs = append(attrs, slog.String("cause", end.reply.Err.Error()))
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -175,6 +175,7 @@
 		Permitted: func() bool { return r.dispatcher.directory.Open(choice.Endpoint) },
 	})
 	choice.Delay = max(choice.Delay, r.dispatcher.delay())
+	r.dispatcher.directory.NoteLoad(choice, reply.Load, time.Now())
 	r.dispatcher.directory.Finish(choice, r.estimate, result(reply), time.Now())
 	select {
 	case r.replies <- ended{id: send.ID, reason: send.Reason, reply: reply}:
--- a/internal/endpoints/choose.go
+++ b/internal/endpoints/choose.go
@@ -224,8 +224,9 @@
 	endpoint := choice.Endpoint
 	endpoint.end(choice.Reserved)
 	elapsed := now.Sub(choice.Reserved) - d.topology.RoundTrip(endpoint.Zone) - choice.Connecting - waitingSteps*choice.Delay
+	elapsed = time.Duration(float64(elapsed) / endpoint.pace.current(now))
 	if result == ResultAnswered {
-		estimate.observe(elapsed, endpoint.currentSlowness(now) >= slowRatio)
+		estimate.observe(elapsed, endpoint.learnedSlowness(now) >= slowRatio)
 	}
 	ratio := float64(elapsed) / float64(max(estimate.Mean(), time.Millisecond))
 	if result == ResultAnswered || result == ResultRefused {
--- a/internal/endpoints/endpoint.go
+++ b/internal/endpoints/endpoint.go
@@ -49,6 +49,9 @@
 	slowness   float64
 	slownessAt time.Time
 	halfLife   time.Duration
+	// pace is what the server tells of its own speed. What is learned besides is what
+	// it does not explain: servers that hang, or tell another pace than they have.
+	pace pace
 	// ratio is the latest observation that was independent of the one before it,
 	// ratioAt when it was made.
 	ratio     float64
@@ -90,11 +93,17 @@
 	e.goneAt = time.Time{}
 }
 
-// currentSlowness returns the learned slowness, forgotten in part.
-func (e *Endpoint) currentSlowness(now time.Time) float64 {
+// learnedSlowness returns the learned slowness, forgotten in part.
+func (e *Endpoint) learnedSlowness(now time.Time) float64 {
 	age := now.Sub(e.slownessAt)
 	kept := math.Exp2(-float64(age) / float64(e.halfLife))
-	slowness := 1 + (e.slowness-1)*kept
+	return 1 + (e.slowness-1)*kept
+}
+
+// currentSlowness returns how many times the usual time the server is expected to take,
+// by what it tells and what is learned of it.
+func (e *Endpoint) currentSlowness(now time.Time) float64 {
+	slowness := e.learnedSlowness(now) * e.pace.current(now)
 	if e.cold(now) {
 		slowness = max(slowness, coldFactor)
 	}
@@ -107,7 +116,7 @@
 // first had ended counts in full.
 func (e *Endpoint) learn(ratio float64, sent, now time.Time) {
 	ratio = min(max(ratio, 0.25), maximumSlowness)
-	current := e.currentSlowness(now)
+	current := e.learnedSlowness(now)
 	e.slowness = current + slownessWeight*(ratio-current)
 	e.slownessAt = now
 	if sent.Before(e.ratioAt) {
@@ -135,7 +144,7 @@
 // learnAtLeast is learn for a request that was given up: the true ratio is not
 // below the one observed.
 func (e *Endpoint) learnAtLeast(ratio float64, sent, now time.Time) {
-	if ratio > e.currentSlowness(now) {
+	if ratio > e.learnedSlowness(now) {
 		e.learn(ratio, sent, now)
 	}
 }
@@ -144,7 +153,7 @@
 func (e *Endpoint) predict(work time.Duration, now time.Time) time.Duration {
 	slowness := e.currentSlowness(now)
 	if e.probed() {
-		slowness = max(slowness, e.slowness)
+		slowness = max(slowness, e.slowness*max(e.pace.told, 1))
 	}
 	expected := float64(work) * slowness
 	predicted := time.Duration(expected * (1 + e.queueing()))
--- a/internal/upstream/doc.go
+++ b/internal/upstream/doc.go
@@ -24,6 +24,8 @@
 	NotExecuted string
 	// Seal is the server's signature of its answer.
 	Seal string
+	// Load tells how busy the server is.
+	Load string
 }
 
 // Field is one header field.
@@ -99,6 +101,8 @@
 	Seal   string
 	Fields []Field
 	Body   []byte
+	// Load is what the server has told of itself.
+	Load Load
 	// Err is the cause of a failure, for logs.
 	Err error
 }
--- a/internal/upstream/receive.go
+++ b/internal/upstream/receive.go
@@ -76,6 +76,7 @@
 		Verdict: verdict.Ran,
 		Status:  response.StatusCode(),
 		Seal:    string(response.Header.Peek(c.headers.Seal)),
+		Load:    parseLoad(string(response.Header.Peek(c.headers.Load))),
 	}
 	switch {
 	case reply.Status == fasthttp.StatusMisdirectedRequest:
