Servers that fail a part of their requests are not asked first

A server was avoided for 250 ms after a failure, less than the half second between two requests of a node to it. Change: a moving average of the share of failures of each server (lost, reset and spoiled answers, errors of its own) counts in the choice: what is expected to be lost is that part of the time until the target, and such a server is not preferred for being near. Where all servers fail alike, nothing changes. An error of a server is no answer that teaches the time of work.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/driftstage/driftstage/internal/endpoints"
@@ -183,10 +184,19 @@
 	}
 }
 
+// answered tells an error of the server from other answers. A server that stops at the
+// deadline that it was given has not erred.
+func answered(status int) endpoints.Result {
+	if status >= http.StatusInternalServerError && status != http.StatusGatewayTimeout {
+		return endpoints.ResultErred
+	}
+	return endpoints.ResultAnswered
+}
+
 func result(reply upstream.Reply) endpoints.Result {
 	switch reply.Kind {
 	case upstream.Answered:
-		return endpoints.ResultAnswered
+		return answered(reply.Status)
 	case upstream.Refused:
 		return endpoints.ResultRefused
 	case upstream.Withheld:
--- a/internal/endpoints/choose.go
+++ b/internal/endpoints/choose.go
@@ -145,7 +145,7 @@
 )
 
 func (d *Directory) cost(endpoint *Endpoint, demand Demand, now time.Time) time.Duration {
-	cost := d.expected(endpoint, demand, now)
+	cost := d.expected(endpoint, demand, now) + endpoint.failures.cost(demand.Left, now)
 	if !d.preferred(endpoint, demand, now) {
 		cost += farCost
 	}
@@ -162,7 +162,7 @@
 	if endpoint.currentSlowness(now) >= slowRatio {
 		share = slowNearShare
 	}
-	return d.topology.Near(endpoint.Zone) &&
+	return d.topology.Near(endpoint.Zone) && endpoint.failures.current(now) < unreliableShare &&
 		d.expected(endpoint, demand, now) <= time.Duration(share*float64(demand.Left))
 }
 
@@ -200,6 +200,8 @@
 const (
 	// ResultAnswered is a whole answer.
 	ResultAnswered Result = iota
+	// ResultErred is a whole answer that tells of an error of the server.
+	ResultErred
 	// ResultRefused is a refusal by the server: nothing ran.
 	ResultRefused
 	// ResultFailed is a connection that failed or bytes that are no answer.
@@ -235,7 +237,12 @@
 	switch result {
 	case ResultAnswered:
 		endpoint.succeeded(now)
+		endpoint.failures.note(false, now)
 		endpoint.learn(ratio, choice.Reserved, now)
+	case ResultErred:
+		// What an error takes is no time of work.
+		endpoint.succeeded(now)
+		endpoint.failures.note(true, now)
 	case ResultAbandoned:
 		endpoint.learnAtLeast(ratio, choice.Reserved, now)
 		if endpoint.silentSince(choice.Reserved) {
@@ -245,8 +252,10 @@
 		endpoint.refused(now)
 	case ResultReset:
 		endpoint.resetConnection(now)
+		endpoint.failures.note(true, now)
 	case ResultFailed:
 		endpoint.failed(now)
+		endpoint.failures.note(true, now)
 	case ResultUnreachable:
 		endpoint.failed(now)
 		endpoint.backoffUntil = now.Add(maximumBackoff)
