Zones that are out of reach are not asked, and not waited for

Change: three servers of a zone that are silent for 250 ms, with no sign of life from any other there, put the zone out of reach. Nothing is chosen there, so that a request which needs it is refused before it is sent, with when to come back; a gathered request that waits for such servers alone fails at once. A request for one server is waited for: it may be at work. Probes (connections, no request) find the way again within 0.4 s. A node that hears of no other zone is not ready, so that the platform sends callers to the next zones.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -89,6 +89,11 @@
 	return choice, availability
 }
 
+// OutOfReach implements exchange.Servers.
+func (r *run) OutOfReach(endpoint *endpoints.Endpoint) bool {
+	return r.dispatcher.directory.OutOfReach(endpoint, time.Now())
+}
+
 // RefundRetry implements exchange.Servers.
 func (r *run) RefundRetry(service string) { r.dispatcher.directory.RefundRetry(service, time.Now()) }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -158,6 +158,7 @@
 	starter := peers.Starter{Addresses: func() []string { return n.live.Load().Seeds }, Known: n.state.complete, Adopt: n.state.adoptSnapshot}
 	tasks.Go(func() { starter.Run(ctx) })
 	tasks.Go(func() { n.sweep(ctx) })
+	tasks.Go(func() { n.probe(ctx) })
 	tasks.Go(func() { n.load.Run(ctx) })
 }
 
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -74,6 +74,7 @@
 		{"log", "dropped_lines_count", "Log lines lost to a slow reader since the start.", logs.dropped},
 		{"store", "tables_age_seconds", "Time since the configuration was last read.", func() float64 { return m.age(feedTables) }},
 		{"server", "evacuated_zones_count", "Zones whose servers get nothing new.", func() float64 { return float64(len(node.directory.Evacuated())) }},
+		{"server", "silent_zones_count", "Zones that are out of reach.", func() float64 { return float64(len(node.directory.SilentZones())) }},
 		{"store", "servers_age_seconds", "Time since the servers were last read.", func() float64 { return m.age(feedServers) }},
 	} {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -59,6 +59,8 @@
 		return "the servers are not known yet"
 	case s.load.Busy() > 0:
 		return "the node is overloaded"
+	case s.directory.CutOff(time.Now()):
+		return "no other zone is in reach"
 	}
 	return ""
 }
--- a/internal/endpoints/choose.go
+++ b/internal/endpoints/choose.go
@@ -225,6 +225,9 @@
 	defer d.mutex.Unlock()
 	endpoint := choice.Endpoint
 	endpoint.end(choice.Reserved)
+	if result.heard() {
+		d.reach(endpoint.Zone).hear(now)
+	}
 	elapsed := now.Sub(choice.Reserved) - d.topology.RoundTrip(endpoint.Zone) - choice.Connecting - waitingSteps*choice.Delay
 	elapsed = time.Duration(float64(elapsed) / endpoint.pace.current(now))
 	if result == ResultAnswered {
--- a/internal/endpoints/directory.go
+++ b/internal/endpoints/directory.go
@@ -39,7 +39,9 @@
 	byID      map[string]*Endpoint
 	// evacuated are the zones whose servers get nothing new.
 	evacuated map[string]bool
-	services  map[string]*service
+	// reaches are the ways to the zones.
+	reaches  map[string]*reach
+	services map[string]*service
 }
 
 // service is what the node keeps of one service.
@@ -63,6 +65,7 @@
 		sharers:     Sharers{Near: 1, Far: 1},
 		byID:        make(map[string]*Endpoint),
 		evacuated:   make(map[string]bool),
+		reaches:     make(map[string]*reach),
 		services:    make(map[string]*service),
 	}
 }
--- a/internal/endpoints/places.go
+++ b/internal/endpoints/places.go
@@ -20,9 +20,9 @@
 }
 
 // allowed reports whether requests of the route may be sent to where the server
-// stands. A zone whose region is not known is in none of a route's regions.
+// stands, and whether there is a way. A zone whose region is not known is in none of a route's regions.
 func (d *Directory) allowed(endpoint *Endpoint, route *routing.Route) bool {
-	if d.evacuated[endpoint.Zone] {
+	if d.evacuated[endpoint.Zone] || d.reach(endpoint.Zone).silent() {
 		return false
 	}
 	if route == nil || len(route.Regions) == 0 {
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -12,6 +12,9 @@
 	// retryPause is how long a shard waits for a server or for retry budget
 	// before it looks again.
 	retryPause = 20 * time.Millisecond
+	// reachPause is how long a shard that waits for its last attempts waits before it
+	// looks whether their servers are still in reach.
+	reachPause = 100 * time.Millisecond
 	// maximumUnsent bounds the attempts of a shard for which no connection came up.
 	maximumUnsent = 8
 	// refusalShare is the part of the target within which a request that no
@@ -146,6 +149,8 @@
 		c.send(index, ReasonRetry, now, batch)
 	case c.mayHedge(shard) && shard.late(now):
 		c.send(index, ReasonHedge, now, batch)
+	case shard.late(now) && c.cutOff(shard):
+		shard.lost = true
 	default:
 		shard.nextAt = c.nextLook(shard, now)
 	}
@@ -174,9 +179,29 @@
 	if c.mayHedge(shard) {
 		return max(shard.lateAt(), now)
 	}
+	if c.plan.Gather {
+		return max(shard.lateAt(), now+reachPause)
+	}
 	return c.plan.Deadline
 }
 
+// cutOff reports whether there is no way to any server that a shard waits for: its part
+// is not waited for. A whole request is: its server may be at work on it.
+func (c *Core) cutOff(shard *shard) bool {
+	if !c.plan.Gather {
+		return false
+	}
+	cut := true
+	for index := range shard.attempts {
+		attempt := &shard.attempts[index]
+		// Each server is asked for: its silence tells of the way to its zone.
+		if !attempt.finished && !c.servers.OutOfReach(attempt.choice.Endpoint) {
+			cut = false
+		}
+	}
+	return cut
+}
+
 func (c *Core) send(index int, reason Reason, now time.Duration, batch *Batch) {
 	shard := &c.shards[index]
 	extra := shard.arrivals() > 0
@@ -196,9 +221,11 @@
 }
 
 // wait puts off a send for which there is no server or no budget. A shard with
-// nothing under way that has waited in vain for long enough is lost.
+// nothing under way, or out of reach alone, that has waited in vain for long enough is
+// lost.
 func (c *Core) wait(shard *shard, availability endpoints.Availability, now time.Duration) {
-	if shard.underWay() == 0 && now >= c.patience(shard, availability) {
+	waiting := shard.underWay() > 0 && !(availability == endpoints.NoServer && c.cutOff(shard))
+	if !waiting && now >= c.patience(shard, availability) {
 		shard.lost = true
 		c.withoutBudget = c.withoutBudget || availability == endpoints.NoBudget
 		return
--- a/internal/exchange/core_test.go
+++ b/internal/exchange/core_test.go
@@ -314,3 +314,28 @@
 	waiting := New(singlePlan(true), &fleet{settling: true})
 	is.True(waiting.Start(0).Outcome == nil)
 }
+
+// What was sent to where there is no way any more is not waited for to the deadline: a
+// gathered request fails, or is answered without it, once that is known. A request for
+// one server is waited for: it may be at work, and must not be sent again.
+func TestShardsThatAreCutOffAreNotWaitedFor(t *testing.T) {
+	for _, attempts := range []int{1, 2} {
+		is := is.New(t)
+		servers := &fleet{servers: map[string]int{"a": 1, "b": 1}, budget: 9}
+		plan := gatherPlan("a", "b")
+		plan.MaximumAttempts = attempts
+		core := New(plan, servers)
+		core.Start(0)
+		is.True(core.Reply(AttemptID{Shard: 1}, answered(200), testLateAfter/2).Outcome == nil)
+		is.True(core.Tick(2*testTarget).Outcome == nil)
+		servers.cut = true
+		batch := core.Tick(2*testTarget + reachPause)
+		is.True(batch.Outcome != nil)
+		is.Equal(batch.Outcome.Status, StatusFailed)
+		is.Equal(batch.Outcome.Cause, CauseShardsLost)
+	}
+	is := is.New(t)
+	core := New(singlePlan(false), &fleet{servers: map[string]int{"a": 1}, cut: true})
+	core.Start(0)
+	is.True(core.Tick(2*testTarget).Outcome == nil)
+}
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -59,6 +59,8 @@
 	// Choose reserves a server other than the ones tried. An extra send, one
 	// beyond the first, is taken off the retry budget of the service.
 	Choose(service string, tried []*endpoints.Endpoint, extra bool) (endpoints.Choice, endpoints.Availability)
+	// OutOfReach reports whether there is no way to the zone of a server.
+	OutOfReach(endpoint *endpoints.Endpoint) bool
 	// RefundRetry gives back what an extra send took off the retry budget.
 	RefundRetry(service string)
 }
--- a/internal/exchange/world_test.go
+++ b/internal/exchange/world_test.go
@@ -30,6 +30,8 @@
 	lateAfter time.Duration
 	// settling is set while servers may be missing in the list.
 	settling bool
+	// cut is set while there is no way to the servers.
+	cut bool
 	// growing is set while they come one by one.
 	growing bool
 	// pressed is set while servers refuse work, fresh while nothing is known of them.
@@ -63,6 +65,8 @@
 	return endpoints.Choice{Endpoint: &endpoints.Endpoint{}, LateAfter: cmp.Or(f.lateAfter, testLateAfter)}, endpoints.Chosen
 }
 
+func (f *fleet) OutOfReach(*endpoints.Endpoint) bool { return f.cut }
+
 func (f *fleet) RefundRetry(string) {
 	f.budget++
 	f.extra--
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -70,6 +70,17 @@
 	return reply
 }
 
+// Reaches reports whether there is a way to the address; that nobody listens there
+// shows one, too.
+func (c *Client) Reaches(ctx context.Context, address string) bool {
+	conn, err := c.dialer.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return errors.Is(err, unix.ECONNREFUSED) || errors.Is(err, unix.ECONNRESET)
+	}
+	_ = conn.Close()
+	return true
+}
+
 func (c *Client) connect(ctx context.Context, call Call) (*connection, error) {
 	now := time.Now()
 	if conn := c.pool.take(call.ServerID, now); conn != nil {
--- a/internal/upstream/unsent_test.go
+++ b/internal/upstream/unsent_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"net"
 	"os"
 	"testing"
@@ -24,3 +25,17 @@
 		is.New(t).Equal(unconnectedKind(err), test.want)
 	}
 }
+
+// An address is in reach if something answers there, be it that nobody listens.
+func TestReach(t *testing.T) {
+	is := is.New(t)
+	client := NewClient(Headers{})
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	is.True(client.Reaches(t.Context(), listener.Addr().String()))
+	listener.Close()
+	is.True(client.Reaches(t.Context(), listener.Addr().String()))
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	is.True(!client.Reaches(ended, listener.Addr().String()))
+}
