--- a/bench/regression.sh
+++ b/bench/regression.sh
@@ -9,6 +9,7 @@
 
 # Days to hunt: 40, or 8 on deployments of 60 machines or more.
 deployments=(
+  shifted/gzebi-drift-now-grown:8
   large/gzebi-drift-large:8
   large/kfl-soeg-large:8
   further/trpoa-refill:40
--- a/internal/endpoints/choose.go
+++ b/internal/endpoints/choose.go
@@ -229,6 +229,7 @@
 		d.reach(endpoint.Zone).hear(now)
 	}
 	elapsed := now.Sub(choice.Reserved) - d.topology.RoundTrip(endpoint.Zone) - choice.Connecting - waitingSteps*choice.Delay
+	// What the told pace explains is neither work nor slowness.
 	elapsed = time.Duration(float64(elapsed) / endpoint.pace.current(now))
 	if result == ResultAnswered {
 		estimate.observe(elapsed, endpoint.learnedSlowness(now) >= slowRatio)
--- a/internal/endpoints/cold.go
+++ b/internal/endpoints/cold.go
@@ -12,6 +12,10 @@
 	// coldTurnTime is how long a node's turn lasts. Turns that went unused do not add
 	// up: many nodes would use them together.
 	coldTurnTime = 400 * time.Millisecond
+	// shortestTurn and longestTurn bound the time between two turns of a node, whatever
+	// rate is configured.
+	shortestTurn = time.Millisecond
+	longestTurn  = time.Hour
 )
 
 // chill notes that the server is cold for so long.
@@ -51,7 +55,8 @@
 // long ago it began.
 func (d *Directory) turn(endpoint *Endpoint, rate float64, now time.Time) (int64, time.Duration) {
 	nodes := max(d.sharers.Near+d.sharers.Far, 1)
-	period := time.Duration(float64(nodes) / (coldShare * rate) * float64(time.Second))
+	seconds := float64(nodes) / (coldShare * rate)
+	period := time.Duration(min(max(seconds, shortestTurn.Seconds()), longestTurn.Seconds()) * float64(time.Second))
 	offset := time.Duration(fraction(d.rank(endpoint.Server)) * float64(period))
 	since := now.Sub(d.knownSince) + offset
 	return int64(since/period) + 1, since % period
--- a/internal/endpoints/cold_test.go
+++ b/internal/endpoints/cold_test.go
@@ -136,3 +136,12 @@
 	directory.Put(known, epoch.Add(2*time.Second))
 	is.True(!endpoint.cold(epoch.Add(3500 * time.Millisecond)))
 }
+
+// No rate that an operator may write stops the node.
+func TestAnyColdRateHasTurns(t *testing.T) {
+	for _, rate := range []float64{1e-300, 1e-9, 1, 1e9, 1e300} {
+		directory := nodeAmong(t, "a", 60, rate, coldServer("cold"))
+		_, elapsed := directory.turn(directory.byID["cold"], rate, epoch.Add(time.Minute))
+		is.New(t).True(elapsed >= 0)
+	}
+}
--- a/internal/endpoints/endpoint.go
+++ b/internal/endpoints/endpoint.go
@@ -59,8 +59,8 @@
 	coldUntil time.Time
 	// coldTurn is this node's turn in which it sent a request to the cold server last.
 	coldTurn int64
-	// silences is how many failures came in a row.
-	silences     int
+	// streak is how many failures came in a row; failures is the share of them.
+	streak       int
 	failures     failures
 	backoffUntil time.Time
 	// crowdedUntil is until when no new connection is opened.
@@ -200,7 +200,7 @@
 func (e *Endpoint) probed() bool { return len(e.underWay) > 0 }
 
 func (e *Endpoint) backsOff(now time.Time) bool {
-	return now.Before(e.backoffUntil) || e.silences > 0 && e.probed()
+	return now.Before(e.backoffUntil) || e.streak > 0 && e.probed()
 }
 
 // open reports whether the server may get new requests.
@@ -256,13 +256,13 @@
 
 func (e *Endpoint) succeeded(now time.Time) {
 	e.answeredAt = now
-	e.silences = 0
+	e.streak = 0
 	e.backoffUntil = time.Time{}
 }
 
 func (e *Endpoint) failed(now time.Time) {
-	backoff := min(firstBackoff<<min(e.silences, 8), maximumBackoff)
-	e.silences++
+	backoff := min(firstBackoff<<min(e.streak, 8), maximumBackoff)
+	e.streak++
 	e.backoffUntil = now.Add(backoff)
 }
 
--- a/internal/endpoints/failures.go
+++ b/internal/endpoints/failures.go
@@ -16,7 +16,8 @@
 	// unreliableShare is the share of failures from which a near server is not preferred
 	// any more. It takes two good answers, or a half-life, after a single failure.
 	unreliableShare = 0.16
-	// leastFailureCost is what a failed attempt costs a request that has no time left.
+	// leastFailureCost is what a failed attempt costs a request that has no time left:
+	// about what a second attempt in another region takes.
 	leastFailureCost = 100 * time.Millisecond
 )
 
