The test of whole requests that are cut off looks at each step until the deadline

It did not fail where a whole request is given up with its shards' servers out of reach: nothing looked between two distant moments. It does now (mutation played).

--- a/internal/exchange/core_test.go
+++ b/internal/exchange/core_test.go
@@ -334,8 +334,11 @@
 		is.Equal(batch.Outcome.Status, StatusFailed)
 		is.Equal(batch.Outcome.Cause, CauseShardsLost)
 	}
-	is := is.New(t)
-	core := New(singlePlan(false), &fleet{servers: map[string]int{"a": 1}, cut: true})
-	core.Start(0)
-	is.True(core.Tick(2*testTarget).Outcome == nil)
+	for _, repeatable := range []bool{true, false} {
+		core := New(singlePlan(repeatable), &fleet{servers: map[string]int{"a": 1}, budget: 9, cut: true})
+		core.Start(0)
+		for now := testLateAfter; now < testDeadline; now += reachPause {
+			is.New(t).True(core.Tick(now).Outcome == nil)
+		}
+	}
 }
