A reconciliation that began before a deletion does not take the deletion back

Cause: a worker takes the object from the cache, the watch then shows its end (record.deleted is set), and the worker's look at the situation cleared the mark. Its write got 404, and the next one found nothing to bury: the service stayed in force though its resource was deleted past the finalizer. Change: the mark is cleared only by an object that is newer than the deletion.

--- a/internal/controller/cache.go
+++ b/internal/controller/cache.go
@@ -38,7 +38,7 @@
 	if found && version(held) > version(object) {
 		return
 	}
-	if deletedAt := cache.deleted[object.Metadata.Name]; deletedAt > 0 && version(object) <= deletedAt {
+	if cache.endedAfter(object) {
 		return
 	}
 	cache.objects[object.Metadata.Name] = object
@@ -60,6 +60,20 @@
 	delete(cache.objects, name)
 }
 
+// deletedSince reports whether the Object API has deleted the object after this version
+// of it.
+func (cache *cache) deletedSince(object *v1.QueryServiceObject) bool {
+	cache.mutex.Lock()
+	defer cache.mutex.Unlock()
+	return cache.endedAfter(object)
+}
+
+// endedAfter is deletedSince with the lock held.
+func (cache *cache) endedAfter(object *v1.QueryServiceObject) bool {
+	deletedAt := cache.deleted[object.Metadata.Name]
+	return deletedAt > 0 && version(object) <= deletedAt
+}
+
 // replace takes in a whole list; objects seen in a newer version stay.
 func (cache *cache) replace(items []v1.QueryServiceObject) {
 	listed := make(map[string]bool, len(items))
--- a/internal/controller/cache_test.go
+++ b/internal/controller/cache_test.go
@@ -33,3 +33,16 @@
 	cache.put(objectAt("third"))
 	is.Equal(cache.get("fleet").Metadata.ResourceVersion, "third")
 }
+
+// A reconciliation that took the object just before the watch told of its end must not
+// take the end back; an object that was made anew does.
+func TestObjectTakenBeforeItsEndHasEnded(t *testing.T) {
+	is := is.New(t)
+	cache := newCache()
+	taken := objectAt("5")
+	cache.put(taken)
+	is.True(!cache.deletedSince(taken))
+	cache.delete(objectAt("6"))
+	is.True(cache.deletedSince(taken))
+	is.True(!cache.deletedSince(objectAt("7")))
+}
--- a/internal/controller/reconcile.go
+++ b/internal/controller/reconcile.go
@@ -89,7 +89,8 @@
 	result := &situation{knownRevision: leader.controller.options.Known.Revision(name)}
 	due := false
 	leader.update(name, func(record *record) {
-		record.deleted = false
+		// The object may have been taken from the cache just before the watch showed its end.
+		record.deleted = record.deleted && leader.cache.deletedSince(object)
 		result.sinceReport = now.Sub(record.reportedAt)
 		if record.tombstoneUID == object.Metadata.UID {
 			result.tombstone = record.tombstone
