--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -89,3 +89,10 @@
 	Resumed()
 	Apply(change Change[T])
 }
+
+// RevisionSink is a sink that wants to know how current it is.
+type RevisionSink interface {
+	// Reached is told, after the changes themselves, that the sink holds all of them up
+	// to a revision, as the store told at the given time.
+	Reached(revision Revision, told time.Time)
+}
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -172,6 +172,14 @@
 		f.sink.Apply(change)
 	}
 	f.revision = max(f.revision, changes.Revision)
+	f.noteReached(time.Now().Add(-changes.Age))
+}
+
+// noteReached tells the sink how current it is, if it wants to know.
+func (f *Follower[T]) noteReached(told time.Time) {
+	if sink, wants := f.sink.(RevisionSink); wants {
+		sink.Reached(f.revision, told)
+	}
 }
 
 // followed reports whether other nodes follow this one.
--- a/internal/catalog/list.go
+++ b/internal/catalog/list.go
@@ -29,6 +29,7 @@
 	f.outage = false
 	f.revision, f.listed = read.Revision, true
 	f.freshAt = begun
+	f.noteReached(begun)
 	return nil
 }
 
--- /dev/null
+++ b/internal/rollout/order.go
@@ -0,0 +1,127 @@
+// Package rollout moves the traffic of a service from servers of one version to
+// servers of another, step by step, and back at once when the new version turns out
+// to be bad.
+//
+// Operators write an Order. All nodes of the query tier follow the orders; each
+// sends a small, bounded share of its requests to the new version (Exposure), keeps
+// what came of it beside what came of the old one (Evidence) and reports that to the
+// node that decides. The decider pools the reports (Pool), judges them (Judge) and
+// writes the next Status on condition that nobody else has written meanwhile. What
+// the status says is what all nodes do. See docs/design/rollouts.md.
+package rollout
+
+import (
+	"time"
+
+	"github.com/driftstage/driftstage/internal/catalog"
+)
+
+// Version names a version of a service's software.
+type Version string
+
+// ServerID names one incarnation of a server.
+type ServerID string
+
+// Order asks to move the traffic of a service to servers of a version.
+type Order struct {
+	Service string
+	Target  Version
+	// Duration is the time from the order within which the traffic has to be moved.
+	Duration time.Duration
+	// Created is the store's revision at which the order came, Revision the one of its
+	// latest change, which is the condition of the next write.
+	Created, Revision catalog.Revision
+	Status            Status
+}
+
+// Key tells orders apart: an object of the same name that is made anew, or that asks
+// for another version, is another order.
+type Key struct {
+	Service string
+	Target  Version
+	Created catalog.Revision
+}
+
+// Key returns what names the order.
+func (o Order) Key() Key { return Key{Service: o.Service, Target: o.Target, Created: o.Created} }
+
+// Current returns the status as far as it is about this order: a status that names
+// another version belongs to an earlier one.
+func (o Order) Current() Status {
+	if o.Status.State == StateNone || o.Status.Target != o.Target {
+		return Status{Target: o.Target}
+	}
+	return o.Status
+}
+
+// Ended reports whether nothing more happens to the order.
+func (o Order) Ended() bool {
+	state := o.Current().State
+	return state == StateCompleted || state == StateRolledBack
+}
+
+// State is how far an order is, for operators.
+type State uint8
+
+const (
+	// StateNone is an order that nobody has answered yet.
+	StateNone State = iota
+	// StateRunning is an order that is being carried out.
+	StateRunning
+	// StateCompleted means that all traffic goes to the new version.
+	StateCompleted
+	// StateRolledBack means that no traffic goes to the new version.
+	StateRolledBack
+)
+
+var stateNames = [...]string{"none", "running", "completed", "rolled_back"}
+
+// String returns the name used in logs and metrics.
+func (s State) String() string { return stateNames[s] }
+
+// Stage is how much of the traffic a running order gives to the new version.
+type Stage uint8
+
+const (
+	// StageWaiting gives it nothing: no server of the new version is ready.
+	StageWaiting Stage = iota
+	// StageCanary gives it a thin share, spread over its servers.
+	StageCanary
+	// StageLoad gives it what is left of the allowed exposure in a short time, one
+	// server after the other, so that each works as hard as it will have to.
+	StageLoad
+	// StageShift gives it a part of all requests.
+	StageShift
+	// StageWhole gives it all requests.
+	StageWhole
+)
+
+var stageNames = [...]string{"waiting", "canary", "load", "shift", "whole"}
+
+// String returns the name used in logs and metrics.
+func (s Stage) String() string { return stageNames[s] }
+
+// Status is the answer to an order, as it lies in the store. Only nodes of the query
+// tier write it, each time on condition of the order's revision.
+type Status struct {
+	State State
+	// Target is the version that the status is about.
+	Target Version
+	Stage  Stage
+	// Elapsed is for how long the order had run when the status was written. It
+	// outlasts all processes, and no time of day is needed to go on from it.
+	Elapsed time.Duration
+}
+
+// Bounds are what a deployment allows a version that turns out to be bad.
+type Bounds struct {
+	// Share of all requests of the service, from the order to its deadline, that it may
+	// get, and Slack requests besides.
+	Share float64
+	Slack float64
+	// RollBack is the time after its 50th bad answer from which it gets nothing.
+	RollBack time.Duration
+}
+
+// Enabled reports whether the deployment has roll-outs at all.
+func (b Bounds) Enabled() bool { return b.RollBack > 0 }
--- /dev/null
+++ b/internal/rollout/transport.go
@@ -0,0 +1,9 @@
+package rollout
+
+import "context"
+
+// Transport carries reports between nodes.
+type Transport interface {
+	// Send hands a report to the node at the address (IP:port) and returns its rulings.
+	Send(ctx context.Context, address string, report Report) ([]Ruling, error)
+}
