--- /dev/null
+++ b/internal/rollout/tracker_test.go
@@ -0,0 +1,105 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/driftstage/driftstage/internal/catalog"
+)
+
+var testBounds = Bounds{Share: 0.1, Slack: 50, RollBack: 5 * time.Second}
+
+// runningOrder is an order that was answered, in a stage.
+func runningOrder(revision catalog.Revision, stage Stage) Order {
+	return Order{
+		Service: "s", Target: "v2", Duration: 20 * time.Second, Created: 10, Revision: revision,
+		Status: Status{State: StateRunning, Target: "v2", Stage: stage},
+	}
+}
+
+// exposes reports whether one of so many requests may go to the target.
+func exposes(tracker *Tracker, now time.Time) bool {
+	for range 100 {
+		tracker.Request("s")
+		if tracker.Admit(Ask{Service: "s", Repeatable: true}, now).Allows(Candidate{ID: "new", Version: "v2", Created: 20}) {
+			return true
+		}
+	}
+	return false
+}
+
+func TestExposureEnds(t *testing.T) {
+	start := time.Now()
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	tests := []struct {
+		name    string
+		happens func(tracker *Tracker)
+		now     time.Time
+		exposed bool
+	}{
+		{"the store told just now", func(*Tracker) {}, at(0.1), true},
+		{"nothing was heard for long", func(*Tracker) {}, at(4.1), false},
+		{"the store told again", func(tracker *Tracker) { tracker.Reached(21, at(4)) }, at(4.1), true},
+		{"rolled back", func(tracker *Tracker) {
+			order := runningOrder(22, StageShift)
+			order.Status.State = StateRolledBack
+			tracker.Put(order, at(0.1))
+		}, at(0.2), false},
+		{"halted by a ruling", func(tracker *Tracker) { tracker.Halt(runningOrder(20, StageShift).Key()) }, at(0.2), false},
+		{"withdrawn", func(tracker *Tracker) { tracker.Remove("s") }, at(0.2), false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			tracker := NewTracker(testBounds)
+			tracker.Reached(20, start)
+			tracker.Put(runningOrder(20, StageShift), start)
+			test.happens(tracker)
+			is.Equal(exposes(tracker, test.now), test.exposed)
+		})
+	}
+}
+
+// TestEndedStays: what is known of an order never goes back, whatever comes late.
+func TestEndedStays(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	tracker := NewTracker(testBounds)
+	tracker.Reached(20, now)
+	ended := runningOrder(30, StageLoad)
+	ended.Status.State = StateRolledBack
+	tracker.Put(ended, now)
+	tracker.Put(runningOrder(25, StageWhole), now) // older
+	is.True(!exposes(tracker, now))
+	tracker.Replace([]Order{runningOrder(25, StageWhole)}, now) // an old list
+	is.True(!exposes(tracker, now))
+}
+
+func TestElapsedGoesOnFromTheStatus(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	tracker := NewTracker(testBounds)
+	order := runningOrder(20, StageCanary)
+	order.Status.Elapsed = 3 * time.Second
+	tracker.Put(order, now)
+	is.Equal(tracker.Elapsed("s", now.Add(2*time.Second)), 5*time.Second)
+}
+
+func TestStatusOfAnEarlierOrderIsNone(t *testing.T) {
+	is := is.New(t)
+	order := runningOrder(20, StageWhole)
+	order.Status.State = StateCompleted
+	order.Target = "v3"
+	is.Equal(order.Current(), Status{Target: "v3"})
+	is.True(!order.Ended())
+}
+
+func TestNilTrackerAllowsAll(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker(Bounds{})
+	is.True(tracker == nil)
+	tracker.Request("s")
+	is.True(tracker.Admit(Ask{Service: "s"}, time.Now()).Allows(Candidate{Version: "v9", Created: 9}))
+}
--- a/spec/spec_test.go
+++ b/spec/spec_test.go
@@ -27,6 +27,9 @@
 	noLostUpdate    = "(spec==3)"
 	changedOnce     = "!((spec&change))"
 	inForceStays    = ">=inForce)"
+	exposureEnds    = "(rolledBackFor<=2)"
+	evidenceCurrent = "(shownFor==0)"
+	endedStays      = "(state==0)"
 	allEqual        = "(highest[0]==accepted)"
 	coverageIsTrue  = "!(counted["
 	oneVersion      = "==pinned)"
@@ -60,6 +63,12 @@
 		"SERVE_BEFORE_SYNC":         inForceStays,
 		"NO_DIGESTS":                allEqual,
 	}},
+	{"rollout", map[string]string{
+		"WRITE_WITHOUT_CONDITION": endedStays,
+		"GRANT_WITHOUT_END":       exposureEnds,
+		"OLD_EVIDENCE":            evidenceCurrent,
+		"EXPOSE_BEFORE_ORDERS":    exposureEnds,
+	}},
 	{"snapshot", map[string]string{
 		"ACCEPT_ANY_VERSION":    oneVersion,
 		"KEEP_PARTS_AT_RESTART": oneVersion,
