--- a/cmd/driftctl/main.go
+++ b/cmd/driftctl/main.go
@@ -6,7 +6,7 @@
 //	0  done
 //	1  failed: the platform can not be reached or refused the request
 //	2  wrong command line or unreadable file; nothing was written
-//	3  the resource has faults, or the controller refused it
+//	3  the resource has faults, the controller refused it, or a roll-out was rolled back
 //	4  conflict: the resource changed since it was read; nothing was overwritten
 //	5  the resource does not exist
 //	6  the time was over before the condition held
@@ -42,7 +42,7 @@
   0  done
   1  failed: the platform can not be reached or refused the request
   2  wrong command line or unreadable file; nothing was written
-  3  the resource has faults, or the controller refused it
+  3  the resource has faults, the controller refused it, or a roll-out was rolled back
   4  conflict: the resource changed since it was read; nothing was overwritten
   5  the resource does not exist
   6  the time was over before the condition held
@@ -113,6 +113,7 @@
 			application.waitCommand(),
 			application.validateCommand(),
 			application.nodesCommand(),
+			application.rolloutsCommand(),
 			application.explainCommand(),
 		},
 	}
--- /dev/null
+++ b/cmd/driftctl/rollouts.go
@@ -0,0 +1,177 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/peterbourgon/ff/v4"
+
+	"github.com/driftstage/driftstage/internal/rollout"
+)
+
+// rolloutsInterval is how often --watch asks.
+const rolloutsInterval = time.Second
+
+// statePath is where a node shows what it believes.
+const statePath = "/debug/state"
+
+// rolloutRow is one order as all nodes that answered see it.
+type rolloutRow struct {
+	rollout.Description
+	// Nodes know the order; Differ of them have another state or stage than the first.
+	Nodes, Differ int
+}
+
+func (application *application) rolloutsCommand() *ff.Command {
+	flags := application.newFlags("rollouts")
+	watch := flags.BoolLong("watch", "ask again each second until every roll-out has ended")
+	return &ff.Command{
+		Name:      "rollouts",
+		Usage:     "driftctl rollouts [FLAGS] NODE...",
+		ShortHelp: "show the roll-outs that nodes of driftrouter carry out",
+		LongHelp: `Asks each NODE (IP:port of its metrics) for its roll-outs and adds up what the
+nodes have sent and seen. Nodes that do not answer are named on standard error.
+
+Exit status: 0 all roll-outs are running or completed, 1 no node answered, 3 one
+was rolled back, 5 no node knows a roll-out.`,
+		Flags: flags,
+		Exec: func(ctx context.Context, nodes []string) error {
+			if len(nodes) == 0 {
+				return fail(exitUsage, "rollouts takes the metrics addresses of nodes")
+			}
+			return application.rollouts(ctx, nodes, *watch)
+		},
+	}
+}
+
+func (application *application) rollouts(ctx context.Context, nodes []string, watch bool) error {
+	for {
+		rows, err := application.askRollouts(ctx, nodes)
+		if err != nil {
+			return err
+		}
+		if err := application.printRollouts(rows); err != nil {
+			return err
+		}
+		if !watch || allEnded(rows) {
+			return judgeRollouts(rows)
+		}
+		if err := pause(ctx, rolloutsInterval); err != nil {
+			return err
+		}
+	}
+}
+
+// askRollouts returns the orders that the nodes know, by service.
+func (application *application) askRollouts(ctx context.Context, nodes []string) ([]rolloutRow, error) {
+	var rows []rolloutRow
+	answered := 0
+	for _, node := range nodes {
+		known, err := application.askNode(ctx, node)
+		if err != nil {
+			fmt.Fprintf(application.errors, "%s: %v\n", node, err)
+			continue
+		}
+		answered++
+		for _, description := range known {
+			rows = addRollout(rows, description)
+		}
+	}
+	if answered == 0 {
+		return nil, fail(exitFailure, "no node answered")
+	}
+	slices.SortFunc(rows, func(a, b rolloutRow) int { return cmp.Compare(a.Service, b.Service) })
+	return rows, nil
+}
+
+func (application *application) askNode(ctx context.Context, node string) ([]rollout.Description, error) {
+	ctx, cancel := context.WithTimeout(ctx, application.requestTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node+statePath, nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, errors.New(response.Status)
+	}
+	var state struct{ Rollouts []rollout.Description }
+	err = json.NewDecoder(response.Body).Decode(&state)
+	return state.Rollouts, err
+}
+
+// addRollout adds what one node knows of an order.
+func addRollout(rows []rolloutRow, description rollout.Description) []rolloutRow {
+	index := slices.IndexFunc(rows, func(row rolloutRow) bool {
+		return row.Service == description.Service && row.Target == description.Target
+	})
+	if index < 0 {
+		return append(rows, rolloutRow{Description: description, Nodes: 1})
+	}
+	row := &rows[index]
+	row.Nodes++
+	if row.State != description.State || row.Stage != description.Stage {
+		row.Differ++
+	}
+	row.Halted = row.Halted || description.Halted
+	row.ElapsedSeconds = max(row.ElapsedSeconds, description.ElapsedSeconds)
+	row.Requests += description.Requests
+	row.Sent += description.Sent
+	row.Allowed += description.Allowed
+	row.Old = row.Old.Plus(description.Old)
+	row.New = row.New.Plus(description.New)
+	row.UnreportedSeconds = max(row.UnreportedSeconds, description.UnreportedSeconds)
+	return rows
+}
+
+func (application *application) printRollouts(rows []rolloutRow) error {
+	if application.outputFormat != formatTable {
+		return application.printValue(rows)
+	}
+	table := [][]string{{"SERVICE", "TARGET", "STATE", "STAGE", "SECONDS", "NODES", "DIFFER", "REQUESTS", "SENT", "OLD", "NEW"}}
+	for _, row := range rows {
+		table = append(table, []string{
+			row.Service, string(row.Target), row.State, row.Stage,
+			fmt.Sprintf("%.1f/%.0f", row.ElapsedSeconds, row.DurationSeconds),
+			strconv.Itoa(row.Nodes), strconv.Itoa(row.Differ),
+			strconv.Itoa(int(row.Requests)), strconv.Itoa(int(row.Sent)),
+			countsText(row.Old), countsText(row.New),
+		})
+	}
+	return application.printTable(table)
+}
+
+// countsText shows answers, failed and slow ones.
+func countsText(counts rollout.Counts) string {
+	return fmt.Sprintf("%d (%d failed, %d slow)", counts.Answers, counts.Failed, counts.Slow)
+}
+
+func allEnded(rows []rolloutRow) bool {
+	return !slices.ContainsFunc(rows, func(row rolloutRow) bool {
+		return row.State != rollout.StateCompleted.String() && row.State != rollout.StateRolledBack.String()
+	})
+}
+
+// judgeRollouts returns the exit status.
+func judgeRollouts(rows []rolloutRow) error {
+	if len(rows) == 0 {
+		return fail(exitNotFound, "no node knows a roll-out")
+	}
+	for _, row := range rows {
+		if row.State == rollout.StateRolledBack.String() {
+			return fail(exitInvalid, "%s: %s was rolled back", row.Service, row.Target)
+		}
+	}
+	return nil
+}
