--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/driftstage/driftstage/internal/rollout"
 )
 
 // Router are the checked settings of driftrouter, the query tier on a platform
@@ -30,6 +32,9 @@
 	// Evacuations is set where the platform asks for zones to be emptied: then the store
 	// is read for that, too.
 	Evacuations bool
+	// Rollouts are the bounds of roll-outs; without a time to roll back there are none, and
+	// the store is not read for them.
+	Rollouts rollout.Bounds
 	// MemoryMegabytes is the memory that the process may take; 0 for unbounded.
 	MemoryMegabytes int
 	Reloadable
@@ -109,6 +114,15 @@
 	{"evacuations", "false", "whether the platform asks for zones to be emptied: true or false", func(s *Router, text string) error {
 		return boolean(&s.Evacuations, text)
 	}},
+	{"expose-share", "0", "share of a service's requests that a bad version may get while its roll-out runs, 0 to 1", func(s *Router, text string) error {
+		return number(&s.Rollouts.Share, text, 0, 1)
+	}},
+	{"expose-slack", "0", "requests that it may get besides, all nodes together, 0 to 100000", func(s *Router, text string) error {
+		return number(&s.Rollouts.Slack, text, 0, 100_000)
+	}},
+	{"rollback-time", "0s", "time after its 50th bad answer from which a bad version gets nothing, 0s (no roll-outs) to 10m", func(s *Router, text string) error {
+		return duration(&s.Rollouts.RollBack, text, 0, 10*time.Minute)
+	}},
 	{"memory-megabytes", "0", "memory that the process may take, 0 (unbounded) to 1000000", func(s *Router, text string) error {
 		return integer(&s.MemoryMegabytes, text, 0, 1_000_000)
 	}},
--- a/internal/settings/router_test.go
+++ b/internal/settings/router_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/driftstage/driftstage/internal/rollout"
 )
 
 func requiredRouter() []string {
@@ -28,6 +30,17 @@
 	is.True(loaded.Evacuations)
 }
 
+func TestBoundsOfRollouts(t *testing.T) {
+	is := is.New(t)
+	request, err := LoadRouter(requiredRouter())
+	is.NoErr(err)
+	is.True(!request.Settings.Rollouts.Enabled())
+	request, err = LoadRouter(append(requiredRouter(), "--expose-share", "0.1", "--expose-slack", "50", "--rollback-time", "5000ms"))
+	is.NoErr(err)
+	is.Equal(request.Settings.Rollouts, rollout.Bounds{Share: 0.1, Slack: 50, RollBack: 5 * time.Second})
+	is.True(request.Settings.Rollouts.Enabled())
+}
+
 func TestChangesOfSettings(t *testing.T) {
 	load := func(args ...string) Router {
 		request, err := LoadRouter(append(requiredRouter(), args...))
@@ -42,6 +55,7 @@
 		{[]string{"--retry-slack", "99"}, Changes{Reloaded: true}},
 		{[]string{"--seeds", "127.0.0.1:5"}, Changes{Reloaded: true}},
 		{[]string{"--listen-address", "127.0.0.1:5"}, Changes{Restart: true}},
+		{[]string{"--rollback-time", "5s"}, Changes{Restart: true}},
 		{[]string{"--zones", "y=q", "--log-lines", "7"}, Changes{Reloaded: true, Restart: true}},
 	} {
 		is.New(t).Equal(load().Changes(load(test.args...)), test.want)
@@ -63,9 +77,11 @@
 	is := is.New(t)
 	_, err := LoadRouter([]string{"--name", "n", "--zone", "", "--region", "r", "--store-address", "127.0.0.1:0",
 		"--zones", "z", "--retry-ratio", "NaN", "--listen-address", "nowhere", "--log-lines", "0",
-		"--readiness-address", "127.0.0.1:7", "--metrics-address", "127.0.0.1:7", "--evacuations", "yes"})
+		"--readiness-address", "127.0.0.1:7", "--metrics-address", "127.0.0.1:7", "--evacuations", "yes",
+		"--expose-share", "1.5", "--expose-slack", "-1", "--rollback-time", "5"})
 	is.True(err != nil)
-	for _, key := range []string{"zone:", "store-address:", "zones:", "retry-ratio:", "listen-address:", "log-lines:", "metrics-address:", "evacuations:"} {
+	for _, key := range []string{"zone:", "store-address:", "zones:", "retry-ratio:", "listen-address:", "log-lines:", "metrics-address:", "evacuations:",
+		"expose-share:", "expose-slack:", "rollback-time:"} {
 		is.True(strings.Contains(err.Error(), key)) // every wrong value is named
 	}
 }
