--- a/internal/edge/assemble.go
+++ b/internal/edge/assemble.go
@@ -11,6 +11,7 @@
 	"github.com/driftstage/driftstage/internal/members"
 	"github.com/driftstage/driftstage/internal/overload"
 	"github.com/driftstage/driftstage/internal/peers"
+	"github.com/driftstage/driftstage/internal/rollout"
 	"github.com/driftstage/driftstage/internal/routing"
 	"github.com/driftstage/driftstage/internal/settings"
 	"github.com/driftstage/driftstage/internal/upstream"
@@ -34,6 +35,8 @@
 		newTableLink,
 		newServerLink,
 		newEvacuationLink,
+		newTracker,
+		newRolloutLink,
 		newNode,
 	} {
 		must(container.Provide(constructor))
@@ -65,14 +68,16 @@
 
 func newClient(names ingress.Names) *upstream.Client { return upstream.NewClient(names.Headers) }
 
-func newDirectory(topology endpoints.Topology, client *upstream.Client) *endpoints.Directory {
-	return endpoints.New(topology, client)
+func newDirectory(topology endpoints.Topology, client *upstream.Client, versions *rollout.Tracker) *endpoints.Directory {
+	directory := endpoints.New(topology, client)
+	directory.FollowRollouts(versions)
+	return directory
 }
 
 func newMeter() *overload.Meter { return overload.NewMeter(GCPercent) }
 
-func newState(directory *endpoints.Directory, client *upstream.Client, meter *overload.Meter) *state {
-	return &state{directory: directory, client: client, load: meter, knows: make(chan struct{})}
+func newState(directory *endpoints.Directory, client *upstream.Client, meter *overload.Meter, versions *rollout.Tracker) *state {
+	return &state{directory: directory, client: client, load: meter, versions: versions, knows: make(chan struct{})}
 }
 
 func newSelector(own members.Member, topology endpoints.Topology) *peers.Selector {
@@ -109,6 +114,8 @@
 	TableLink      *peers.Link[*routing.Table]
 	ServerLink     *peers.Link[endpoints.Server]
 	EvacuationLink *peers.Link[endpoints.Evacuation]
+	Versions       *rollout.Tracker
+	RolloutLink    *peers.Link[rollout.Order]
 }
 
 func newNode(parts parts) *Node {
@@ -126,9 +133,12 @@
 		tableLink:      parts.TableLink,
 		serverLink:     parts.ServerLink,
 		evacuationLink: parts.EvacuationLink,
+		versions:       parts.Versions,
+		rolloutLink:    parts.RolloutLink,
 	}
 	node.live.Store(&node.settings.Reloadable)
 	node.metrics = newMetrics(node, parts.Logs)
+	node.agent = newAgent(node)
 	node.shareAmong(presumedCount)
 	node.server = ingress.New(ingress.Options{
 		Names:      parts.Names,
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -20,6 +20,7 @@
 	"github.com/driftstage/driftstage/internal/overload"
 	"github.com/driftstage/driftstage/internal/peers"
 	"github.com/driftstage/driftstage/internal/retrybudget"
+	"github.com/driftstage/driftstage/internal/rollout"
 	"github.com/driftstage/driftstage/internal/routing"
 	"github.com/driftstage/driftstage/internal/settings"
 	"github.com/driftstage/driftstage/internal/trace"
@@ -31,6 +32,8 @@
 	Tables() catalog.Feed[*routing.Table]
 	Servers() catalog.Feed[endpoints.Server]
 	Evacuations() catalog.Feed[endpoints.Evacuation]
+	Rollouts() catalog.Feed[rollout.Order]
+	rollout.Registry
 	members.Registry
 }
 
@@ -39,6 +42,7 @@
 	feedTables      = "tables"
 	feedServers     = "servers"
 	feedEvacuations = "evacuations"
+	feedRollouts    = "rollouts"
 )
 
 const (
@@ -86,6 +90,11 @@
 	tableLink      *peers.Link[*routing.Table]
 	serverLink     *peers.Link[endpoints.Server]
 	evacuationLink *peers.Link[endpoints.Evacuation]
+	rolloutLink    *peers.Link[rollout.Order]
+	// versions tells which versions get sends, agent carries out the orders of that; nil
+	// where the deployment has no roll-outs.
+	versions *rollout.Tracker
+	agent    *rollout.Agent
 	// storeBackoff spaces the calls of all feeds to a store that fails.
 	storeBackoff catalog.Backoff
 }
@@ -153,6 +162,11 @@
 		evacuations := newFollower(n, feedEvacuations, n.store.Evacuations(), evacuationSink{n.state}, n.evacuationLink)
 		tasks.Go(func() { evacuations.Run(ctx) })
 	}
+	if n.agent != nil {
+		rollouts := newFollower(n, feedRollouts, n.store.Rollouts(), rolloutSink{n.state, n.agent}, n.rolloutLink)
+		tasks.Go(func() { rollouts.Run(ctx) })
+		tasks.Go(func() { n.agent.Run(ctx) })
+	}
 	announcer := members.NewAnnouncer(n.store, n.member, n.topology.Near, memberObserver{n})
 	tasks.Go(func() { announcer.Run(ctx) })
 	starter := peers.Starter{Addresses: func() []string { return n.live.Load().Seeds }, Known: n.state.complete, Adopt: n.state.adoptSnapshot}
@@ -179,7 +193,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
-	server := peers.NewServer(n.state.snapshot, n.tableLink, n.serverLink, n.evacuationLink)
+	server := peers.NewServer(n.state.snapshot, n.tableLink, n.serverLink, n.evacuationLink, n.rolloutLink, n.reportServer())
 	go func() { failed <- server.Serve(listener) }()
 	return nil
 }
@@ -225,6 +239,7 @@
 // MembersRead implements members.Observer.
 func (m memberObserver) MembersRead(live []members.Member) {
 	m.node.selector.SetMembers(live)
+	m.node.shareVersions(live)
 }
 
 // MembersCounted implements members.Observer.
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -31,6 +31,7 @@
 	held     *prometheus.CounterVec
 	deferred *prometheus.CounterVec
 	calls    *prometheus.CounterVec
+	rollouts rolloutCounters
 
 	mutex sync.Mutex
 	// contact is when each feed was last read.
@@ -56,6 +57,10 @@
 		}, []string{"gather"}),
 	}
 	counters.registry.MustRegister(counters.finished, counters.missing, counters.attempts, counters.held, counters.deferred, counters.calls, counters.duration)
+	if node.versions != nil {
+		counters.rollouts = newRolloutCounters(counters.registry)
+		counters.registry.MustRegister(rolloutCollector{node.versions})
+	}
 	counters.registerGauges(node, logs)
 	return counters
 }
--- /dev/null
+++ b/internal/edge/rollout.go
@@ -0,0 +1,131 @@
+package edge
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/driftstage/driftstage/internal/catalog"
+	"github.com/driftstage/driftstage/internal/endpoints"
+	"github.com/driftstage/driftstage/internal/members"
+	"github.com/driftstage/driftstage/internal/peers"
+	"github.com/driftstage/driftstage/internal/rollout"
+	"github.com/driftstage/driftstage/internal/settings"
+)
+
+func newTracker(loaded settings.Router) *rollout.Tracker { return rollout.NewTracker(loaded.Rollouts) }
+
+func newRolloutLink(selector *peers.Selector) *peers.Link[rollout.Order] {
+	return peers.NewLink(feedRollouts, peers.PlainCodec[rollout.Order]{}, selector)
+}
+
+// newAgent returns the agent that carries out orders; nil where the deployment has none.
+func newAgent(node *Node) *rollout.Agent {
+	if node.versions == nil {
+		return nil
+	}
+	return rollout.NewAgent(rollout.Options{
+		Own:       node.member,
+		Bounds:    node.settings.Rollouts,
+		Tracker:   node.versions,
+		Transport: &peers.ReportClient{},
+		Registry:  node.store,
+		Fleet:     node.directory.Fleet,
+		Process:   rand.Uint64(),
+		Observer:  node.metrics,
+	})
+}
+
+// reportServer answers the reports of other nodes, if there are roll-outs.
+func (n *Node) reportServer() peers.ReportServer {
+	if n.agent == nil {
+		return peers.ReportServer{}
+	}
+	return peers.ReportServer{Take: n.agent.Take}
+}
+
+// shareVersions tells the live nodes to what carries out orders.
+func (n *Node) shareVersions(live []members.Member) {
+	if n.agent == nil {
+		return
+	}
+	names := make([]string, 0, len(live))
+	for _, member := range live {
+		names = append(names, member.Name)
+	}
+	slices.Sort(names)
+	if position := slices.Index(names, n.member.Name); position >= 0 {
+		n.versions.Share(position, len(names))
+	}
+	n.agent.SetMembers(live)
+}
+
+// rolloutSink takes orders from a follower.
+type rolloutSink struct {
+	state *state
+	// agent carries them out.
+	agent *rollout.Agent
+}
+
+// Replace implements catalog.Sink. Operators alone write and remove orders: none runs out
+// while the store is away.
+func (r rolloutSink) Replace(orders []rollout.Order, _ bool) {
+	r.state.versions.Replace(orders, time.Now())
+	r.agent.Wake()
+	klog.V(1).InfoS("rollouts listed", "count", len(orders))
+}
+
+// Resumed implements catalog.Sink.
+func (r rolloutSink) Resumed() {}
+
+// Apply implements catalog.Sink.
+func (r rolloutSink) Apply(change catalog.Change[rollout.Order]) {
+	if change.Removed {
+		r.state.versions.Remove(change.Name)
+		klog.InfoS("rollout withdrawn", "service", change.Name)
+	} else {
+		r.state.versions.Put(change.Value, time.Now())
+	}
+	r.agent.Wake()
+}
+
+// Reached implements catalog.RevisionSink.
+func (r rolloutSink) Reached(revision catalog.Revision, told time.Time) {
+	r.state.versions.Reached(revision, told)
+	r.state.noteKnown()
+}
+
+// rolloutDescription is what a node believes of an order, for operators.
+type rolloutDescription struct {
+	Service, Target, State, Stage string
+	ElapsedMs                     int64
+	Halted                        bool
+	// Servers of the target, and of other versions.
+	Servers, Others int
+	// Requests of the service that this node had, and what it sent to the target.
+	Requests, Sent, Allowed uint32
+}
+
+// describeRollouts returns what the node believes of all orders.
+func describeRollouts(versions *rollout.Tracker, directory *endpoints.Directory) []rolloutDescription {
+	described := []rolloutDescription{}
+	for _, usage := range versions.Usages(time.Now()) {
+		fleet := directory.Fleet(usage.Order)
+		described = append(described, rolloutDescription{
+			Service:   usage.Order.Service,
+			Target:    string(usage.Order.Target),
+			State:     usage.Order.Current().State.String(),
+			Stage:     usage.Stage.String(),
+			ElapsedMs: usage.Elapsed.Milliseconds(),
+			Halted:    usage.Halted,
+			Servers:   fleet.New,
+			Others:    fleet.Others + fleet.Earlier,
+			Requests:  usage.Requests,
+			Sent:      usage.Sent,
+			Allowed:   usage.Allowed,
+		})
+	}
+	return described
+}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -10,6 +10,7 @@
 	"github.com/driftstage/driftstage/internal/catalog"
 	"github.com/driftstage/driftstage/internal/endpoints"
 	"github.com/driftstage/driftstage/internal/peers"
+	"github.com/driftstage/driftstage/internal/rollout"
 	"github.com/driftstage/driftstage/internal/routing"
 	"github.com/driftstage/driftstage/internal/upstream"
 )
@@ -25,7 +26,9 @@
 	directory *endpoints.Directory
 	client    *upstream.Client
 	load      load
-	table     atomic.Pointer[routing.Table]
+	// versions is nil where the deployment has no roll-outs.
+	versions *rollout.Tracker
+	table    atomic.Pointer[routing.Table]
 	// adopting keeps two sources from going back on each other's versions.
 	adopting sync.Mutex
 	// serversKnown is set once the servers have been listed.
@@ -57,6 +60,8 @@
 		return "no configuration is known yet"
 	case !s.serversKnown.Load():
 		return "the servers are not known yet"
+	case !s.versions.Complete():
+		return "the orders of versions are not known yet"
 	case s.load.Busy() > 0:
 		return "the node is overloaded"
 	case s.directory.CutOff(time.Now()):
@@ -86,6 +91,7 @@
 	Version     uint64
 	Servers     int
 	NotReadyFor string
+	Rollouts    []rolloutDescription `json:",omitempty"`
 }
 
 func (s *state) describe() description {
@@ -93,6 +99,7 @@
 		Version:     s.version(),
 		Servers:     s.directory.Count(),
 		NotReadyFor: s.reason(),
+		Rollouts:    describeRollouts(s.versions, s.directory),
 	}
 }
 
@@ -112,7 +119,7 @@
 
 // complete reports whether the node needs nothing from its peers.
 func (s *state) complete() bool {
-	return s.table.Load() != nil && s.serversKnown.Load()
+	return s.table.Load() != nil && s.serversKnown.Load() && s.versions.Complete()
 }
 
 // snapshot returns what the node knows for other nodes; false while it is not
@@ -121,10 +128,13 @@
 	if !s.complete() {
 		return peers.Snapshot{}, false
 	}
+	orders, reached := s.versions.Orders()
 	return peers.Snapshot{
 		Table:     s.table.Load().Document(),
 		Servers:   s.directory.Servers(),
 		Evacuated: s.directory.Evacuated(),
+		Orders:    orders,
+		Reached:   reached,
 	}, true
 }
 
@@ -134,6 +144,7 @@
 	if err != nil {
 		return err
 	}
+	s.versions.Adopt(snapshot.Orders, snapshot.Reached, time.Now())
 	s.adopt(table)
 	s.replacing.Lock()
 	defer s.replacing.Unlock()
--- a/internal/endpoints/versions.go
+++ b/internal/endpoints/versions.go
@@ -147,3 +147,26 @@
 	}
 	return rollout.OutcomeNone
 }
+
+// Fleet counts the open servers of an order's service by version.
+func (d *Directory) Fleet(order rollout.Order) rollout.Fleet {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	var fleet rollout.Fleet
+	owner, found := d.services[order.Service]
+	if !found {
+		return fleet
+	}
+	for _, endpoint := range owner.endpoints {
+		switch {
+		case !endpoint.open():
+		case endpoint.Version != order.Target:
+			fleet.Others++
+		case endpoint.Created > order.Created || endpoint.Created == 0:
+			fleet.New++
+		default:
+			fleet.Earlier++
+		}
+	}
+	return fleet
+}
--- a/internal/peers/compress.go
+++ b/internal/peers/compress.go
@@ -29,3 +29,12 @@
 	}
 	ctx.SetBody(body)
 }
+
+// setBody sends JSON that compress has returned.
+func setBody(request *fasthttp.Request, body []byte) {
+	request.Header.SetContentType("application/json")
+	if bytes.HasPrefix(body, gzipMagic) {
+		request.Header.SetContentEncoding("gzip")
+	}
+	request.SetBody(body)
+}
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -13,9 +13,11 @@
 
 const (
 	idleTimeout = 10 * time.Second
+	// maxReporters bounds the nodes whose reports of roll-outs one node can take.
+	maxReporters = 512
 	// maxConnections bounds the connections of other nodes: two of each follower,
-	// and those of nodes that start.
-	maxConnections = 4 * readerNodes
+	// those of nodes that start, and one of each that reports.
+	maxConnections = 4*readerNodes + maxReporters
 )
 
 // Server tells other nodes what this one knows.
@@ -41,6 +43,7 @@
 		IdleTimeout:           idleTimeout,
 		ReadTimeout:           idleTimeout,
 		Concurrency:           maxConnections,
+		MaxRequestBodySize:    maximumReportBytes,
 		ReduceMemoryUsage:     true,
 		NoDefaultServerHeader: true,
 		Logger:                telemetry.SilentHTTPLogger{},
--- a/internal/peers/starter.go
+++ b/internal/peers/starter.go
@@ -16,7 +16,9 @@
 	"github.com/valyala/fasthttp"
 	"k8s.io/klog/v2"
 
+	"github.com/driftstage/driftstage/internal/catalog"
 	"github.com/driftstage/driftstage/internal/endpoints"
+	"github.com/driftstage/driftstage/internal/rollout"
 	"github.com/driftstage/driftstage/internal/routing"
 )
 
@@ -27,6 +29,9 @@
 	Servers []endpoints.Server
 	// Evacuated are the zones whose servers get nothing new.
 	Evacuated []string
+	// Orders are those that the node knows, up to the revision Reached.
+	Orders  []rollout.Order  `json:",omitempty"`
+	Reached catalog.Revision `json:",omitempty"`
 }
 
 const (
--- /dev/null
+++ b/internal/rollout/agent_test.go
@@ -0,0 +1,459 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/driftstage/driftstage/internal/members"
+)
+
+const agentNodes = 4
+
+// agentWorld are the agents of some nodes with one order, whose store and links are in
+// memory.
+type agentWorld struct {
+	is    *is.I
+	nodes []*agentNode
+
+	mutex sync.Mutex
+	order Order
+	// written are the statuses in the order in which they were written.
+	written []Status
+	// away makes the store silent for all.
+	away bool
+	// lost is how many of the next writes are done without an answer.
+	lost int
+	// reports are how many were sent.
+	reports int
+}
+
+// agentNode is one node.
+type agentNode struct {
+	world   *agentWorld
+	name    string
+	tracker *Tracker
+	agent   *Agent
+	stop    context.CancelFunc
+
+	// silent nodes answer no report; barred ones do not reach the store, nor does what it
+	// tells reach them.
+	silent, barred bool
+}
+
+// silentObserver is told and forgets.
+type silentObserver struct{}
+
+func (silentObserver) VersionJudged(string, Finding)       {}
+func (silentObserver) OrderAnswered(string, Status, error) {}
+
+// newAgentWorld starts the agents of all nodes; their order comes with begin.
+func newAgentWorld(t *testing.T) *agentWorld {
+	world := &agentWorld{is: is.New(t)}
+	var live []members.Member
+	for index := range agentNodes {
+		name := fmt.Sprint("node-", index)
+		live = append(live, members.Member{Name: name, Address: name})
+	}
+	for index, member := range live {
+		node := &agentNode{world: world, name: member.Name, tracker: NewTracker(deciderBounds)}
+		node.tracker.Share(index, agentNodes)
+		node.tracker.Reached(1, time.Now())
+		node.agent = NewAgent(Options{
+			Own: member, Bounds: deciderBounds, Tracker: node.tracker, Transport: node, Registry: node,
+			Fleet: func(Order) Fleet { return Fleet{New: 2, Others: 2} }, Process: 1, Observer: silentObserver{},
+		})
+		node.agent.SetMembers(live)
+		ctx, stop := context.WithCancel(t.Context())
+		node.stop = stop
+		go node.agent.Run(ctx)
+		world.nodes = append(world.nodes, node)
+	}
+	return world
+}
+
+// begin orders the new version.
+func (w *agentWorld) begin() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.order = Order{Service: "s", Target: "v2", Duration: 20 * time.Second, Created: 10, Revision: 10}
+	w.tell()
+}
+
+// tell lets all nodes learn the order as it is now.
+func (w *agentWorld) tell() {
+	for _, node := range w.nodes {
+		if !node.barred {
+			node.tracker.Put(w.order, time.Now())
+			node.agent.Wake()
+		}
+	}
+}
+
+// change changes what the nodes and the store do.
+func (w *agentWorld) change(apply func()) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	apply()
+}
+
+// status returns the status in the store.
+func (w *agentWorld) status() Status {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.order.Current()
+}
+
+// serve lets all nodes have answers for so long: ten a second of the old version each,
+// and five of the new one, bad ones as told.
+func (w *agentWorld) serve(span time.Duration, bad bool) {
+	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+		for _, node := range w.nodes {
+			node.answer("old-1", "v1", 2, OutcomeAnswered)
+			result := OutcomeAnswered
+			if bad {
+				result = OutcomeFailed
+			}
+			for _, id := range []ServerID{"new-1", "new-2"} {
+				node.answer(id, "v2", 1, result)
+			}
+		}
+	}
+	synctest.Wait()
+}
+
+// answer notes answers of a server.
+func (n *agentNode) answer(id ServerID, version Version, count int, result Outcome) {
+	candidate := Candidate{ID: id, Version: version}
+	admission := Admission{order: Key{Service: "s", Target: "v2", Created: 10}}
+	for range count {
+		n.tracker.Request("s")
+		n.tracker.Begin(candidate, admission)
+		n.tracker.End(candidate, admission, "route", Sample{Result: result, Ratio: 1}, time.Now())
+	}
+}
+
+// Send implements Transport.
+func (n *agentNode) Send(ctx context.Context, address string, report Report) ([]Ruling, error) {
+	for _, node := range n.world.nodes {
+		if node.name != address {
+			continue
+		}
+		n.world.mutex.Lock()
+		silent := node.silent || n.silent
+		n.world.reports++
+		n.world.mutex.Unlock()
+		if silent {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		return node.agent.Take(report)
+	}
+	return nil, errors.New("no such node")
+}
+
+// Answer implements Registry.
+func (n *agentNode) Answer(ctx context.Context, order Order, status Status) (Order, error) {
+	w := n.world
+	w.mutex.Lock()
+	if w.away || n.barred {
+		w.mutex.Unlock()
+		<-ctx.Done()
+		return order, ctx.Err()
+	}
+	if order.Revision != w.order.Revision {
+		current := w.order
+		w.mutex.Unlock()
+		return current, ErrChanged
+	}
+	w.order.Status = status
+	w.order.Revision++
+	w.written = append(w.written, status)
+	current := w.order
+	lost := w.lost > 0
+	if lost {
+		w.lost--
+	} else {
+		w.tell()
+	}
+	w.mutex.Unlock()
+	if lost {
+		<-ctx.Done()
+		return order, ctx.Err()
+	}
+	return current, nil
+}
+
+// decider returns the node that decides first.
+func (w *agentWorld) decider() *agentNode {
+	first := w.nodes[0].agent.electors.first("s", time.Now())
+	for _, node := range w.nodes {
+		if node.name == first.Name {
+			return node
+		}
+	}
+	return nil
+}
+
+// stages returns the stages in the order in which they were written, the state last.
+func (w *agentWorld) stages() []string {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	var stages []string
+	for _, status := range w.written {
+		if status.State == StateRunning {
+			stages = append(stages, status.Stage.String())
+		} else {
+			stages = append(stages, status.State.String())
+		}
+	}
+	return stages
+}
+
+var (
+	goodSteps = []string{"waiting", "canary", "load", "shift", "whole", "completed"}
+	badSteps  = []string{"waiting", "canary", "rolled_back"}
+)
+
+func inWorld(t *testing.T, play func(w *agentWorld)) {
+	synctest.Test(t, func(t *testing.T) {
+		world := newAgentWorld(t)
+		defer func() {
+			for _, node := range world.nodes {
+				node.stop()
+			}
+		}()
+		play(world)
+	})
+}
+
+func TestGoodVersionIsCompleted(t *testing.T) {
+	inWorld(t, func(w *agentWorld) {
+		w.begin()
+		w.serve(20*time.Second, false)
+		w.is.Equal(w.stages(), goodSteps)
+		w.is.True(w.status().Elapsed < 17*time.Second)
+	})
+}
+
+func TestBadVersionIsRolledBack(t *testing.T) {
+	inWorld(t, func(w *agentWorld) {
+		w.begin()
+		w.serve(2*time.Second, true)
+		w.is.Equal(w.stages(), badSteps)
+		for _, node := range w.nodes {
+			w.is.True(node.tracker.Halted("s", Candidate{ID: "new-1", Version: "v2"}))
+		}
+	})
+}
+
+// The last status is that of a version that turns bad when it has all the traffic.
+func TestVersionThatTurnsBadAtLastIsRolledBack(t *testing.T) {
+	inWorld(t, func(w *agentWorld) {
+		w.begin()
+		w.serve(13*time.Second, false)
+		w.serve(2*time.Second, true)
+		w.is.Equal(w.status().State, StateRolledBack)
+	})
+}
+
+// Nothing is sent while no order is being carried out.
+func TestAgentsAreSilentWithoutOrders(t *testing.T) {
+	inWorld(t, func(w *agentWorld) {
+		time.Sleep(time.Minute)
+		w.is.Equal(w.reports, 0)
+		w.begin()
+		w.serve(2*time.Second, true)
+		w.is.Equal(w.status().State, StateRolledBack)
+		sent := w.reports
+		time.Sleep(time.Minute)
+		w.is.Equal(w.reports, sent)
+	})
+}
+
+// The next node takes over from one that is killed, with all that was counted.
+func TestDeciderThatIsKilledIsReplaced(t *testing.T) {
+	for _, after := range []time.Duration{0, 500 * time.Millisecond, 5 * time.Second, 13200 * time.Millisecond, 14 * time.Second} {
+		t.Run(after.String(), func(t *testing.T) {
+			inWorld(t, func(w *agentWorld) {
+				killed := w.decider()
+				kill := func() {
+					w.change(func() { killed.silent, killed.barred = true, true })
+					killed.stop()
+				}
+				if after == 0 {
+					kill()
+				}
+				w.begin()
+				if after > 0 {
+					w.serve(after, false)
+					kill()
+				}
+				w.serve(19*time.Second-after, false)
+				w.is.Equal(w.stages(), goodSteps)
+			})
+		})
+	}
+}
+
+func TestDeciderThatIsCutOffIsReplacedWhenTheVersionIsBad(t *testing.T) {
+	inWorld(t, func(w *agentWorld) {
+		w.begin()
+		w.serve(3*time.Second, false)
+		w.change(func() { w.decider().silent = true })
+		w.serve(5*time.Second, true)
+		w.is.Equal(w.stages(), badSteps)
+	})
+}
+
+// A node that reaches the others but not the store leaves the writing to the next one.
+func TestDeciderThatGetsNothingWrittenIsPassedOver(t *testing.T) {
+	inWorld(t, func(w *agentWorld) {
+		w.begin()
+		w.serve(5*time.Second, false)
+		w.change(func() { w.decider().barred = true })
+		w.serve(14*time.Second, false)
+		w.is.Equal(w.stages(), goodSteps)
+	})
+}
+
+// A write whose answer is lost is found out to be done.
+func TestUnansweredWriteIsNotDoneTwice(t *testing.T) {
+	inWorld(t, func(w *agentWorld) {
+		w.begin()
+		w.serve(8*time.Second, false)
+		w.change(func() { w.lost = 1 })
+		w.serve(11*time.Second, false)
+		w.is.Equal(w.stages(), goodSteps)
+	})
+}
+
+// A completion that was under way when another node rolled back does not stand.
+func TestLateStepDoesNotUndoARollBack(t *testing.T) {
+	inWorld(t, func(w *agentWorld) {
+		w.begin()
+		w.serve(14*time.Second, false)
+		w.is.Equal(w.status().Stage, StageWhole)
+		decider := w.decider()
+		known, found := decider.tracker.Known(Key{Service: "s", Target: "v2", Created: 10}, time.Now())
+		w.is.True(found)
+		other := w.nodes[0]
+		rolledBack := Status{State: StateRolledBack, Target: "v2", Stage: StageWhole, Elapsed: known.Elapsed}
+		_, err := other.Answer(t.Context(), known.Order, rolledBack)
+		w.is.NoErr(err)
+		order, err := decider.Answer(t.Context(), known.Order, Status{State: StateCompleted, Target: "v2", Stage: StageWhole})
+		w.is.True(errors.Is(err, ErrChanged))
+		w.is.Equal(order.Status, rolledBack)
+		w.serve(5*time.Second, false)
+		w.is.Equal(w.status(), rolledBack)
+	})
+}
+
+// While the store is away a bad version is halted all the same, and rolled back when the
+// store is there again.
+func TestBadVersionIsHaltedWhileTheStoreIsAway(t *testing.T) {
+	inWorld(t, func(w *agentWorld) {
+		w.begin()
+		w.serve(3*time.Second, false)
+		w.change(func() { w.away = true })
+		w.serve(3*time.Second, true)
+		for _, node := range w.nodes {
+			w.is.True(node.tracker.Halted("s", Candidate{ID: "new-1", Version: "v2"}))
+		}
+		w.is.Equal(w.status().State, StateRunning)
+		w.change(func() { w.away = false })
+		w.serve(3*time.Second, false)
+		w.is.Equal(w.stages(), badSteps)
+	})
+}
+
+// What the operators have withdrawn does not come back with the answer to a write that
+// was under way.
+func TestWithdrawnOrderStaysWithdrawn(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker(deciderBounds)
+	now := time.Now()
+	order := Order{Service: "s", Target: "v2", Duration: 20 * time.Second, Created: 10, Revision: 10}
+	tracker.Put(order, now)
+	tracker.Remove("s")
+	order.Revision++
+	is.True(!tracker.Update(order, now))
+	orders, _ := tracker.Orders()
+	is.Equal(len(orders), 0)
+}
+
+// All nodes agree on the order of the deciders, and on the next one.
+func TestElectorsAgree(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	var live []members.Member
+	for index := range 9 {
+		live = append(live, members.Member{Name: fmt.Sprint("node-", index), Address: fmt.Sprint("address-", index)})
+	}
+	firsts := make(map[string]bool)
+	for service := range 20 {
+		name := fmt.Sprint("service-", service)
+		var first, second string
+		for _, own := range live {
+			known := newElectors(own)
+			known.set(live)
+			chosen := known.first(name, now).Name
+			is.True(first == "" || chosen == first)
+			first = chosen
+			if own.Name == first {
+				continue
+			}
+			known.failed(first, now)
+			next := known.first(name, now).Name
+			is.True(next != first)
+			if next != own.Name {
+				is.True(second == "" || next == second)
+				second = next
+			}
+			is.Equal(known.first(name, now.Add(failedAvoidance)).Name, first)
+		}
+		firsts[first] = true
+	}
+	is.True(len(firsts) > 4)
+}
+
+// A node that can't be reported to decides only where it is alone.
+func TestElectorsPassOverNodesWithoutAddress(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	own := members.Member{Name: "own"}
+	known := newElectors(own)
+	is.Equal(known.first("s", now), own)
+	other := members.Member{Name: "other", Address: "a"}
+	known.set([]members.Member{own, other, {Name: "third"}})
+	is.Equal(known.live, 3)
+	for service := range 10 {
+		is.Equal(known.first(fmt.Sprint(service), now), other)
+	}
+	known.failed("other", now)
+	is.Equal(known.first("s", now), own)
+}
+
+// When several nodes get nothing written, the store is away: the first one goes on.
+func TestElectorsStayWhenTheStoreIsAway(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	known := newElectors(members.Member{Name: "own", Address: "own"})
+	var live []members.Member
+	for index := range 9 {
+		live = append(live, members.Member{Name: fmt.Sprint("node-", index), Address: fmt.Sprint("address-", index)})
+	}
+	known.set(live)
+	first := known.first("s", now)
+	for range mostUnable {
+		next := known.first("s", now)
+		known.unable(next.Name, now)
+	}
+	is.Equal(known.first("s", now), first)
+}
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -62,9 +62,12 @@
 	Servers int `json:"servers,omitempty"`
 	// Requests are all requests of the service that the process has had since it learned of
 	// the order, Sent the sends to the target among them.
-	Requests uint32        `json:"requests,omitempty"`
-	Sent     uint32        `json:"sent,omitempty"`
-	Routes   []RouteCounts `json:"routes,omitempty"`
+	Requests uint32 `json:"requests,omitempty"`
+	Sent     uint32 `json:"sent,omitempty"`
+	// Halted is set if the node was told that the target is bad: the next node that
+	// decides need not find it out again.
+	Halted bool          `json:"halted,omitempty"`
+	Routes []RouteCounts `json:"routes,omitempty"`
 }
 
 // Key returns what names the order.
@@ -87,6 +90,9 @@
 	// Halt means that the version has been found to be bad: it gets nothing more, also
 	// while the store cannot be told.
 	Halt bool `json:"halt,omitempty"`
+	// Unable means that the node that answers gets nothing written: another one had better
+	// decide.
+	Unable bool `json:"unable,omitempty"`
 }
 
 // Key returns what names the order.
--- a/internal/rollout/exposure.go
+++ b/internal/rollout/exposure.go
@@ -86,12 +86,11 @@
 
 // allowed returns how many sends the stage allows in all.
 func (e *Exposure) allowed(stage Stage, plan Plan, elapsed time.Duration) float64 {
-	share, free := e.limits.Share, 1.0
+	share, free := e.share(stage), 1.0
 	switch {
 	case stage < StageCanary:
 		return 0
 	case stage == StageCanary:
-		share *= thinPart
 		free = thinSlack * min(float64(elapsed)/float64(max(plan.Load, 1)), 1)
 	}
 	allowed := math.Floor(share*float64(e.requests) + e.limits.Offset)
@@ -102,3 +101,18 @@
 	}
 	return allowed
 }
+
+// share returns the part of the process's requests that the stage allows.
+func (e *Exposure) share(stage Stage) float64 {
+	switch stage {
+	case StageWaiting:
+		return 0
+	case StageCanary:
+		return thinPart * e.limits.Share
+	case StageLoad:
+		return e.limits.Share
+	case StageShift:
+		return shiftShare
+	}
+	return 1
+}
--- a/internal/rollout/tracker.go
+++ b/internal/rollout/tracker.go
@@ -246,6 +246,7 @@
 		OldUnderWay: k.oldUnderWay,
 		Requests:    k.exposure.requests,
 		Sent:        k.exposure.sent,
+		Halted:      k.halted,
 	}
 	for _, name := range slices.Sorted(maps.Keys(k.routes)) {
 		counts := *k.routes[name]
@@ -279,6 +280,111 @@
 	return true
 }
 
+// Known is what a process knows of one order.
+type Known struct {
+	Order Order
+	// Elapsed is for how long it has run.
+	Elapsed time.Duration
+	// Halted is set if its target was found to be bad.
+	Halted bool
+}
+
+// Known returns what is known of an order; false if it is not the one of its service.
+func (t *Tracker) Known(key Key, now time.Time) (Known, bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known := t.orders[key.Service]
+	if known == nil || known.order.Key() != key {
+		return Known{}, false
+	}
+	halted := known.halted || known.order.Current().State == StateRolledBack
+	return Known{Order: known.order, Elapsed: known.elapsed(now), Halted: halted}, true
+}
+
+// Usage is what one process has sent to the target of an order.
+type Usage struct {
+	Known
+	// Stage is the one in force at the process.
+	Stage Stage
+	// Requests are all of the service, Sent those to the target, Allowed how many these
+	// may be by now.
+	Requests, Sent, Allowed uint32
+	// Share is what part of its requests the process may send to the target now.
+	Share float64
+	// Unreported is the age of the oldest answer of the target that no report has told.
+	Unreported time.Duration
+	// Old and New are the answers of other versions and of the target.
+	Old, New Counts
+}
+
+// Usages returns what was sent for all orders, by service.
+func (t *Tracker) Usages(now time.Time) []Usage {
+	if t == nil {
+		return nil
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	usages := make([]Usage, 0, len(t.orders))
+	for _, service := range slices.Sorted(maps.Keys(t.orders)) {
+		usages = append(usages, t.usage(t.orders[service], now))
+	}
+	return usages
+}
+
+func (t *Tracker) usage(known *tracked, now time.Time) Usage {
+	usage := Usage{
+		Known:    Known{Order: known.order, Elapsed: known.elapsed(now), Halted: known.halted},
+		Stage:    t.stage(known, now),
+		Requests: known.exposure.requests,
+		Sent:     known.exposure.sent,
+	}
+	usage.Share = known.exposure.share(usage.Stage)
+	if !known.unreportedSince.IsZero() {
+		usage.Unreported = now.Sub(known.unreportedSince)
+	}
+	usage.Allowed = uint32(known.exposure.allowed(usage.Stage, known.plan, usage.Elapsed))
+	for _, counts := range known.routes {
+		usage.Old = usage.Old.Plus(counts.Old)
+		for _, ofServer := range counts.New {
+			usage.New = usage.New.Plus(ofServer)
+		}
+	}
+	return usage
+}
+
+// Complete reports whether the orders are known at all. A nil tracker needs none.
+func (t *Tracker) Complete() bool {
+	if t == nil {
+		return true
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.reached > 0
+}
+
+// Age returns how long ago the store told of the orders; false if it never did.
+func (t *Tracker) Age(now time.Time) (time.Duration, bool) {
+	if t == nil {
+		return 0, false
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return now.Sub(t.toldAt), !t.toldAt.IsZero()
+}
+
+// Update takes over a later state of an order that is known; it never brings back one
+// that its operators have withdrawn.
+func (t *Tracker) Update(order Order, now time.Time) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	known := t.orders[order.Service]
+	if known == nil || known.order.Key() != order.Key() || known.order.Revision >= order.Revision {
+		return false
+	}
+	t.put(order, now)
+	return true
+}
+
 // Outcome is what the end of a send says of the version of its server.
 type Outcome uint8
 
