--- a/internal/rollout/agent_test.go
+++ b/internal/rollout/agent_test.go
@@ -78,12 +78,13 @@
 	return world
 }
 
-// begin orders the new version.
+// begin orders the new version and lets the nodes begin with it.
 func (w *agentWorld) begin() {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	w.order = Order{Service: "s", Target: "v2", Duration: 20 * time.Second, Created: 10, Revision: 10}
-	w.tell()
+	w.change(func() {
+		w.order = Order{Service: "s", Target: "v2", Duration: 20 * time.Second, Created: 10, Revision: 10}
+		w.tell()
+	})
+	time.Sleep(400 * time.Millisecond)
 }
 
 // tell lets all nodes learn the order as it is now.
--- a/internal/rollout/decider.go
+++ b/internal/rollout/decider.go
@@ -66,8 +66,8 @@
 	Pool Pool
 
 	tickedAt time.Time
-	// halted is set once the target was found to be bad.
-	halted bool
+	// halted is set once the target was found to be bad, good once it was found good.
+	halted, good bool
 	// adoptedAt is since when all nodes that report have adopted the status of the
 	// revision adopted.
 	adopted   catalog.Revision
@@ -90,7 +90,8 @@
 	frozen := !d.tickedAt.IsZero() && now.Sub(d.tickedAt) > longestTick
 	d.tickedAt = now
 	if frozen {
-		d.Pool, d.adopted = Pool{}, 0
+		d.Rest()
+		d.tickedAt = now
 	}
 	return d.decide(view, &d.Pool, now)
 }
@@ -103,6 +104,9 @@
 	current Status
 	elapsed time.Duration
 	now     time.Time
+	// doubtful is set if the target was found good, but what came since speaks against it,
+	// and there is time left to wait for more.
+	doubtful bool
 }
 
 func (d *Decider) decide(view View, pool judged, now time.Time) Action {
@@ -123,6 +127,8 @@
 	d.noteAdoption(at)
 	verdict := pool.Judge()
 	d.halted = d.halted || view.Halted || verdict.Finding == Bad
+	d.good = d.good || verdict.Finding == Good
+	at.doubtful = d.good && verdict.Finding == Undecided && at.elapsed < at.plan.GiveUp
 	action := d.next(at, verdict)
 	action.Verdict = verdict
 	return action
@@ -178,7 +184,7 @@
 
 // afterShift moves all traffic once the version has stood a part of it.
 func (m moment) afterShift() Action {
-	if m.inStage() < shiftTime || !m.majority() || !m.mostAdopted() {
+	if m.inStage() < shiftTime || m.doubtful || !m.majority() || !m.mostAdopted() {
 		return Action{}
 	}
 	return m.write(StateRunning, StageWhole)
@@ -187,7 +193,7 @@
 // afterWhole completes the order once nothing is under way at the old servers, which stop
 // at once then.
 func (d *Decider) afterWhole(at moment) Action {
-	if !at.majority() {
+	if at.doubtful || !at.majority() {
 		return Action{}
 	}
 	everywhere := time.Duration(0)
@@ -268,4 +274,5 @@
 func (d *Decider) Rest() {
 	d.Pool = Pool{}
 	d.tickedAt, d.adopted, d.adoptedAt = time.Time{}, 0, time.Time{}
+	d.good = false
 }
--- a/internal/rollout/decider_test.go
+++ b/internal/rollout/decider_test.go
@@ -183,6 +183,34 @@
 	is.Equal(decider.decide(view, pool, epoch.Add(2*wholeTime)).Status.State, StateCompleted)
 }
 
+// What was good and is not any more may be about to turn out bad: the last steps wait, but
+// not beyond the time in which they can be taken.
+func TestDeciderWaitsWhileInDoubt(t *testing.T) {
+	for _, test := range []struct {
+		stage   Stage
+		elapsed time.Duration
+		state   State
+	}{
+		{StageShift, 15 * time.Second, StateNone},
+		{StageShift, 18 * time.Second, StateRunning},
+		{StageWhole, 15 * time.Second, StateNone},
+		{StageWhole, 18 * time.Second, StateCompleted},
+	} {
+		t.Run(test.stage.String()+" "+test.elapsed.String(), func(t *testing.T) {
+			is := is.New(t)
+			var decider Decider
+			pool := fakePool{finding: Good, reporters: 3, adopted: 3, servers: 2}
+			at := func(elapsed time.Duration) Action {
+				view := View{Order: orderAt(StateRunning, test.stage, 13*time.Second), Bounds: deciderBounds, Elapsed: elapsed, Live: 3}
+				return decider.decide(view, pool, epoch.Add(elapsed))
+			}
+			is.Equal(at(13*time.Second).Status.State, StateNone)
+			pool.finding = Undecided
+			is.Equal(at(test.elapsed).Status.State, test.state)
+		})
+	}
+}
+
 // What was found bad stays bad, also when another node has found it.
 func TestDeciderStaysWithBad(t *testing.T) {
 	is := is.New(t)
