--- a/internal/rollout/admission.go
+++ b/internal/rollout/admission.go
@@ -73,6 +73,7 @@
 		return target || a.after > 0 && candidate.Created > a.after
 	case ruleOthers:
 		return !target
+	case ruleAny:
 	}
 	return true
 }
