--- a/internal/rollout/admission.go
+++ b/internal/rollout/admission.go
@@ -59,9 +59,6 @@
 	bypass bool
 }
 
-// loadTurn is how long one server of the target gets all of the load stage's sends.
-const loadTurn = 800 * time.Millisecond
-
 // Allows reports whether the candidate may get the send.
 func (a Admission) Allows(candidate Candidate) bool {
 	if slices.Contains(a.barred, candidate.Version) {
@@ -176,7 +173,7 @@
 	case known.exposure.Take(stage, known.plan, elapsed):
 		admission.rule, admission.counted, admission.trial = ruleTarget, true, true
 		admission.dense = stage == StageLoad
-		admission.turn = uint64(elapsed / loadTurn)
+		admission.turn = uint64(known.plan.Turn(elapsed))
 	}
 	return admission
 }
--- a/internal/rollout/exposure.go
+++ b/internal/rollout/exposure.go
@@ -93,6 +93,10 @@
 	case stage == StageCanary:
 		share *= thinPart
 		free = thinSlack * min(float64(elapsed)/float64(max(plan.Load, 1)), 1)
+	case stage == StageLoad:
+		loaded := plan.loaded(elapsed)
+		share *= thinPart + (1-thinPart)*loaded
+		free = thinSlack + (1-thinSlack)*loaded
 	}
 	allowed := math.Floor(share*float64(e.requests) + e.limits.Offset)
 	for _, at := range e.limits.Slack {
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -5,18 +5,17 @@
 const (
 	// canaryPart is the part of an order's time in which exposure is thin; what is left
 	// until the shift puts load on single servers.
-	canaryPart = 0.45
-	// shiftReserve is the time kept for moving over, ending and a store that is away for
-	// five seconds. It is bounded by earliestShift and latestShift, parts of the order's
-	// time: versions may turn bad only after a while, and what a bad version gets beyond
-	// its bound costs more than an order that ends late.
-	shiftReserve  = 7 * time.Second
-	earliestShift = 0.6
-	latestShift   = 0.75
-	// shiftTime is how long a part of all requests goes to the new version before all do.
+	canaryPart = 0.4
+	// shiftPart is the part after which a share of all requests goes to the version.
+	shiftPart = 0.65
+	// wholePart is the part after which all do.
+	wholePart = 0.81
+	// shiftTime is the least time between the two.
 	shiftTime = 600 * time.Millisecond
-	// shiftShare is that part.
-	shiftShare = 0.3
+	// shiftShare is that share.
+	shiftShare = 0.2
+	// loadTurns is how often the load stage turns to another server.
+	loadTurns = 8
 	// giveUpPart is the part of an order's time after which a version that has not been
 	// found good is rolled back: the answer has to be written before the deadline.
 	giveUpPart = 0.88
@@ -32,6 +31,8 @@
 	// Load is when exposure gets dense, Shift when traffic begins to move if the
 	// version is good.
 	Load, Shift time.Duration
+	// Whole is when all traffic moves.
+	Whole time.Duration
 	// GiveUp is when a version that is not found good is rolled back.
 	GiveUp time.Duration
 	// Deadline is the end of the order's time.
@@ -43,7 +44,8 @@
 	part := func(share float64) time.Duration { return time.Duration(share * float64(duration)) }
 	return Plan{
 		Load:     part(canaryPart),
-		Shift:    min(max(duration-shiftReserve, part(earliestShift)), part(latestShift)),
+		Shift:    part(shiftPart),
+		Whole:    part(wholePart),
 		GiveUp:   part(giveUpPart),
 		Deadline: duration,
 	}
@@ -61,3 +63,13 @@
 	}
 	return ""
 }
+
+// Turn returns the turn of the load stage.
+func (p Plan) Turn(elapsed time.Duration) int {
+	return int(p.loaded(elapsed) * (loadTurns - 1e-9))
+}
+
+// loaded returns how much of the load stage is over, 0 to 1.
+func (p Plan) loaded(elapsed time.Duration) float64 {
+	return min(max(float64(elapsed-p.Load)/float64(max(p.Shift-p.Load, 1)), 0), 1)
+}
