rollout: exposure is bounded in the shift stage too

Change: parts of share and slack grow evenly up to 0.95 of the bounds at the end of the shift stage; the shift needs no verdict, since it can't break the bounds; going whole does.

--- a/internal/rollout/admission.go
+++ b/internal/rollout/admission.go
@@ -163,11 +163,6 @@
 		known.exposure.Add()
 	case ask.Extra:
 		// The old version takes over what the new one answers late or fails.
-	case stage == StageShift:
-		if drawn(known.exposure.requests) {
-			admission.rule, admission.counted, admission.trial = ruleTarget, true, true
-			known.exposure.Add()
-		}
 	case stage == StageCanary && !ask.Repeatable:
 		// What can't be repeated goes there once repeatable requests have shown something.
 	case known.exposure.Take(stage, known.plan, elapsed):
@@ -178,12 +173,6 @@
 	return admission
 }
 
-// drawn spreads the share of the shift stage evenly over the requests of a service.
-func drawn(request uint32) bool {
-	part := shiftShare * float64(request)
-	return int(part) != int(part+shiftShare)
-}
-
 // Decline takes back a send to the target for which no server was found, and returns
 // the admission to the others.
 func (t *Tracker) Decline(admission Admission) Admission {
--- a/internal/rollout/drawn_test.go
+++ b/internal/rollout/drawn_test.go
@@ -153,10 +153,6 @@
 	case StageWhole:
 		take = true
 		process.Add()
-	case StageShift:
-		if take = drawn(process.requests); take {
-			process.Add()
-		}
 	default:
 		take = process.Take(stage, o.plan, now)
 	}
@@ -239,7 +235,9 @@
 	report.Routes = append([]RouteCounts(nil), o.report.Routes...)
 	o.pool.Add("all", 1, uint64(tick)+1, report, at)
 	advance := func(stage Stage) { o.before, o.status, o.statusAt = o.stage(now), stage, now }
-	mayAdvance := func() bool { return o.pool.MayAdvance(Order{}, o.plan, o.bounds, at) }
+	mayAdvance := func() bool {
+		return o.pool.MayAdvance(Order{Target: "v", Status: Status{State: StateRunning, Target: "v", Stage: o.status}}, o.plan, o.bounds, at)
+	}
 	switch {
 	case o.pool.Judge().Finding == Bad:
 		o.foundBad = true
--- a/internal/rollout/exposure.go
+++ b/internal/rollout/exposure.go
@@ -17,25 +17,24 @@
 
 // Limits are a process's part of what all may send.
 type Limits struct {
-	// Share of the process's own requests.
+	// Share of the process's own requests; stages allow parts of it.
 	Share float64
 	// Offset, 0 to 1, rounds the share: with offsets that are spread evenly over the
 	// processes the sum is not rounded.
 	Offset float64
-	// Slack are the times at which the requests that are allowed besides become free,
-	// as parts of the exposure's time, 0 to 1.
+	// Slack are the requests that are allowed besides: each becomes free when such a part
+	// of the slack of all processes, 0 to 1, may be used.
 	Slack []float64
 }
 
+// Parts of the bounds that may be used up to the end of a stage. What processes round,
+// and count otherwise than the users do, has to fit into the rest.
 const (
-	// exposurePart is the part of the bounds that is used: what processes round, and
-	// count otherwise than the users do, has to fit into the rest.
-	exposurePart = 0.8
-	// thinPart is the part of the share that the canary stage uses; the rest is kept for
-	// the load stage.
-	thinPart = 0.5
-	// thinSlack is the part of the slack that becomes free in the canary stage.
-	thinSlack = 0.6
+	canaryShare = 0.4
+	canarySlack = 0.48
+	loadShare   = 0.8
+	loadSlack   = 0.8
+	shiftUse    = 0.95
 	// spareSharers allows for processes that have just started.
 	spareSharers = 2
 )
@@ -50,13 +49,13 @@
 func NewLimits(bounds Bounds, position, processes int, slack bool) Limits {
 	sharers := processes + spareSharers
 	limits := Limits{
-		Share:  exposurePart * bounds.Share,
+		Share:  bounds.Share,
 		Offset: (float64(position) + 0.5) / float64(sharers),
 	}
 	if !slack {
 		return limits
 	}
-	total := exposurePart * bounds.Slack
+	total := bounds.Slack
 	first := int(total * float64(position) / float64(sharers))
 	end := int(total * float64(position+1) / float64(sharers))
 	for index := first; index < end; index++ {
@@ -86,23 +85,32 @@
 
 // allowed returns how many sends the stage allows in all.
 func (e *Exposure) allowed(stage Stage, plan Plan, elapsed time.Duration) float64 {
-	share, free := e.limits.Share, 1.0
-	switch {
-	case stage < StageCanary:
+	share, slack := usable(stage, plan, elapsed)
+	if slack == 0 {
 		return 0
-	case stage == StageCanary:
-		share *= thinPart
-		free = thinSlack * min(float64(elapsed)/float64(max(plan.Load, 1)), 1)
-	case stage == StageLoad:
-		loaded := plan.loaded(elapsed)
-		share *= thinPart + (1-thinPart)*loaded
-		free = thinSlack + (1-thinSlack)*loaded
 	}
-	allowed := math.Floor(share*float64(e.requests) + e.limits.Offset)
+	allowed := math.Floor(share*e.limits.Share*float64(e.requests) + e.limits.Offset)
 	for _, at := range e.limits.Slack {
-		if at <= free {
+		if at < slack {
 			allowed++
 		}
 	}
 	return allowed
 }
+
+// usable returns the parts of the share and of the slack that may be used. They grow
+// evenly over each stage.
+func usable(stage Stage, plan Plan, elapsed time.Duration) (share, slack float64) {
+	between := func(from, to, over float64) float64 { return from + (to-from)*over }
+	switch stage {
+	case StageCanary:
+		return canaryShare, canarySlack * progress(elapsed, 0, plan.Load)
+	case StageLoad:
+		over := progress(elapsed, plan.Load, plan.Shift)
+		return between(canaryShare, loadShare, over), between(canarySlack, loadSlack, over)
+	case StageShift:
+		over := progress(elapsed, plan.Shift, plan.Whole)
+		return between(loadShare, shiftUse, over), between(loadSlack, shiftUse, over)
+	}
+	return 0, 0
+}
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -11,9 +11,6 @@
 const (
 	// alpha bounds how often a version that is as good as the old one is found bad.
 	alpha = 0.001
-	// beta is the likelihood ratio of a tolerated excess against none below which a
-	// version is good.
-	beta = 0.1
 	// lateBound is the same ratio over the latest windows alone, however many, above
 	// which it is not: it may have turned bad.
 	lateBound = 30
@@ -21,9 +18,8 @@
 	// server that speaks most against a version before it is found bad.
 	restBound = 10
 	// outlierBound is the evidence against one server from which the others are judged
-	// without it, restBeta takes the place of beta on single routes then.
+	// without it.
 	outlierBound = 100
-	restBeta     = 0.3
 	// fewAnswers are too few to judge a route by itself.
 	fewAnswers = 8
 	// windowLength is how long answers count as of the same moment. Processes report
@@ -33,9 +29,11 @@
 	// recentAnswers are how many answers of the old version the share expected of the
 	// new one is taken from at least, if need be those of earlier windows.
 	recentAnswers = 50
-	// priorBad of priorAnswers are taken for seen before the first answer.
-	priorBad     = 0.2
+	// priorShare is the share of bad answers that any version is expected to have, in
+	// priorAnswers; the share expected of the new one is never less than leastShare.
+	priorShare   = 0.02
 	priorAnswers = 10
+	leastShare   = 0.002
 )
 
 // excesses are the alternatives that the test weighs: the share of those answers that
@@ -53,10 +51,19 @@
 
 var measureNames = [measures]string{"failed", "slow"}
 
-// tolerated are the indices of the excesses that a good version must not show, on one
-// route and on all together. A version that is three times slower is slow in 80 of 100
-// answers or more.
-var tolerated = [measures]struct{ route, all int }{failures: {2, 2}, slowness: {4, 3}}
+// limit is what a good version must not show: the likelihood ratio of an excess (an
+// index) against none has to be at most the bound.
+type limit struct {
+	excess int
+	bound  float64
+}
+
+// limits are what a good version must not show on one route, and on all together. A
+// version that is three times slower is slow in 80 of 100 answers or more.
+var limits = [measures]struct{ route, all limit }{
+	failures: {route: limit{2, 0.3}, all: limit{2, 0.05}},
+	slowness: {route: limit{5, 0.5}, all: limit{3, 1}},
+}
 
 // share is how many of so many answers were bad.
 type share struct{ bad, all float64 }
@@ -74,8 +81,10 @@
 	return share{bad: s.bad + factor*other.bad, all: s.all + factor*other.all}
 }
 
-// estimate returns the share with the prior.
-func (s share) estimate() float64 { return (s.bad + priorBad) / (s.all + priorAnswers) }
+// estimate returns the share where another one was expected.
+func (s share) estimate(prior float64) float64 {
+	return (s.bad + prior*priorAnswers) / (s.all + priorAnswers)
+}
 
 // ratios are logarithms of likelihood ratios, one for each excess against none.
 type ratios [len(excesses)]float64
@@ -221,7 +230,8 @@
 		return nil
 	}
 	recent, overall := r.control(of)
-	expected := max(recent.estimate(), overall.estimate())
+	usual := overall.estimate(priorShare)
+	expected := max(recent.estimate(usual), usual, leastShare)
 	result := make(byServer, len(r.new))
 	for id, counts := range r.new {
 		if counts := counts.share(of); counts.all > 0 {
@@ -294,17 +304,17 @@
 }
 
 // good reports whether the stratum speaks for the version.
-func (s stratum) good(bound float64) bool {
-	excess := tolerated[s.of].route
+func (s stratum) good() bool {
+	limit := limits[s.of].route
 	if s.route == "" {
-		excess = tolerated[s.of].all
+		limit = limits[s.of].all
 	}
 	ratio, latest := 0.0, 0.0
 	for index := len(s.windows) - 1; index >= 0; index-- {
-		ratio += s.windows[index][excess]
+		ratio += s.windows[index][limit.excess]
 		latest = max(latest, ratio)
 	}
-	return ratio <= math.Log(bound) && latest <= math.Log(lateBound)
+	return ratio <= math.Log(limit.bound) && latest <= math.Log(lateBound)
 }
 
 // judge returns the verdict on the evidence.
@@ -322,10 +332,10 @@
 	case total >= math.Log(1/alpha) && (servers < 2 || left >= math.Log(restBound)):
 		verdict.Finding = Bad
 		verdict.Cause = cause.String()
-	case good(all, beta):
+	case good(all):
 		verdict.Finding = Good
 		verdict.Cause = "neither failures nor slow answers are more frequent than at the old version"
-	case servers > 1 && outlier >= math.Log(outlierBound) && good(rest, restBeta):
+	case servers > 1 && outlier >= math.Log(outlierBound) && good(rest):
 		verdict.Finding = Good
 		verdict.Cause = fmt.Sprintf("neither failures nor slow answers are more frequent than at the old version, but for server %s", worst)
 	}
@@ -346,17 +356,9 @@
 	return total - math.Log(float64(len(strata))), strata[cause]
 }
 
-func good(strata []stratum, bound float64) bool {
-	for _, one := range strata {
-		limit := bound
-		if one.route == "" {
-			limit = beta
-		}
-		if !one.good(limit) {
-			return false
-		}
-	}
-	return true
+// good reports whether all strata speak for the version.
+func good(strata []stratum) bool {
+	return !slices.ContainsFunc(strata, func(one stratum) bool { return !one.good() })
 }
 
 // worst returns how many servers of the target have answered, the one that speaks most
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -6,19 +6,18 @@
 	// canaryPart is the part of an order's time in which exposure is thin; what is left
 	// until the shift puts load on single servers.
 	canaryPart = 0.4
-	// shiftPart is the part after which a share of all requests goes to the version.
-	shiftPart = 0.65
+	// shiftPart is the part after which all servers of the version get the rest of the
+	// exposure.
+	shiftPart = 0.62
 	// wholePart is the part after which all do.
-	wholePart = 0.81
+	wholePart = 0.78
 	// shiftTime is the least time between the two.
 	shiftTime = 600 * time.Millisecond
-	// shiftShare is that share.
-	shiftShare = 0.2
 	// loadTurns is how often the load stage turns to another server.
 	loadTurns = 8
 	// giveUpPart is the part of an order's time after which a version that has not been
 	// found good is rolled back: the answer has to be written before the deadline.
-	giveUpPart = 0.88
+	giveUpPart = 0.9
 	// LongestDuration bounds what an order may ask for: what takes longer is not watched
 	// over by the same processes.
 	LongestDuration = 24 * time.Hour
@@ -64,12 +63,12 @@
 	return ""
 }
 
-// Turn returns the turn of the load stage.
+// Turn returns the turn of the load stage, from 0 to loadTurns-1.
 func (p Plan) Turn(elapsed time.Duration) int {
-	return int(p.loaded(elapsed) * (loadTurns - 1e-9))
+	return min(int(loadTurns*progress(elapsed, p.Load, p.Shift)), loadTurns-1)
 }
 
-// loaded returns how much of the load stage is over, 0 to 1.
-func (p Plan) loaded(elapsed time.Duration) float64 {
-	return min(max(float64(elapsed-p.Load)/float64(max(p.Shift-p.Load, 1)), 0), 1)
+// progress returns which part of the time between two is over, 0 to 1.
+func progress(now, begin, end time.Duration) float64 {
+	return min(max(float64(now-begin)/float64(max(end-begin, 1)), 0), 1)
 }
--- a/internal/rollout/pool.go
+++ b/internal/rollout/pool.go
@@ -166,23 +166,27 @@
 // shortestSpan is the least time over which the rate of requests is known from reports.
 const shortestSpan = time.Second
 
-// MayAdvance reports whether the traffic may be moved to the target: it was found good,
-// or there are too few requests to break the bounds even if it got all that come until
-// the deadline.
-func (p *Pool) MayAdvance(_ Order, plan Plan, bounds Bounds, now time.Time) bool {
+// MayAdvance reports whether the next step of moving the traffic may be made: the
+// target was found good, or it could not break the bounds if it were bad. It can't in the
+// shift stage, where processes bound their exposure, nor in the last one where too few
+// requests come until the deadline.
+func (p *Pool) MayAdvance(order Order, plan Plan, bounds Bounds, now time.Time) bool {
 	switch p.Judge().Finding {
 	case Good:
 		return true
 	case Bad:
 		return false
 	}
+	if len(p.reporters) > 0 && order.Current().Stage < StageShift {
+		return true
+	}
 	span, elapsed := now.Sub(p.startedAt), p.Elapsed(now)
 	if len(p.reporters) == 0 || span < shortestSpan {
 		return false
 	}
-	left := max(plan.Deadline-elapsed, 0).Seconds()
 	requests := float64(p.Requests())
 	rate := max(highRate(requests, elapsed), highRate(requests-float64(p.startedWith), span))
+	left := max(plan.Deadline-elapsed, 0).Seconds()
 	return float64(p.Sent())+rate*left <= bounds.Share*requests+bounds.Slack
 }
 
--- a/internal/rollout/pool_test.go
+++ b/internal/rollout/pool_test.go
@@ -74,7 +74,7 @@
 
 // A version of which too few requests come to break the bounds needs no evidence.
 func TestPoolMayAdvance(t *testing.T) {
-	order := Order{Service: "s", Target: "v2", Duration: 12 * time.Second}
+	order := Order{Service: "s", Target: "v2", Duration: 12 * time.Second, Status: Status{State: StateRunning, Target: "v2", Stage: StageShift}}
 	plan := NewPlan(order.Duration)
 	bounds := Bounds{Share: 0.1, Slack: 50, RollBack: 5 * time.Second}
 	for _, test := range []struct {
