--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -154,6 +154,7 @@
 	if !s.serversListed.Load() {
 		s.replaceServers(snapshot.Servers)
 	}
+	s.noteKnown()
 	return nil
 }
 
--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -89,9 +89,10 @@
 	// reportedTo is the node that got the last report.
 	reportedTo string
 	writing    bool
-	// pausedUntil is when the next write may be made, failures how many in a row failed.
+	// pausedUntil is when the next write may be made; failing is set if the last one got no
+	// answer.
 	pausedUntil time.Time
-	failures    int
+	failing     bool
 }
 
 // NewAgent returns an agent; it does nothing before Run.
@@ -262,18 +263,16 @@
 	order.writing = false
 	switch {
 	case err == nil:
-		order.failures = 0
+		order.failing = false
 		a.Tracker.Update(written, begun)
 		a.logStep(order, about, action)
 	case errors.Is(err, ErrChanged):
-		order.failures = 0
+		order.failing = false
 		order.pausedUntil = time.Now().Add(writePause)
 		a.Tracker.Update(written, time.Now())
 	default:
-		order.failures++
-		if order.failures >= unableFailures {
-			a.electors.unable(a.Own.Name, time.Now())
-		}
+		order.failing = true
+		a.electors.unable(a.Own.Name, time.Now())
 		order.pausedUntil = time.Now().Add(writePause)
 		klog.ErrorS(err, "rollout status not written", "service", about.Service, "state", action.Status.State.String(),
 			"stage", action.Status.Stage.String(), "revision", about.Revision)
--- a/internal/rollout/agent_test.go
+++ b/internal/rollout/agent_test.go
@@ -21,11 +21,15 @@
 type agentWorld struct {
 	is    *is.I
 	nodes []*agentNode
+	live  []members.Member
+	ctx   context.Context
 
 	mutex sync.Mutex
 	order Order
-	// written are the statuses in the order in which they were written.
+	// written are the statuses in the order in which they were written, writers the nodes
+	// that wrote them.
 	written []Status
+	writers []string
 	// away makes the store silent for all.
 	away bool
 	// lost is how many of the next writes are done without an answer.
@@ -55,29 +59,36 @@
 
 // newAgentWorld starts the agents of all nodes; their order comes with begin.
 func newAgentWorld(t *testing.T) *agentWorld {
-	world := &agentWorld{is: is.New(t)}
+	world := &agentWorld{is: is.New(t), ctx: t.Context()}
 	var live []members.Member
 	for index := range agentNodes {
 		name := fmt.Sprint("node-", index)
 		live = append(live, members.Member{Name: name, Address: name})
 	}
 	for index, member := range live {
-		node := &agentNode{world: world, name: member.Name, tracker: NewTracker(deciderBounds)}
+		node := &agentNode{world: world, name: member.Name}
+		node.start(1)
 		node.tracker.Share(index, agentNodes)
-		node.tracker.Reached(1, time.Now())
-		node.agent = NewAgent(Options{
-			Own: member, Bounds: deciderBounds, Tracker: node.tracker, Transport: node, Registry: node,
-			Fleet: func(Order) Fleet { return Fleet{New: 2, Others: 2} }, Process: 1, Observer: silentObserver{},
-		})
 		node.agent.SetMembers(live)
-		ctx, stop := context.WithCancel(t.Context())
-		node.stop = stop
-		go node.agent.Run(ctx)
 		world.nodes = append(world.nodes, node)
 	}
+	world.live = live
 	return world
 }
 
+// start starts a process of the node, which knows of no orders.
+func (n *agentNode) start(process uint64) {
+	n.tracker = NewTracker(deciderBounds)
+	n.tracker.Reached(1, time.Now())
+	n.agent = NewAgent(Options{
+		Own: members.Member{Name: n.name, Address: n.name}, Bounds: deciderBounds, Tracker: n.tracker, Transport: n, Registry: n,
+		Fleet: func(Order) Fleet { return Fleet{New: 2, Others: 2} }, Process: process, Observer: silentObserver{},
+	})
+	ctx, stop := context.WithCancel(n.world.ctx)
+	n.stop = stop
+	go n.agent.Run(ctx)
+}
+
 // begin orders the new version and lets the nodes begin with it.
 func (w *agentWorld) begin() {
 	w.change(func() {
@@ -111,18 +122,22 @@
 	return w.order.Current()
 }
 
-// serve lets all nodes have answers for so long: ten a second of the old version each,
-// and five of the new one, bad ones as told.
+// serve lets all nodes have answers for so long: each twenty a second, half of the old
+// version, half of the new one, bad ones as told; all of the new one once it is to have all.
 func (w *agentWorld) serve(span time.Duration, bad bool) {
 	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+		ofOld, ofNew := 2, 1
+		if w.status().Stage == StageWhole {
+			ofOld, ofNew = 0, 2
+		}
 		for _, node := range w.nodes {
-			node.answer("old-1", "v1", 2, OutcomeAnswered)
+			node.answer("old-1", "v1", ofOld, OutcomeAnswered)
 			result := OutcomeAnswered
 			if bad {
 				result = OutcomeFailed
 			}
 			for _, id := range []ServerID{"new-1", "new-2"} {
-				node.answer(id, "v2", 1, result)
+				node.answer(id, "v2", ofNew, result)
 			}
 		}
 	}
@@ -176,6 +191,7 @@
 	w.order.Status = status
 	w.order.Revision++
 	w.written = append(w.written, status)
+	w.writers = append(w.writers, n.name)
 	current := w.order
 	lost := w.lost > 0
 	if lost {
@@ -346,9 +362,9 @@
 		w.is.True(found)
 		other := w.nodes[0]
 		rolledBack := Status{State: StateRolledBack, Target: "v2", Stage: StageWhole, Elapsed: known.Elapsed}
-		_, err := other.Answer(t.Context(), known.Order, rolledBack)
+		_, err := other.Answer(w.ctx, known.Order, rolledBack)
 		w.is.NoErr(err)
-		order, err := decider.Answer(t.Context(), known.Order, Status{State: StateCompleted, Target: "v2", Stage: StageWhole})
+		order, err := decider.Answer(w.ctx, known.Order, Status{State: StateCompleted, Target: "v2", Stage: StageWhole})
 		w.is.True(errors.Is(err, ErrChanged))
 		w.is.Equal(order.Status, rolledBack)
 		w.serve(5*time.Second, false)
@@ -374,6 +390,120 @@
 	})
 }
 
+// The stage and the elapsed time outlast all processes.
+func TestOrderGoesOnAfterAllProcessesAreKilled(t *testing.T) {
+	for _, after := range []time.Duration{time.Second, 10 * time.Second, 13300 * time.Millisecond, 14 * time.Second} {
+		t.Run(after.String(), func(t *testing.T) {
+			inWorld(t, func(w *agentWorld) {
+				w.begin()
+				w.serve(after, false)
+				for _, node := range w.nodes {
+					node.stop()
+					time.Sleep(time.Millisecond) // what was under way has ended
+					node.start(2)
+					node.agent.SetMembers(w.live)
+				}
+				w.change(w.tell)
+				w.serve(19*time.Second, false)
+				w.is.Equal(w.stages(), goodSteps)
+			})
+		})
+	}
+}
+
+// A part of the nodes that is cut off from the others can't take a step, and what it is
+// told when it is back stands.
+func TestMinorityTakesNoStep(t *testing.T) {
+	inWorld(t, func(w *agentWorld) {
+		w.begin()
+		w.serve(5*time.Second, false)
+		cut := w.nodes[0]
+		if cut == w.decider() {
+			cut = w.nodes[1]
+		}
+		w.change(func() { cut.silent = true })
+		w.serve(6*time.Second, false)
+		w.is.Equal(w.status().Stage, StageLoad)
+		for _, writer := range w.writers {
+			w.is.True(writer != cut.name)
+		}
+		w.change(func() { cut.silent = false })
+		w.serve(9*time.Second, false)
+		w.is.Equal(w.stages(), goodSteps)
+	})
+}
+
+// A withdrawn order is dropped by all, and the next one begins anew.
+func TestNextOrderBeginsAnew(t *testing.T) {
+	inWorld(t, func(w *agentWorld) {
+		w.begin()
+		w.serve(2*time.Second, true)
+		w.is.Equal(w.stages(), badSteps)
+		w.change(func() {
+			w.written = nil
+			w.order = Order{Service: "s", Target: "v2", Duration: 20 * time.Second, Created: 30, Revision: 30}
+			w.tell()
+		})
+		time.Sleep(400 * time.Millisecond)
+		w.is.Equal(w.stages(), []string{"waiting", "canary"})
+		for _, node := range w.nodes {
+			w.is.True(!node.tracker.Halted("s", Candidate{ID: "new-1", Version: "v2"}))
+		}
+	})
+}
+
+// A process that was frozen can't tell how old the reports are that waited for it.
+func TestProcessThatWasFrozenRefusesReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tracker := NewTracker(deciderBounds)
+		own := members.Member{Name: "own", Address: "own"}
+		agent := NewAgent(Options{
+			Own: own, Bounds: deciderBounds, Tracker: tracker, Registry: refusingRegistry{},
+			Fleet: func(Order) Fleet { return Fleet{} }, Observer: silentObserver{},
+		})
+		order := orderAt(StateRunning, StageCanary, 0)
+		tracker.Put(order, time.Now())
+		report := Report{Node: "other", Orders: []OrderReport{{Service: "s", Target: "v2", Created: 10}}}
+		is.True(agent.tick(t.Context(), time.Now()))
+		rulings, err := agent.Take(report)
+		is.NoErr(err)
+		is.Equal(rulings, []Ruling{{Service: "s", Target: "v2", Created: 10}})
+		time.Sleep(longestTick + time.Millisecond)
+		_, err = agent.Take(report)
+		is.True(errors.Is(err, errWoken))
+		is.True(agent.tick(t.Context(), time.Now()))
+		_, err = agent.Take(report)
+		is.True(errors.Is(err, errWoken))
+		time.Sleep(wokenPause)
+		_, err = agent.Take(report)
+		is.NoErr(err)
+		agent.tasks.Wait()
+	})
+}
+
+// refusingRegistry writes nothing.
+type refusingRegistry struct{}
+
+func (refusingRegistry) Answer(_ context.Context, order Order, _ Status) (Order, error) {
+	return order, ErrChanged
+}
+
+// What is told of an order that is not known is no ruling: the reporter turns to another.
+func TestUnknownOrdersGetNoRuling(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker(deciderBounds)
+	agent := NewAgent(Options{Own: members.Member{Name: "own"}, Tracker: tracker})
+	told := OrderReport{Service: "s", Target: "v2", Created: 10}
+	rulings, err := agent.Take(Report{Node: "other", Orders: []OrderReport{told}})
+	is.NoErr(err)
+	is.Equal(len(rulings), 0)
+	tracker.Put(orderAt(StateRolledBack, StageLoad, time.Second), time.Now())
+	rulings, err = agent.Take(Report{Node: "other", Orders: []OrderReport{told}})
+	is.NoErr(err)
+	is.Equal(rulings, []Ruling{{Service: "s", Target: "v2", Created: 10, Halt: true}})
+}
+
 // What the operators have withdrawn does not come back with the answer to a write that
 // was under way.
 func TestWithdrawnOrderStaysWithdrawn(t *testing.T) {
--- a/internal/rollout/electors.go
+++ b/internal/rollout/electors.go
@@ -14,6 +14,8 @@
 const (
 	// failedAvoidance is how long a node that did not answer gets no reports.
 	failedAvoidance = 3 * time.Second
+	// unknownAvoidance is how long one gets none that has not learned of the order yet.
+	unknownAvoidance = 500 * time.Millisecond
 	// unableAvoidance is how long one is passed over that gets nothing written.
 	unableAvoidance = 5 * time.Second
 	// mostUnable is how many nodes are passed over for that: beyond, it is the store that
@@ -119,5 +121,10 @@
 // failed notes that a member did not answer.
 func (e *electors) failed(name string, now time.Time) { e.avoided[name] = now.Add(failedAvoidance) }
 
+// unknowing notes that a member does not know all orders yet.
+func (e *electors) unknowing(name string, now time.Time) {
+	e.avoided[name] = now.Add(unknownAvoidance)
+}
+
 // unable notes that a member gets nothing written.
 func (e *electors) unable(name string, now time.Time) { e.passed[name] = now.Add(unableAvoidance) }
--- a/internal/rollout/report.go
+++ b/internal/rollout/report.go
@@ -9,10 +9,6 @@
 	"github.com/driftstage/driftstage/internal/members"
 )
 
-// unableFailures is after how many writes that failed in a row a node says that it gets
-// nothing written.
-const unableFailures = 2
-
 // report sends a report to the node that decides the orders, if one is due.
 func (a *Agent) report(ctx context.Context, member members.Member, orders []OrderReport, news bool, now time.Time) {
 	known := a.links[member.Name]
@@ -48,8 +44,7 @@
 	}
 	a.Tracker.Reported(a.obey(member, rulings), made)
 	if len(rulings) < len(report.Orders) {
-		// It does not know all the orders yet.
-		a.electors.failed(member.Name, time.Now())
+		a.electors.unknowing(member.Name, time.Now())
 	}
 }
 
@@ -115,6 +110,6 @@
 	order := a.order(known.Order)
 	order.heardAt = now
 	order.decider.Pool.Add(report.Node, report.Process, report.Sequence, told, now)
-	ruling.Unable = order.failures >= unableFailures
+	ruling.Unable = order.failing
 	return ruling, true
 }
