rollout: tests of partial cuts, halts that are passed on, reports without news

Cause: mutants of the agent survived (own node not passed over, a node that is not first but gets the reports, halts told by reporters, reports without news). Change: a test each.

--- a/internal/rollout/agent_test.go
+++ b/internal/rollout/agent_test.go
@@ -49,6 +49,8 @@
 	// silent nodes answer no report; barred ones do not reach the store, nor does what it
 	// tells reach them.
 	silent, barred bool
+	// unreachable are the nodes that this one does not reach.
+	unreachable map[string]bool
 }
 
 // silentObserver is told and forgets.
@@ -162,7 +164,7 @@
 			continue
 		}
 		n.world.mutex.Lock()
-		silent := node.silent || n.silent
+		silent := node.silent || n.silent || n.unreachable[address]
 		n.world.reports++
 		n.world.mutex.Unlock()
 		if silent {
@@ -433,6 +435,83 @@
 	})
 }
 
+// A node that the others turn to decides, also where it reaches the first one itself.
+func TestNodeThatGetsTheReportsDecides(t *testing.T) {
+	inWorld(t, func(w *agentWorld) {
+		first := w.decider()
+		own := w.nodes[0].agent.electors
+		own.failed(first.name, time.Now())
+		second := own.first("s", time.Now())
+		w.change(func() {
+			for _, node := range w.nodes {
+				if node.name != second.Name && node != first {
+					node.unreachable = map[string]bool{first.name: true}
+				}
+			}
+		})
+		w.begin()
+		w.serve(19*time.Second, false)
+		w.is.Equal(w.stages(), goodSteps)
+	})
+}
+
+// Without news a node reports once in reportInterval.
+func TestReportsWithoutNewsAreRare(t *testing.T) {
+	inWorld(t, func(w *agentWorld) {
+		w.begin()
+		before := w.reports
+		time.Sleep(6 * time.Second)
+		synctest.Wait()
+		sent := w.reports - before
+		w.is.True(sent > 0)
+		w.is.True(sent <= (agentNodes-1)*int(6*time.Second/reportInterval+1))
+	})
+}
+
+// A node that gets nothing written says so, and reports to the next one itself.
+func TestNodesTurnFromOneThatGetsNothingWritten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		own, other := members.Member{Name: "own", Address: "own"}, members.Member{Name: "other", Address: "other"}
+		tracker := NewTracker(deciderBounds)
+		agent := NewAgent(Options{Own: own, Tracker: tracker, Registry: deafRegistry{}, Observer: silentObserver{}})
+		agent.SetMembers([]members.Member{own, other})
+		order := orderAt(StateRunning, StageCanary, 0)
+		tracker.Put(order, time.Now())
+		agent.write(t.Context(), agent.order(order), order, Action{Status: Status{State: StateRolledBack, Target: "v2"}})
+		is.Equal(agent.electors.first("s", time.Now()), other)
+		report := Report{Node: "other", Orders: []OrderReport{{Service: "s", Target: "v2", Created: 10}}}
+		rulings, err := agent.Take(report)
+		is.NoErr(err)
+		is.Equal(rulings, []Ruling{{Service: "s", Target: "v2", Created: 10, Unable: true}})
+		reporter := NewAgent(Options{Own: other, Tracker: tracker})
+		reporter.SetMembers([]members.Member{own, other})
+		is.Equal(reporter.obey(own, rulings), []Key{order.Key()})
+		is.Equal(reporter.electors.first("s", time.Now()), other)
+	})
+}
+
+// deafRegistry answers nothing.
+type deafRegistry struct{}
+
+func (deafRegistry) Answer(ctx context.Context, order Order, _ Status) (Order, error) {
+	<-ctx.Done()
+	return order, ctx.Err()
+}
+
+// A reporter that was told of a bad version tells the next node that decides.
+func TestHaltIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker(deciderBounds)
+	agent := NewAgent(Options{Own: members.Member{Name: "own"}, Tracker: tracker})
+	tracker.Put(orderAt(StateRunning, StageCanary, 0), time.Now())
+	told := OrderReport{Service: "s", Target: "v2", Created: 10, Halted: true}
+	rulings, err := agent.Take(Report{Node: "other", Orders: []OrderReport{told}})
+	is.NoErr(err)
+	is.Equal(rulings, []Ruling{{Service: "s", Target: "v2", Created: 10, Halt: true}})
+	is.True(tracker.Halted("s", Candidate{ID: "new-1", Version: "v2"}))
+}
+
 // A withdrawn order is dropped by all, and the next one begins anew.
 func TestNextOrderBeginsAnew(t *testing.T) {
 	inWorld(t, func(w *agentWorld) {
--- a/internal/rollout/decider_test.go
+++ b/internal/rollout/decider_test.go
@@ -239,3 +239,18 @@
 	decider.Pool.Add("a", 1, 2, report, woken)
 	is.Equal(decider.Tick(view, woken).Status.Stage, StageLoad)
 }
+
+// Reports that come after another node has decided for a while count at once.
+func TestDeciderThatRestedGoesOn(t *testing.T) {
+	is := is.New(t)
+	var decider Decider
+	view := View{Order: orderAt(StateRunning, StageCanary, 0), Bounds: deciderBounds, Elapsed: 9 * time.Second, Live: 1}
+	report := OrderReport{Service: "s", Target: "v2", Created: 10, Revision: 11, Servers: 1}
+	decider.Pool.Add("a", 1, 1, report, epoch)
+	decider.Tick(view, epoch)
+	decider.Rest()
+	is.Equal(decider.Pool.Reporters(epoch, time.Hour), 0)
+	later := epoch.Add(10 * time.Second)
+	decider.Pool.Add("a", 1, 2, report, later)
+	is.Equal(decider.Tick(view, later).Status.Stage, StageLoad)
+}
