--- a/internal/rollout/agent_test.go
+++ b/internal/rollout/agent_test.go
@@ -14,7 +14,7 @@
 	"github.com/driftstage/driftstage/internal/members"
 )
 
-const agentNodes = 4
+const agentNodes = 5
 
 // agentWorld are the agents of some nodes with one order, whose store and links are in
 // memory.
@@ -477,17 +477,22 @@
 		agent := NewAgent(Options{Own: own, Tracker: tracker, Registry: deafRegistry{}, Observer: silentObserver{}})
 		agent.SetMembers([]members.Member{own, other})
 		order := orderAt(StateRunning, StageCanary, 0)
+		for number := 0; agent.electors.first(order.Service, time.Now()) != own; number++ {
+			order.Service = fmt.Sprint("service-", number)
+		}
+		service := order.Service
 		tracker.Put(order, time.Now())
 		agent.write(t.Context(), agent.order(order), order, Action{Status: Status{State: StateRolledBack, Target: "v2"}})
-		is.Equal(agent.electors.first("s", time.Now()), other)
-		report := Report{Node: "other", Orders: []OrderReport{{Service: "s", Target: "v2", Created: 10}}}
+		is.Equal(agent.electors.first(service, time.Now()), other)
+		report := Report{Node: "other", Orders: []OrderReport{{Service: service, Target: "v2", Created: 10}}}
 		rulings, err := agent.Take(report)
 		is.NoErr(err)
-		is.Equal(rulings, []Ruling{{Service: "s", Target: "v2", Created: 10, Unable: true}})
+		is.Equal(rulings, []Ruling{{Service: service, Target: "v2", Created: 10, Unable: true}})
 		reporter := NewAgent(Options{Own: other, Tracker: tracker})
 		reporter.SetMembers([]members.Member{own, other})
+		is.Equal(reporter.electors.first(service, time.Now()), own)
 		is.Equal(reporter.obey(own, rulings), []Key{order.Key()})
-		is.Equal(reporter.electors.first("s", time.Now()), other)
+		is.Equal(reporter.electors.first(service, time.Now()), other)
 	})
 }
 
@@ -596,6 +601,11 @@
 	is.True(!tracker.Update(order, now))
 	orders, _ := tracker.Orders()
 	is.Equal(len(orders), 0)
+	next := Order{Service: "s", Target: "v3", Duration: 20 * time.Second, Created: 10, Revision: 10}
+	tracker.Put(next, now)
+	is.True(!tracker.Update(order, now))
+	orders, _ = tracker.Orders()
+	is.Equal(orders, []Order{next})
 }
 
 // All nodes agree on the order of the deciders, and on the next one.
