Roll-outs: the plan's time for all traffic; tests with nodes and the stand-in of the store

Cause: the plan has a time of its own for moving all traffic; the shift stage ended after 0.6 s. Change: the decider waits for Plan.Whole. Edge tests: metrics and state page, a store that is silent, orders learned from a peer.

--- a/internal/edge/rollout_test.go
+++ b/internal/edge/rollout_test.go
@@ -1,7 +1,9 @@
 package edge_test
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -48,8 +50,7 @@
 			loaded.Name = nodeName(index)
 			loaded.PeerAddress = address
 			loaded.MetricsAddress = freeAddress(t)
-			loaded.Rollouts = rollout.Bounds{Share: 0.1, Slack: 50, RollBack: 5 * time.Second}
-		})
+		}, rollouts)
 		result.nodes = append(result.nodes, node)
 	}
 	for _, node := range result.nodes {
@@ -58,6 +59,10 @@
 	return result
 }
 
+func rollouts(loaded *settings.Router) {
+	loaded.Rollouts = rollout.Bounds{Share: 0.1, Slack: 50, RollBack: 5 * time.Second}
+}
+
 func nodeName(index int) string { return fmt.Sprint("node-", index+1) }
 
 // order asks for the new version and starts its servers.
@@ -129,6 +134,23 @@
 		}
 	}
 	is.Equal(world.ran("old"), before)
+	metrics := world.nodes[0].admin("/metrics")
+	is.True(strings.Contains(metrics, `driftstage_rollout_state{service="s",stage="whole",state="completed",target="v2"} 1`))
+	is.True(strings.Contains(metrics, `driftstage_rollout_answers_count{result="failed",service="s",version="new"} 0`))
+	state := world.nodes[0].admin("/debug/state")
+	is.True(strings.Contains(state, `"State": "completed"`))
+}
+
+// admin returns what the node tells operators on the path.
+func (w *world) admin(path string) string {
+	w.t.Helper()
+	is := is.New(w.t)
+	answer, err := http.Get("http://" + w.loaded.MetricsAddress + path)
+	is.NoErr(err)
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	is.NoErr(err)
+	return string(body)
 }
 
 // A version that fails half of its requests is rolled back before it gets more than its
@@ -151,6 +173,57 @@
 	is.True(float64(world.ran("new")) <= 50+0.1*float64(world.runs()))
 }
 
+// While the store is away a bad version is halted all the same; the answer is written when
+// the store is there again.
+func TestBadVersionIsHaltedWhileTheStoreIsSilent(t *testing.T) {
+	is := is.New(t)
+	world := newRolloutWorld(t, 3)
+	world.order(30*time.Second, standin.Flaw{Share: 0.5, Behavior: standin.Fail, After: 3 * time.Second})
+	var callers sync.WaitGroup
+	failed := 0
+	callers.Go(func() { failed = world.callers(20 * time.Second) })
+	world.eventually("the canary runs", func() bool { return world.ran("new") > 0 })
+	world.store.SetFaults(standin.StoreFaults{Silent: true})
+	world.eventually("the version is halted", func() bool {
+		return strings.Contains(world.nodes[0].admin("/debug/state"), `"Halted": true`)
+	})
+	is.Equal(world.store.RolloutStatus("s").State, "running")
+	world.store.SetFaults(standin.StoreFaults{})
+	world.eventually("the answer is written", func() bool { return world.store.RolloutStatus("s").State == "rolled_back" })
+	callers.Wait()
+	is.Equal(failed, 0)
+}
+
+// A node that starts while the store is away learns from its peers which versions get
+// nothing.
+func TestOrdersAreLearnedFromAPeer(t *testing.T) {
+	is := is.New(t)
+	peer := newRolloutWorld(t, 1)
+	peer.order(30*time.Second, standin.Flaw{})
+	store := platform.NewStore(peer.store.Address())
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	var order rollout.Order
+	peer.eventually("the order is rolled back", func() bool {
+		page, err := store.Rollouts().List(ctx, "")
+		is.NoErr(err)
+		order = page.Items[0]
+		_, err = store.Answer(ctx, order, rollout.Status{State: rollout.StateRolledBack, Target: newVersion})
+		return err == nil
+	})
+	peer.eventually("the peer knows", func() bool {
+		return strings.Contains(peer.nodes[0].admin("/debug/state"), `"State": "rolled_back"`)
+	})
+	before := peer.ran("new")
+	started := newWorld(t, configuration(1))
+	started.store.SetFaults(standin.StoreFaults{Silent: true})
+	started.startReady(rollouts, func(loaded *settings.Router) { loaded.Seeds = []string{peer.nodes[0].loaded.PeerAddress} })
+	for number := range 10 {
+		is.Equal(started.ask("/one/", fmt.Sprint("id-", number)).status, http.StatusOK)
+	}
+	is.Equal(peer.ran("new"), before)
+}
+
 // Without the setting the orders are not read, and versions make no difference.
 func TestVersionsMakeNoDifferenceWithoutRollouts(t *testing.T) {
 	is := is.New(t)
--- a/internal/rollout/decider.go
+++ b/internal/rollout/decider.go
@@ -184,7 +184,8 @@
 
 // afterShift moves all traffic once the version has stood a part of it.
 func (m moment) afterShift() Action {
-	if m.inStage() < shiftTime || m.doubtful || !m.majority() || !m.mostAdopted() {
+	early := m.elapsed < m.plan.Whole || m.inStage() < shiftTime
+	if early || m.doubtful || !m.majority() || !m.mostAdopted() {
 		return Action{}
 	}
 	return m.write(StateRunning, StageWhole)
