--- a/internal/edge/rollout.go
+++ b/internal/edge/rollout.go
@@ -99,13 +99,9 @@
 
 // rolloutDescription is what a node believes of an order, for operators.
 type rolloutDescription struct {
-	Service, Target, State, Stage string
-	ElapsedMs                     int64
-	Halted                        bool
+	rollout.Description
 	// Servers of the target, and of other versions.
 	Servers, Others int
-	// Requests of the service that this node had, and what it sent to the target.
-	Requests, Sent, Allowed uint32
 }
 
 // describeRollouts returns what the node believes of all orders.
@@ -114,17 +110,9 @@
 	for _, usage := range versions.Usages(time.Now()) {
 		fleet := directory.Fleet(usage.Order)
 		described = append(described, rolloutDescription{
-			Service:   usage.Order.Service,
-			Target:    string(usage.Order.Target),
-			State:     usage.Order.Current().State.String(),
-			Stage:     usage.Stage.String(),
-			ElapsedMs: usage.Elapsed.Milliseconds(),
-			Halted:    usage.Halted,
-			Servers:   fleet.New,
-			Others:    fleet.Others + fleet.Earlier,
-			Requests:  usage.Requests,
-			Sent:      usage.Sent,
-			Allowed:   usage.Allowed,
+			Description: usage.Describe(),
+			Servers:     fleet.New,
+			Others:      fleet.Others + fleet.Earlier,
 		})
 	}
 	return described
--- a/internal/rollout/tracker.go
+++ b/internal/rollout/tracker.go
@@ -338,7 +338,7 @@
 		Requests: known.exposure.requests,
 		Sent:     known.exposure.sent,
 	}
-	usage.Share = known.exposure.share(usage.Stage)
+	usage.Share = known.exposure.share(usage.Stage, known.plan, usage.Elapsed)
 	if !known.unreportedSince.IsZero() {
 		usage.Unreported = now.Sub(known.unreportedSince)
 	}
