--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -57,6 +57,14 @@
 	Watcher[T]
 }
 
+// StaleLister is a feed whose first list may lag behind the store, which costs a tenth.
+// It is for kinds that are read for late changes rather than for what is there at the
+// start: a lag ends with the trouble of the store, as that of a stale watch does.
+type StaleLister[T any] interface {
+	// ListStale is List, but for its age.
+	ListStale(ctx context.Context, after string) (Page[T], error)
+}
+
 // Watcher tells what happens to one kind of objects.
 type Watcher[T any] interface {
 	// Watch returns the changes after a revision, as soon as there are any, or
--- a/internal/catalog/follower_test.go
+++ b/internal/catalog/follower_test.go
@@ -399,3 +399,34 @@
 	is.True(follower.list(t.Context()) != nil)
 	is.Equal(sink.get(), "new")
 }
+
+// cheapFeed counts the lists that may lag.
+type cheapFeed struct {
+	*memoryFeed
+	cheap int
+}
+
+// ListStale implements StaleLister.
+func (c *cheapFeed) ListStale(ctx context.Context, after string) (Page[string], error) {
+	c.cheap++
+	return c.List(ctx, after)
+}
+
+func TestOnlyTheFirstListMayLag(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		feed := &cheapFeed{memoryFeed: newMemoryFeed()}
+		feed.set("a", "1")
+		follower := NewFollower("test", feed, &memorySink{}, uncounted{})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go follower.Run(ctx)
+		time.Sleep(time.Second)
+		is.Equal(feed.cheap, 1)
+		feed.forget()
+		feed.set("b", "2")
+		time.Sleep(5 * time.Second)
+		is.Equal(feed.cheap, 1)
+		is.True(feed.lists >= 2) // the history was gone
+	})
+}
--- a/internal/catalog/list.go
+++ b/internal/catalog/list.go
@@ -60,6 +60,15 @@
 	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
 	defer cancel()
 	return abandonable(ctx, f.backoff.Woken(), func(ctx context.Context) (Page[T], error) {
-		return f.feed.List(ctx, after)
+		return f.lister()(ctx, after)
 	})
 }
+
+// lister returns the call that reads a page. What a node knows must not go back, so that
+// only a node that knows nothing takes a list that may lag.
+func (f *Follower[T]) lister() func(context.Context, string) (Page[T], error) {
+	if feed, cheap := f.feed.(StaleLister[T]); cheap && f.revision == 0 {
+		return feed.ListStale
+	}
+	return f.feed.List
+}
