--- a/internal/catalog/follower_test.go
+++ b/internal/catalog/follower_test.go
@@ -423,8 +423,11 @@
 		go follower.Run(ctx)
 		time.Sleep(time.Second)
 		is.Equal(feed.cheap, 1)
-		feed.forget()
+		feed.configure(func() { feed.fail = true })
+		time.Sleep(5 * time.Second)
 		feed.set("b", "2")
+		feed.forget()
+		feed.configure(func() { feed.fail = false })
 		time.Sleep(5 * time.Second)
 		is.Equal(feed.cheap, 1)
 		is.True(feed.lists >= 2) // the history was gone
