--- a/internal/lab/cluster/cluster.go
+++ b/internal/lab/cluster/cluster.go
@@ -76,7 +76,7 @@
 // Start starts the platform's stand-in. Stop ends everything started later, too.
 func Start(ctx context.Context, options Options) (*Cluster, error) {
 	arguments := append([]string{"platform"}, options.PlatformArguments...)
-	process, line, err := startProcess(ctx, options.Directory, "platform",
+	process, line, err := StartProcess(ctx, options.Directory, "platform",
 		filepath.Join(options.Binaries, "driftlab"), `"adminAddress"`, arguments...)
 	if err != nil {
 		return nil, err
@@ -91,7 +91,7 @@
 // StartBackends starts the back ends of one service.
 func (cluster *Cluster) StartBackends(ctx context.Context, service string, arguments ...string) (*Backends, error) {
 	arguments = append([]string{"backends", "--service", service}, arguments...)
-	process, line, err := startProcess(ctx, cluster.options.Directory, "backends-"+service,
+	process, line, err := StartProcess(ctx, cluster.options.Directory, "backends-"+service,
 		filepath.Join(cluster.options.Binaries, "driftlab"), `"admin"`, arguments...)
 	if err != nil {
 		return nil, err
@@ -124,7 +124,7 @@
 	}
 	arguments = append(arguments, options.Arguments...)
 	logName := fmt.Sprintf("%s-%d", options.Name, len(cluster.Nodes))
-	process, line, err := startProcess(ctx, cluster.options.Directory, logName,
+	process, line, err := StartProcess(ctx, cluster.options.Directory, logName,
 		filepath.Join(cluster.options.Binaries, "driftstaged"), `"msg":"started"`, arguments...)
 	if err != nil {
 		return nil, err
--- a/internal/lab/cluster/process.go
+++ b/internal/lab/cluster/process.go
@@ -33,9 +33,9 @@
 	result error
 }
 
-// startProcess runs a program whose output goes to a log file, and returns it
+// StartProcess runs a program whose output goes to a log file, and returns it
 // with the first line of its output that holds the marker.
-func startProcess(ctx context.Context, directory, name, binary, marker string, args ...string) (*Process, string, error) {
+func StartProcess(ctx context.Context, directory, name, binary, marker string, args ...string) (*Process, string, error) {
 	log, err := os.Create(filepath.Join(directory, name+".log"))
 	if err != nil {
 		return nil, "", err
--- a/test/soak/node_test.go
+++ b/test/soak/node_test.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/driftstage/driftstage/platform/standin"
 )
 
 // binary is the program under test.
@@ -46,7 +48,7 @@
 	readiness string
 	log       *os.File
 	// storeLink is the proxy through which this node reaches the store.
-	storeLink *proxy
+	storeLink *standin.Proxy
 
 	// injecting is held while a fault or a planned stop is under way.
 	injecting sync.Mutex
@@ -100,7 +102,7 @@
 	built.arguments = []string{
 		"--name", built.name, "--zone", zoneName(index), "--region", place.region, "--zones", place.regions,
 		"--listen-address", built.address, "--readiness-address", built.readiness,
-		"--peer-address", place.peer, "--seeds", place.seeds, "--store-address", built.storeLink.address(),
+		"--peer-address", place.peer, "--seeds", place.seeds, "--store-address", built.storeLink.Address(),
 		"--retry-ratio", "0.3", "--retry-slack", "60", "--stop-timeout", "4s", "--log-lines", "2000",
 	}
 	return built
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -100,18 +100,18 @@
 }
 
 // link disturbs the connections that pass a proxy, for the span where that has one.
-func (injector *injector) link(link *proxy, span time.Duration) {
-	faults := []linkFault{
-		{delay: time.Duration(1+injector.random.IntN(100)) * time.Millisecond},
-		{holdRequests: true}, {holdAnswers: true}, {holdRequests: true, holdAnswers: true},
+func (injector *injector) link(link *standin.Proxy, span time.Duration) {
+	faults := []standin.LinkFault{
+		{Delay: time.Duration(1+injector.random.IntN(100)) * time.Millisecond},
+		{HoldRequests: true}, {HoldAnswers: true}, {HoldRequests: true, HoldAnswers: true},
 	}
 	kind := injector.random.IntN(len(faults) + 1)
 	if kind == len(faults) {
-		link.reset()
+		link.Reset()
 		return
 	}
-	link.set(faults[kind])
-	time.AfterFunc(span, func() { link.set(linkFault{}) })
+	link.Set(faults[kind])
+	time.AfterFunc(span, func() { link.Set(standin.LinkFault{}) })
 }
 
 // alone does something to a node that nothing else is being done to.
@@ -219,10 +219,10 @@
 	defer stopInjecting.Stop()
 	injector.run(injecting)
 	for _, link := range world.links {
-		link.set(linkFault{})
+		link.Set(standin.LinkFault{})
 	}
 	for _, node := range nodes {
-		node.storeLink.set(linkFault{})
+		node.storeLink.Set(standin.LinkFault{})
 	}
 	checkRecovery(t, world, nodes)
 	close(sending)
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -32,7 +32,7 @@
 	records map[string][]byte
 	version uint64
 	// links are the proxies before servers.
-	links []*proxy
+	links []*standin.Proxy
 }
 
 // faulty draws a behavior for one request in twenty.
@@ -96,7 +96,7 @@
 	link := newProxy(t, server.Address())
 	world.links = append(world.links, link)
 	spec := server.Spec()
-	spec.Address = link.address()
+	spec.Address = link.Address()
 	if err := world.store.Put("servers", id, spec); err != nil {
 		t.Fatal(err)
 	}
