driftlab experiment rollout: one roll-out with real processes

Cause: nothing showed a roll-out with driftrouter processes, a store, servers of two versions and callers, nor what it costs these.

--- a/cmd/driftlab/experiment.go
+++ b/cmd/driftlab/experiment.go
@@ -29,6 +29,7 @@
 			newExperiment("throughput", "processor time for each sub-request where the daemons are busy", experiment.Throughput),
 			newExperiment("stragglers", "the tail with 1 in 100 replies 50 times slower and one server dead", experiment.Stragglers),
 			newExperiment("overload", "useful answers and refusals at up to more than twice the capacity", experiment.Overload),
+			rolloutCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/internal/lab/rollouts/fleet.go
@@ -0,0 +1,284 @@
+package rollouts
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/driftstage/driftstage/internal/lab/cluster"
+	"github.com/driftstage/driftstage/platform/standin"
+)
+
+const (
+	// startedMarker is in the line that driftrouter logs once it listens.
+	startedMarker = `"started"`
+	// readyTimeout bounds the time until all nodes are ready.
+	readyTimeout = 20 * time.Second
+	// pollInterval is how often something is looked at that is waited for.
+	pollInterval = 10 * time.Millisecond
+	// lowestPort and portCount are the ports from which the nodes' addresses are drawn;
+	// portTries is how often one may be in use.
+	lowestPort, portCount = 12_000, 20_000
+	portTries             = 20
+	// kindMembers is the kind of the nodes' announcements.
+	kindMembers = "members"
+)
+
+// node is one machine's process, which may be started more than once.
+type node struct {
+	name                     string
+	address, readiness, peer string
+	// entrance is the node's own address of the store.
+	entrance *standin.Entrance
+	// storeLink leads to the entrance, peerLinks to the other nodes by their peer
+	// addresses; nil where nothing is cut.
+	storeLink *standin.Proxy
+	peerLinks map[string]*standin.Proxy
+
+	process *cluster.Process
+	starts  int
+	// away is set while callers are not sent to the node.
+	away atomic.Bool
+}
+
+// fleet is all nodes.
+type fleet struct {
+	options Options
+	store   *standin.Store
+	nodes   []*node
+}
+
+// startFleet starts the nodes and waits until they are ready. Links between them can be
+// cut if they go through proxies.
+func startFleet(ctx context.Context, options Options, store *standin.Store, proxies bool) (*fleet, error) {
+	started := &fleet{options: options, store: store}
+	for index := range options.Nodes {
+		built, err := newNode(index, store)
+		if err != nil {
+			return started, err
+		}
+		started.nodes = append(started.nodes, built)
+	}
+	if proxies {
+		if err := started.openLinks(); err != nil {
+			return started, err
+		}
+	}
+	for index := range started.nodes {
+		if err := started.start(ctx, index); err != nil {
+			return started, err
+		}
+	}
+	return started, started.awaitReady(ctx)
+}
+
+func newNode(index int, store *standin.Store) (*node, error) {
+	entrance, err := store.OpenEntrance()
+	if err != nil {
+		return nil, err
+	}
+	built := &node{name: fmt.Sprintf("node-%d", index), entrance: entrance}
+	for _, address := range []*string{&built.address, &built.readiness, &built.peer} {
+		if *address, err = freeAddress(); err != nil {
+			return nil, err
+		}
+	}
+	return built, nil
+}
+
+// freeAddress returns a loopback address at which nothing listens. Its port is below those
+// that systems give to outgoing connections, so that none takes it before the node does.
+func freeAddress() (string, error) {
+	var failed error
+	for range portTries {
+		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(portCount))
+		listen, err := net.Listen("tcp4", address)
+		if err == nil {
+			return address, listen.Close()
+		}
+		failed = err
+	}
+	return "", failed
+}
+
+// openLinks leads each node to the store and to each other node by a proxy of its own.
+func (f *fleet) openLinks() error {
+	for _, from := range f.nodes {
+		var err error
+		if from.storeLink, err = standin.NewProxy(from.entrance.Address()); err != nil {
+			return err
+		}
+		from.peerLinks = make(map[string]*standin.Proxy)
+		for _, to := range f.nodes {
+			if to == from {
+				continue
+			}
+			if from.peerLinks[to.peer], err = standin.NewProxy(to.peer); err != nil {
+				return err
+			}
+		}
+		from.entrance.SetView(from.view)
+	}
+	return nil
+}
+
+// view shows the node the other nodes at the addresses of its links to them.
+func (n *node) view(kind string, object standin.Object) standin.Object {
+	var spec map[string]any
+	if kind != kindMembers || json.Unmarshal(object.Spec, &spec) != nil {
+		return object
+	}
+	address, _ := spec["address"].(string)
+	link, found := n.peerLinks[address]
+	if !found {
+		return object
+	}
+	spec["address"] = link.Address()
+	if encoded, err := json.Marshal(spec); err == nil {
+		object.Spec = encoded
+	}
+	return object
+}
+
+// start starts the process of a node.
+func (f *fleet) start(ctx context.Context, index int) error {
+	started := f.nodes[index]
+	started.starts++
+	process, _, err := cluster.StartProcess(ctx, f.options.Directory,
+		fmt.Sprintf("%s-%d", started.name, started.starts), filepath.Join(f.options.Binaries, "driftrouter"), startedMarker,
+		"--name", started.name, "--zone", zoneName(index), "--region", region, "--zones", zones(),
+		"--listen-address", started.address, "--readiness-address", started.readiness, "--peer-address", started.peer,
+		"--seeds", strings.Join(f.seeds(started), ","), "--store-address", started.storeAddress(),
+		"--expose-share", fmt.Sprint(exposeShare), "--expose-slack", fmt.Sprint(exposeSlack), "--rollback-time", rollBackTime.String(),
+		"--retry-ratio", "0.2", "--retry-slack", "60", "--stop-timeout", "3s",
+	)
+	if err != nil {
+		return errors.Wrap(err, "driftrouter has to be beside driftlab (make build)")
+	}
+	started.process = process
+	return nil
+}
+
+func (n *node) storeAddress() string {
+	if n.storeLink != nil {
+		return n.storeLink.Address()
+	}
+	return n.entrance.Address()
+}
+
+func zones() string {
+	var pairs []string
+	for index := range zoneCount {
+		pairs = append(pairs, zoneName(index)+"="+region)
+	}
+	return strings.Join(pairs, ",")
+}
+
+// seeds are the peer addresses of all other nodes as the node reaches them.
+func (f *fleet) seeds(of *node) []string {
+	var addresses []string
+	for _, other := range f.nodes {
+		switch link := of.peerLinks[other.peer]; {
+		case other == of:
+		case link != nil:
+			addresses = append(addresses, link.Address())
+		default:
+			addresses = append(addresses, other.peer)
+		}
+	}
+	return addresses
+}
+
+func (f *fleet) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for _, waited := range f.nodes {
+		for !standin.Ready(ctx, waited.readiness) {
+			if ctx.Err() != nil {
+				return errors.Newf("%s is not ready: %s", waited.name, waited.process.Log())
+			}
+			time.Sleep(pollInterval)
+		}
+	}
+	return nil
+}
+
+// decider waits until a status has been written, and returns the index of the node that
+// wrote last.
+func (f *fleet) decider(ctx context.Context) (int, error) {
+	for {
+		writer := f.store.LastWriter(standin.KindRollouts)
+		for index, candidate := range f.nodes {
+			if candidate.entrance == writer {
+				return index, nil
+			}
+		}
+		if err := sleep(ctx, pollInterval); err != nil {
+			return 0, errors.Wrap(err, "no node has written a status")
+		}
+	}
+}
+
+// setCut cuts a node off from the store and from all other nodes, or heals that.
+func (f *fleet) setCut(index int, cut bool) {
+	fault := standin.LinkFault{HoldRequests: cut, HoldAnswers: cut}
+	lonely := f.nodes[index]
+	lonely.storeLink.Set(fault)
+	for _, link := range lonely.peerLinks {
+		link.Set(fault)
+	}
+	for _, other := range f.nodes {
+		if other != lonely {
+			other.peerLinks[lonely.peer].Set(fault)
+		}
+	}
+}
+
+// stop ends all processes.
+func (f *fleet) stop() error {
+	var failed error
+	for _, stopped := range f.nodes {
+		if stopped.process != nil && !stopped.process.Ended() {
+			_ = stopped.process.Signal(syscall.SIGCONT)
+			_ = stopped.process.Signal(syscall.SIGTERM)
+		}
+	}
+	for _, stopped := range f.nodes {
+		if stopped.process != nil {
+			failed = errors.CombineErrors(failed, stopped.process.Wait())
+		}
+		stopped.closeLinks()
+	}
+	return failed
+}
+
+func (n *node) closeLinks() {
+	if n.storeLink == nil {
+		return
+	}
+	n.storeLink.Close()
+	for _, link := range n.peerLinks {
+		link.Close()
+	}
+}
+
+// sleep waits, and returns the error of a context that ends earlier.
+func sleep(ctx context.Context, span time.Duration) error {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
