--- a/internal/rollout/decider.go
+++ b/internal/rollout/decider.go
@@ -144,10 +144,7 @@
 	if at.current.State == StateNone {
 		return at.write(StateRunning, StageWaiting)
 	}
-	switch at.current.Stage {
-	case StageShift:
-		return at.afterShift()
-	case StageWhole:
+	if at.current.Stage == StageWhole {
 		return d.afterWhole(at)
 	}
 	if at.inUse() {
@@ -161,19 +158,24 @@
 	if at.elapsed >= at.plan.GiveUp {
 		return at.rollBack(at.whyNotGood())
 	}
-	return at.towardsShift()
+	return at.towardsWhole()
 }
 
-// towardsShift returns the next of the steps that keep to the bounds.
-func (m moment) towardsShift() Action {
+// towardsWhole returns the next of the steps that keep to the bounds, or the one that moves
+// all traffic.
+func (m moment) towardsWhole() Action {
 	switch {
 	case m.current.Stage == StageWaiting:
 		if m.servers() > 0 {
 			return m.write(StateRunning, StageCanary)
 		}
 	case !m.majority():
+	case m.current.Stage == StageShift:
+		if m.elapsed >= m.plan.Whole && m.inStage() >= shiftTime && m.mostAdopted() && m.mayAdvance() {
+			return m.write(StateRunning, StageWhole)
+		}
 	case m.elapsed >= m.plan.Shift:
-		if m.servers() > 0 && m.pool.MayAdvance(m.Order, m.plan, m.Bounds, m.now) {
+		if m.mayAdvance() {
 			return m.write(StateRunning, StageShift)
 		}
 	case m.current.Stage == StageCanary && m.elapsed >= m.plan.Load:
@@ -182,13 +184,8 @@
 	return Action{}
 }
 
-// afterShift moves all traffic once the version has stood a part of it.
-func (m moment) afterShift() Action {
-	early := m.elapsed < m.plan.Whole || m.inStage() < shiftTime
-	if early || m.doubtful || !m.majority() || !m.mostAdopted() {
-		return Action{}
-	}
-	return m.write(StateRunning, StageWhole)
+func (m moment) mayAdvance() bool {
+	return m.servers() > 0 && m.pool.MayAdvance(m.Order, m.plan, m.Bounds, m.now)
 }
 
 // afterWhole completes the order once nothing is under way at the old servers, which stop
