--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -14,10 +14,14 @@
 const (
 	// tickInterval is how often orders that are being carried out are looked at.
 	tickInterval = 250 * time.Millisecond
-	// newsInterval is the least time between reports while answers of a target come in,
-	// reportInterval the time between reports that only say what is in force.
-	newsInterval   = 200 * time.Millisecond
-	reportInterval = 750 * time.Millisecond
+	// newsInterval is the least time between reports while answers of a target come in. It
+	// grows by newsStep with each live node, up to longestNewsInterval: the node that
+	// decides has to read them all. reportInterval is the time between reports that only say
+	// what is in force.
+	newsInterval        = 200 * time.Millisecond
+	newsStep            = time.Millisecond
+	longestNewsInterval = 450 * time.Millisecond
+	reportInterval      = 750 * time.Millisecond
 	// reportTimeout bounds one report: the next node has to be asked before exposure ends
 	// for want of reports (longestUnreported).
 	reportTimeout = 400 * time.Millisecond
--- a/internal/rollout/report.go
+++ b/internal/rollout/report.go
@@ -18,7 +18,7 @@
 	}
 	interval := reportInterval
 	if news {
-		interval = newsInterval
+		interval = a.newsPause()
 	}
 	if known.reporting || now.Sub(known.sentAt) < interval {
 		return
@@ -28,6 +28,11 @@
 	a.tasks.Go(func() { a.send(ctx, member, known, report, now) })
 }
 
+// newsPause returns the least time between reports while answers of a target come in.
+func (a *Agent) newsPause() time.Duration {
+	return min(newsInterval+time.Duration(a.electors.live)*newsStep, longestNewsInterval)
+}
+
 // send hands over a report that was made at the given time.
 func (a *Agent) send(ctx context.Context, member members.Member, to *link, report Report, made time.Time) {
 	timed, cancel := context.WithTimeout(ctx, reportTimeout)
