rollout: limits that grow with the evidence, outliers against all alike

Cause: one route of three failing 0.2 slipped through (5 of 300 at 100/s) because the server with most failures was taken for an outlier, and because one bound served 20 and 60 answers alike. Change: an outlier has to be likelier than all servers being bad alike; the ratio of a good version has to be near what versions without excess show; sums of logarithms are cheaper.

--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -13,13 +13,13 @@
 	alpha = 0.001
 	// lateBound is the same ratio over the latest windows alone, however many, above
 	// which it is not: it may have turned bad.
-	lateBound = 30
+	lateBound = 100
 	// restBound is the evidence (a likelihood ratio) that has to be left without the
 	// server that speaks most against a version before it is found bad.
 	restBound = 10
-	// outlierBound is the evidence against one server from which the others are judged
-	// without it.
-	outlierBound = 100
+	// outlierBound is the evidence that one server is bad alone, and not all alike, from
+	// which the others are judged without it.
+	outlierBound = 3000
 	// fewAnswers are too few to judge a route by itself.
 	fewAnswers = 8
 	// windowLength is how long answers count as of the same moment. Processes report
@@ -31,7 +31,7 @@
 	recentAnswers = 50
 	// priorShare is the share of bad answers that any version is expected to have, in
 	// priorAnswers; the share expected of the new one is never less than leastShare.
-	priorShare   = 0.02
+	priorShare   = 0.01
 	priorAnswers = 10
 	leastShare   = 0.002
 )
@@ -51,18 +51,20 @@
 
 var measureNames = [measures]string{"failed", "slow"}
 
-// limit is what a good version must not show: the likelihood ratio of an excess (an
-// index) against none has to be at most the bound.
+// limit is what a good version must not show: an excess (an index). The logarithm of its
+// likelihood ratio has to be at most this part of the one that versions show on average
+// that are as good as the old one, and the ratio at most the bound.
 type limit struct {
 	excess int
+	part   float64
 	bound  float64
 }
 
-// limits are what a good version must not show on one route, and on all together. A
-// version that is three times slower is slow in 80 of 100 answers or more.
+// limits are the excesses that a good version must not show on one route, and on all
+// together. A version that is three times slower is slow in 80 of 100 answers or more.
 var limits = [measures]struct{ route, all limit }{
-	failures: {route: limit{2, 0.3}, all: limit{2, 0.05}},
-	slowness: {route: limit{5, 0.5}, all: limit{3, 1}},
+	failures: {route: limit{2, 0.4, 0.3}, all: limit{2, 0.4, 0.1}},
+	slowness: {route: limit{5, 0.1, 1}, all: limit{3, 0.1, 3}},
 }
 
 // share is how many of so many answers were bad.
@@ -86,36 +88,54 @@
 	return (s.bad + prior*priorAnswers) / (s.all + priorAnswers)
 }
 
-// ratios are logarithms of likelihood ratios, one for each excess against none.
-type ratios [len(excesses)]float64
+// ratios compare answers with what is expected of the old version.
+type ratios struct {
+	answers float64
+	// seen are logarithms of likelihood ratios, one for each excess against none; usual is
+	// what they would be on average without an excess.
+	seen, usual [len(excesses)]float64
+}
 
-// against returns the likelihood ratios of the answers where the share is expected.
+// against returns the ratios of the answers where the share is expected.
 func (s share) against(expected float64) ratios {
-	var result ratios
+	result := ratios{answers: s.all}
 	for index, excess := range excesses {
 		alternative := expected + excess*(1-expected)
-		result[index] = s.bad*math.Log(alternative/expected) + (s.all-s.bad)*math.Log((1-alternative)/(1-expected))
+		bad, fine := math.Log(alternative/expected), math.Log((1-alternative)/(1-expected))
+		result.seen[index] = s.bad*bad + (s.all-s.bad)*fine
+		result.usual[index] = s.all * (expected*bad + (1-expected)*fine)
 	}
 	return result
 }
 
 func (r ratios) plus(other ratios) ratios {
-	for index := range r {
-		r[index] += other[index]
+	r.answers += other.answers
+	for index := range excesses {
+		r.seen[index] += other.seen[index]
+		r.usual[index] += other.usual[index]
 	}
 	return r
 }
 
-// logSum returns the logarithm of the sum of two values given as logarithms.
-func logSum(a, b float64) float64 {
-	high, low := max(a, b), min(a, b)
-	if math.IsInf(high, -1) {
-		return high
+// logSum adds values that are given as logarithms. The zero value is the sum of none.
+type logSum struct {
+	// highest is the largest one, sum all of them in units of it.
+	highest, sum float64
+}
+
+func (l *logSum) add(log float64) {
+	if l.sum == 0 || log > l.highest {
+		l.sum = l.sum*math.Exp(l.highest-log) + 1
+		l.highest = log
+		return
 	}
-	return high + math.Log1p(math.Exp(low-high))
+	l.sum += math.Exp(log - l.highest)
 }
 
-// bySerer are the ratios of one window by server.
+// log returns the logarithm of the sum.
+func (l *logSum) log() float64 { return l.highest + math.Log(l.sum) }
+
+// byServer are the ratios of one window by server.
 type byServer map[ServerID]ratios
 
 // evidence compares the answers of two versions in the same moments. The zero value
@@ -247,7 +267,6 @@
 	of    measure
 	// windows are the ratios of all servers that are looked at.
 	windows []ratios
-	answers float64
 }
 
 // noServer stands for none that is left out.
@@ -290,17 +309,17 @@
 // ratio over the excesses, and over the windows from which on the version may be bad
 // (the first with weight 1/2, the next with 1/6, 1/12, and so on).
 func (s stratum) against() float64 {
-	total := math.Inf(-1)
+	var total logSum
 	for excess := range excesses {
-		ratio := 0.0
 		// Windows to come: nothing speaks for them.
-		total = logSum(total, -math.Log(float64(len(s.windows)+1)))
+		total.add(-math.Log(float64(len(s.windows) + 1)))
+		ratio := 0.0
 		for index := len(s.windows) - 1; index >= 0; index-- {
-			ratio += s.windows[index][excess]
-			total = logSum(total, ratio-math.Log(float64((index+1)*(index+2))))
+			ratio += s.windows[index].seen[excess]
+			total.add(ratio - math.Log(float64((index+1)*(index+2))))
 		}
 	}
-	return total - math.Log(float64(len(excesses)))
+	return total.log() - math.Log(float64(len(excesses)))
 }
 
 // good reports whether the stratum speaks for the version.
@@ -309,12 +328,16 @@
 	if s.route == "" {
 		limit = limits[s.of].all
 	}
-	ratio, latest := 0.0, 0.0
+	var total ratios
 	for index := len(s.windows) - 1; index >= 0; index-- {
-		ratio += s.windows[index][limit.excess]
-		latest = max(latest, ratio)
+		total = total.plus(s.windows[index])
+		if total.seen[limit.excess] > math.Log(lateBound) {
+			return false
+		}
 	}
-	return ratio <= math.Log(limit.bound) && latest <= math.Log(lateBound)
+	seen := total.seen[limit.excess]
+	few := s.route != "" && total.answers < fewAnswers
+	return seen <= limit.part*total.usual[limit.excess] && (few || seen <= math.Log(limit.bound))
 }
 
 // judge returns the verdict on the evidence.
@@ -325,19 +348,21 @@
 	}
 	all := e.strata(noServer)
 	total, cause := against(all)
-	servers, worst, outlier := e.worst()
-	rest := e.strata(worst)
-	left, _ := against(rest)
-	switch {
-	case total >= math.Log(1/alpha) && (servers < 2 || left >= math.Log(restBound)):
-		verdict.Finding = Bad
-		verdict.Cause = cause.String()
-	case good(all):
+	suspect := total >= math.Log(1/alpha)
+	if !suspect && good(all) {
 		verdict.Finding = Good
 		verdict.Cause = "neither failures nor slow answers are more frequent than at the old version"
-	case servers > 1 && outlier >= math.Log(outlierBound) && good(rest):
+		return verdict
+	}
+	servers, worst := e.worst()
+	rest := e.strata(worst.id)
+	left, _ := against(rest)
+	switch {
+	case suspect && (servers < 2 || left >= math.Log(restBound)):
+		verdict.Finding, verdict.Cause = Bad, cause.String()
+	case servers > 1 && worst.unlike >= math.Log(outlierBound) && good(rest):
 		verdict.Finding = Good
-		verdict.Cause = fmt.Sprintf("neither failures nor slow answers are more frequent than at the old version, but for server %s", worst)
+		verdict.Cause = fmt.Sprintf("neither failures nor slow answers are more frequent than at the old version, but for server %s", worst.id)
 	}
 	return verdict
 }
@@ -345,15 +370,16 @@
 // against returns the logarithm of the mean evidence against the version, and the
 // stratum that says most of it.
 func against(strata []stratum) (float64, stratum) {
-	total, highest, cause := math.Inf(-1), math.Inf(-1), 0
-	for index, one := range strata {
+	var total logSum
+	highest, cause := math.Inf(-1), stratum{}
+	for _, one := range strata {
 		evidence := one.against()
-		total = logSum(total, evidence)
+		total.add(evidence)
 		if evidence > highest {
-			highest, cause = evidence, index
+			highest, cause = evidence, one
 		}
 	}
-	return total - math.Log(float64(len(strata))), strata[cause]
+	return total.log() - math.Log(float64(len(strata))), cause
 }
 
 // good reports whether all strata speak for the version.
@@ -361,16 +387,18 @@
 	return !slices.ContainsFunc(strata, func(one stratum) bool { return !one.good() })
 }
 
-// worst returns how many servers of the target have answered, the one that speaks most
-// against it and the logarithm of what it says.
-func (e *evidence) worst() (servers int, worst ServerID, evidence float64) {
+// worst returns how many servers of the target have answered, and the one that speaks
+// most against it.
+func (e *evidence) worst() (servers int, worst outlier) {
 	totals := make(map[ServerID]*[measures]ratios)
+	var all [measures]ratios
 	add := func(of measure, window byServer) {
 		for id, one := range window {
 			if totals[id] == nil {
 				totals[id] = &[measures]ratios{}
 			}
 			totals[id][of] = totals[id][of].plus(one)
+			all[of] = all[of].plus(one)
 		}
 	}
 	for _, route := range e.routes {
@@ -381,15 +409,24 @@
 			add(of, route.current(of))
 		}
 	}
-	evidence = math.Inf(-1)
+	highest := math.Inf(-1)
 	for _, id := range slices.Sorted(maps.Keys(totals)) {
 		for of := range measures {
-			if one := (stratum{windows: []ratios{totals[id][of]}}).against(); one > evidence {
-				worst, evidence = id, one
+			if one := slices.Max(totals[id][of].seen[:]); one > highest {
+				highest = one
+				worst = outlier{id: id, unlike: one - max(slices.Max(all[of].seen[:]), 0)}
 			}
 		}
 	}
-	return len(totals), worst, evidence
+	return len(totals), worst
+}
+
+// outlier is a server that may be unlike the others.
+type outlier struct {
+	id ServerID
+	// unlike is the logarithm of the likelihood ratio of this server being bad alone
+	// against all of them being bad alike.
+	unlike float64
 }
 
 // String says what the stratum shows.
