--- a/internal/rollout/exposure.go
+++ b/internal/rollout/exposure.go
@@ -98,15 +98,6 @@
 	return allowed
 }
 
-// share returns the part of the process's requests that the stage allows by now.
-func (e *Exposure) share(stage Stage, plan Plan, elapsed time.Duration) float64 {
-	if stage == StageWhole {
-		return 1
-	}
-	share, _ := usable(stage, plan, elapsed)
-	return share * e.limits.Share
-}
-
 // usable returns the parts of the share and of the slack that may be used. They grow
 // evenly over each stage.
 func usable(stage Stage, plan Plan, elapsed time.Duration) (share, slack float64) {
@@ -123,3 +114,12 @@
 	}
 	return 0, 0
 }
+
+// share returns the part of its requests that the process may send to the target.
+func (e *Exposure) share(stage Stage, plan Plan, elapsed time.Duration) float64 {
+	if stage == StageWhole {
+		return 1
+	}
+	share, _ := usable(stage, plan, elapsed)
+	return share * e.limits.Share
+}
