soak: orders of good and bad versions beside the faults

Cause: the soak knew nothing of roll-outs. Change: an operator in the soak orders one version after the other for a whole service and for a shard (good, failing, silent, failing later), stops the old servers at once on completed, and the checks compare what the servers ran with the bounds: exposure, nothing after a roll-back by nodes that no fault touched, no bad version completed.

--- a/test/soak/node_test.go
+++ b/test/soak/node_test.go
@@ -105,6 +105,7 @@
 		"--peer-address", place.peer, "--seeds", place.seeds, "--store-address", built.storeLink.Address(),
 		"--retry-ratio", "0.3", "--retry-slack", "60", "--stop-timeout", "4s", "--log-lines", "2000",
 	}
+	built.arguments = append(built.arguments, rolloutArguments...)
 	return built
 }
 
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -214,6 +214,12 @@
 	callers := &callers{nodes: nodes, random: random}
 	var group sync.WaitGroup
 	group.Go(func() { callers.run(sending) })
+	operator := &operator{t: t, world: world, random: newRandom(seed + 1)}
+	ordering := make(chan struct{})
+	go func() {
+		defer close(ordering)
+		operator.run(injecting)
+	}()
 	injector := &injector{t: t, world: world, nodes: nodes, random: random}
 	stopInjecting := time.AfterFunc(span, func() { close(injecting) })
 	defer stopInjecting.Stop()
@@ -225,10 +231,13 @@
 		node.storeLink.Set(standin.LinkFault{})
 	}
 	checkRecovery(t, world, nodes)
+	<-ordering
 	close(sending)
 	group.Wait()
+	world.servers = append(world.servers, operator.started...)
 	checker := newChecker(world)
 	checker.check(callers.results)
+	operator.check(checker, callers.results)
 	report(t, checker, callers.results)
 	checkRelay(t, layoutOf(seed), nodes)
 	if t.Failed() {
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -29,6 +29,7 @@
 	store   *standin.Store
 	servers []*standin.Server
 	// records are the records of each server, by its id.
+	mutex   sync.Mutex
 	records map[string][]byte
 	version uint64
 	// links are the proxies before servers.
@@ -100,10 +101,16 @@
 	if err := world.store.Put("servers", id, spec); err != nil {
 		t.Fatal(err)
 	}
-	world.records[id] = body
+	world.addRecords(id, body)
 	world.servers = append(world.servers, server)
 }
 
+func (world *world) addRecords(id string, body []byte) {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	world.records[id] = body
+}
+
 // record is sixteen bytes that begin with the end of the service's name.
 func record(service, text string) string {
 	name := service[len(service)-1:] + "-" + text
