--- a/test/soak/node_test.go
+++ b/test/soak/node_test.go
@@ -53,9 +53,10 @@
 	// injecting is held while a fault or a planned stop is under way.
 	injecting sync.Mutex
 
-	mutex   sync.Mutex
-	process *exec.Cmd
-	ended   chan struct{}
+	mutex     sync.Mutex
+	process   *exec.Cmd
+	startedAt time.Time
+	ended     chan struct{}
 	// disturbed are the spans in which requests may be lost.
 	disturbed []span
 }
@@ -120,7 +121,7 @@
 		return err
 	}
 	ended := make(chan struct{})
-	node.process, node.ended = command, ended
+	node.process, node.ended, node.startedAt = command, ended, time.Now()
 	go func() {
 		_ = command.Wait()
 		close(ended)
@@ -147,10 +148,17 @@
 	}
 }
 
-func (node *node) exitStatus() int {
+func (node *node) exitState() *os.ProcessState {
 	node.mutex.Lock()
 	defer node.mutex.Unlock()
-	return node.process.ProcessState.ExitCode()
+	return node.process.ProcessState
+}
+
+// age returns how long ago the process was started.
+func (node *node) age() time.Duration {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	return time.Since(node.startedAt)
 }
 
 // disturb notes that requests may be lost from now until the effects of what is
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -157,8 +157,8 @@
 	target.disturb(func() {
 		if !target.wait(5 * time.Second) {
 			injector.t.Errorf("%s did not stop", target.name)
-		} else if status := target.exitStatus(); status != 0 {
-			injector.t.Errorf("%s stopped with status %d", target.name, status)
+		} else if state := target.exitState(); !state.Success() {
+			injector.t.Errorf("%s stopped with %s, %v after its start", target.name, state, target.age())
 		}
 		injector.start(target)
 	})
