rollout: what is expected of the new version follows the moment on all routes

Change: expected is what the old version usually has on the route, or more if it has more in the same window, there or on all routes; the memory of recent answers is gone.

--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -26,9 +26,6 @@
 	// twice a second. It doubles whenever an order has lasted for maxWindows.
 	windowLength = time.Second
 	maxWindows   = 64
-	// recentAnswers are how many answers of the old version the share expected of the
-	// new one is taken from at least, if need be those of earlier windows.
-	recentAnswers = 50
 	// priorShare is the share of bad answers that any version is expected to have, in
 	// priorAnswers; the share expected of the new one is never less than leastShare.
 	priorShare   = 0.01
@@ -153,8 +150,8 @@
 	// old and new are the answers of the current window.
 	old Counts
 	new map[ServerID]Counts
-	// recent are the old version's latest answers before it, overall all of them.
-	recent, overall [measures]share
+	// before are the old version's answers of earlier windows.
+	before Counts
 	// closed are the earlier windows.
 	closed [measures][]byServer
 }
@@ -169,8 +166,9 @@
 			e.coarsen()
 			continue
 		}
+		moment := e.moment()
 		for _, route := range e.routes {
-			route.close()
+			route.close(moment)
 		}
 		e.window++
 	}
@@ -223,35 +221,39 @@
 	}
 }
 
+// moment returns the old version's answers of the current window on all routes.
+func (e *evidence) moment() Counts {
+	var sum Counts
+	for _, route := range e.routes {
+		sum = sum.Plus(route.old)
+	}
+	return sum
+}
+
 // close moves the current window to the closed ones.
-func (r *routeEvidence) close() {
+func (r *routeEvidence) close(moment Counts) {
 	for of := range measures {
-		r.closed[of] = append(r.closed[of], r.current(of))
-		r.recent[of], r.overall[of] = r.control(of)
+		r.closed[of] = append(r.closed[of], r.current(of, moment))
 	}
+	r.before = r.before.Plus(r.old)
 	r.old = Counts{}
 	clear(r.new)
 }
 
-// control returns the old version's answers of this window and as many earlier ones as
-// are missing to recentAnswers, and all its answers.
-func (r *routeEvidence) control(of measure) (recent, overall share) {
-	recent = r.old.share(of)
-	overall = r.overall[of].plus(recent, 1)
-	if missing := recentAnswers - recent.all; missing > 0 && r.recent[of].all > 0 {
-		recent = recent.plus(r.recent[of], min(missing/r.recent[of].all, 1))
-	}
-	return recent, overall
+// expected returns the share of bad answers that the old version has in the current
+// window: what it usually has on the route, or more if it has more now, there or on all
+// routes.
+func (r *routeEvidence) expected(of measure, moment Counts) float64 {
+	usual := r.before.Plus(r.old).share(of).estimate(priorShare)
+	return max(leastShare, usual, r.old.share(of).estimate(usual), moment.share(of).estimate(usual))
 }
 
 // current returns the ratios of the current window.
-func (r *routeEvidence) current(of measure) byServer {
+func (r *routeEvidence) current(of measure, moment Counts) byServer {
 	if len(r.new) == 0 {
 		return nil
 	}
-	recent, overall := r.control(of)
-	usual := overall.estimate(priorShare)
-	expected := max(recent.estimate(usual), usual, leastShare)
+	expected := r.expected(of, moment)
 	result := make(byServer, len(r.new))
 	for id, counts := range r.new {
 		if counts := counts.share(of); counts.all > 0 {
@@ -275,10 +277,11 @@
 // strata returns the evidence on each route and on all of them, without one server.
 func (e *evidence) strata(without ServerID) []stratum {
 	var result []stratum
+	moment := e.moment()
 	for of := range measures {
 		pooled := stratum{of: of, windows: make([]ratios, e.window+1)}
 		for _, name := range slices.Sorted(maps.Keys(e.routes)) {
-			one := e.routes[name].stratum(name, of, without)
+			one := e.routes[name].stratum(name, of, without, moment)
 			for index, window := range one.windows {
 				pooled.windows[index] = pooled.windows[index].plus(window)
 			}
@@ -289,7 +292,7 @@
 	return result
 }
 
-func (r *routeEvidence) stratum(name string, of measure, without ServerID) stratum {
+func (r *routeEvidence) stratum(name string, of measure, without ServerID, moment Counts) stratum {
 	result := stratum{route: name, of: of, windows: make([]ratios, len(r.closed[of])+1)}
 	add := func(index int, window byServer) {
 		for id, one := range window {
@@ -301,7 +304,7 @@
 	for index, window := range r.closed[of] {
 		add(index, window)
 	}
-	add(len(r.closed[of]), r.current(of))
+	add(len(r.closed[of]), r.current(of, moment))
 	return result
 }
 
@@ -401,12 +404,13 @@
 			all[of] = all[of].plus(one)
 		}
 	}
+	moment := e.moment()
 	for _, route := range e.routes {
 		for of := range measures {
 			for _, window := range route.closed[of] {
 				add(of, window)
 			}
-			add(of, route.current(of))
+			add(of, route.current(of, moment))
 		}
 	}
 	highest := math.Inf(-1)
