rollout: table of drawn orders, table of the judge

Cause: the constants of the judge and of the plan rested on trials alone. Change: 26 kinds of versions and troubles at 100 and 21 requests a second and quiet services at 1.5 and 0.3, 1000 draws each with fixed seeds; what is reached is asserted. Sums no longer depend on the order of a map (one draw of 1000 differed between two runs). Conclusion: at 100/s failures from 0.2 and slowness from 3 end inside the bounds in 999 or more of 1000 but for failures of 0.2 from 8 s on (988); good ones 1000, beside trouble 979 or more. At 21/s not: 953 to 1000, good 986, beside trouble 720 to 975.

--- a/internal/rollout/drawn_test.go
+++ b/internal/rollout/drawn_test.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math"
 	"math/rand/v2"
+	"testing"
 	"time"
 )
 
@@ -40,28 +41,33 @@
 // drawnKind is a kind of cases, which differ by what is drawn.
 type drawnKind struct {
 	name string
-	// version is what is wrong with the target, from a time on, on the routes below a
-	// number (0 for all), only in dense stages.
-	version fault
-	from    time.Duration
-	routes  int
-	loaded  bool
+	// version is what is wrong with the target from a time on: on the first route alone,
+	// or only from the load stage on.
+	version  fault
+	from     time.Duration
+	oneRoute bool
+	loaded   bool
 	// server is what is wrong with one server of the target, both what is wrong with all
-	// answers between the times.
-	server       fault
-	both         fault
-	begin, end   time.Duration
-	paused       float64
-	rate         float64
-	duration     time.Duration
-	spread       float64
-	wantInside   int
-	wantComplete int
+	// answers of both versions between troubleBegin and troubleEnd.
+	server fault
+	both   fault
+	// paused is the share of all answers that take two usual times more.
+	paused float64
 }
 
+const (
+	troubleBegin = 3 * time.Second
+	troubleEnd   = 7 * time.Second
+)
+
+// good reports whether nothing is wrong with the version.
+func (k drawnKind) good() bool { return k.version == (fault{}) }
+
 // drawnOrder is one roll-out of a kind.
 type drawnOrder struct {
 	kind      drawnKind
+	rate      float64
+	spread    float64
 	random    *rand.Rand
 	plan      Plan
 	bounds    Bounds
@@ -74,25 +80,36 @@
 	turns  [loadTurns]int
 	status Stage
 	// statusAt is when the latest decision was made, before what was decided earlier.
-	statusAt          time.Duration
-	before            Stage
-	shifted, foundBad bool
-	ended             State
-	endedAt           time.Duration
+	statusAt time.Duration
+	before   Stage
+	shifted  bool
+	ended    State
+	endedAt  time.Duration
 }
 
 // drawnResult is what came of it.
 type drawnResult struct {
-	state             State
-	shifted, foundBad bool
-	inside            bool
+	state   State
+	shifted bool
+	inside  bool
 }
 
-func newDrawnOrder(kind drawnKind, seed uint64) *drawnOrder {
+// newDrawnOrder returns a roll-out at so many requests a second. Half of the orders have
+// 12 s, the others 20 s, and half of each the wider spread of work.
+func newDrawnOrder(kind drawnKind, rate float64, seed uint64) *drawnOrder {
+	duration, spread := 12*time.Second, 0.35
+	if seed%2 == 1 {
+		duration = 20 * time.Second
+	}
+	if seed/2%2 == 1 {
+		spread = 0.5
+	}
 	order := &drawnOrder{
 		kind:   kind,
+		rate:   rate,
+		spread: spread,
 		random: rand.New(rand.NewPCG(seed, 0)),
-		plan:   NewPlan(kind.duration),
+		plan:   NewPlan(duration),
 		bounds: Bounds{Share: 0.1, Slack: 50, RollBack: 5 * time.Second},
 	}
 	for position := range order.processes {
@@ -101,7 +118,7 @@
 	for turn := range order.turns {
 		order.turns[turn] = order.random.IntN(drawnServers)
 	}
-	order.pending = make([][drawnRoutes]RouteCounts, int(kind.duration/drawnReport)+1)
+	order.pending = make([][drawnRoutes]RouteCounts, int(duration/drawnReport)+1)
 	for route := range drawnRoutes {
 		order.report.Routes = append(order.report.Routes, RouteCounts{Route: fmt.Sprint("route-", route), New: map[ServerID]Counts{}})
 	}
@@ -118,16 +135,16 @@
 
 func (o *drawnOrder) run() drawnResult {
 	sent := 0
-	for now := time.Duration(0); now < o.kind.duration; now += drawnStep {
+	for now := time.Duration(0); now < o.plan.Deadline; now += drawnStep {
 		if now%drawnReport == 0 {
 			o.decide(now)
 		}
-		for range poisson(o.random, o.kind.rate*drawnStep.Seconds()) {
+		for range poisson(o.random, o.rate*drawnStep.Seconds()) {
 			sent += o.request(now)
 		}
 	}
 	bound := o.bounds.Share*float64(o.report.Requests) + o.bounds.Slack
-	return drawnResult{state: o.ended, shifted: o.shifted, foundBad: o.foundBad, inside: float64(sent) <= bound}
+	return drawnResult{state: o.ended, shifted: o.shifted, inside: float64(sent) <= bound}
 }
 
 // stage returns the stage in force at the processes.
@@ -165,7 +182,7 @@
 		server = o.turns[o.plan.Turn(now)]
 	}
 	var wrong fault
-	if now >= o.kind.from && (o.kind.routes == 0 || route < o.kind.routes) && (!o.kind.loaded || stage >= StageLoad) {
+	if now >= o.kind.from && (!o.kind.oneRoute || route == 0) && (!o.kind.loaded || stage >= StageLoad) {
 		wrong = o.kind.version
 	}
 	o.report.Sent++
@@ -176,14 +193,14 @@
 // answer draws what comes of a send; server is -1 for those of the old version.
 func (o *drawnOrder) answer(now time.Duration, route, server int, version fault) {
 	faults := []fault{version}
-	if now >= o.kind.begin && now < o.kind.end {
+	if now >= troubleBegin && now < troubleEnd {
 		faults = append(faults, o.kind.both)
 	}
 	if server == 0 {
 		faults = append(faults, o.kind.server)
 	}
 	sample := Sample{Result: OutcomeAnswered, Cold: server >= 0 && now < drawnListed+drawnCold}
-	sample.Ratio = math.Exp(o.kind.spread * o.random.NormFloat64())
+	sample.Ratio = math.Exp(o.spread * o.random.NormFloat64())
 	if o.random.Float64() < drawnTail {
 		sample.Ratio *= drawnTailFactor
 	}
@@ -239,10 +256,7 @@
 		return o.pool.MayAdvance(Order{Target: "v", Status: Status{State: StateRunning, Target: "v", Stage: o.status}}, o.plan, o.bounds, at)
 	}
 	switch {
-	case o.pool.Judge().Finding == Bad:
-		o.foundBad = true
-		o.ended, o.endedAt = StateRolledBack, now
-	case o.status < StageWhole && now >= o.plan.GiveUp:
+	case o.pool.Judge().Finding == Bad, o.status < StageWhole && now >= o.plan.GiveUp:
 		o.ended, o.endedAt = StateRolledBack, now
 	case o.status == StageWhole && now-o.statusAt >= time.Second:
 		o.ended, o.endedAt = StateCompleted, now
@@ -257,3 +271,138 @@
 		advance(StageCanary)
 	}
 }
+
+// drawnCounts are what came of the draws of one kind.
+type drawnCounts struct {
+	before, later, completed, inside int
+	// right are orders of good versions that were completed, and of bad ones that were
+	// rolled back inside the bounds.
+	right int
+}
+
+func draw(kind drawnKind, rate float64) drawnCounts {
+	var counts drawnCounts
+	for seed := range uint64(drawnCases) {
+		result := newDrawnOrder(kind, rate, seed).run()
+		switch {
+		case result.state == StateCompleted:
+			counts.completed++
+		case result.shifted:
+			counts.later++
+		default:
+			counts.before++
+		}
+		if result.inside {
+			counts.inside++
+		}
+		if kind.good() && result.state == StateCompleted || !kind.good() && result.state == StateRolledBack && result.inside {
+			counts.right++
+		}
+	}
+	return counts
+}
+
+// drawnCases are the draws of each kind and rate.
+const drawnCases = 1000
+
+// The figures are what is reached with these seeds (go test -v prints all of them): how
+// many of 1,000 orders end as they should, at 100 and at 21 requests a second.
+func TestDrawnOrders(t *testing.T) {
+	late := func(kind drawnKind, from time.Duration) drawnKind {
+		kind.name, kind.from = fmt.Sprint(kind.name, " from ", from), from
+		return kind
+	}
+	onRoute := func(kind drawnKind) drawnKind {
+		kind.name, kind.oneRoute = kind.name+" on one route", true
+		return kind
+	}
+	loaded := func(kind drawnKind) drawnKind {
+		kind.name, kind.loaded = kind.name+" under load", true
+		return kind
+	}
+	fails := drawnKind{name: "0.2 fail", version: fault{failed: 0.2}}
+	slow := drawnKind{name: "slower by 3", version: fault{slow: 1, factor: 3}}
+	for _, test := range []struct {
+		kind             drawnKind
+		hundred, twenty1 int
+	}{
+		{drawnKind{name: "0.05 fail", version: fault{failed: 0.05}}, 972, 928},
+		{drawnKind{name: "0.1 fail", version: fault{failed: 0.1}}, 1000, 996},
+		{fails, 1000, 1000},
+		{drawnKind{name: "0.5 fail", version: fault{failed: 0.5}}, 1000, 1000},
+		{drawnKind{name: "all fail", version: fault{failed: 1}}, 1000, 1000},
+		{drawnKind{name: "slower by 2", version: fault{slow: 1, factor: 2}}, 1000, 1000},
+		{slow, 1000, 1000},
+		{drawnKind{name: "slower by 5", version: fault{slow: 1, factor: 5}}, 1000, 1000},
+		{drawnKind{name: "slower by 10", version: fault{slow: 1, factor: 10}}, 1000, 1000},
+		{drawnKind{name: "0.3 slower by 5", version: fault{slow: 0.3, factor: 5}}, 1000, 982},
+		{late(fails, 3*time.Second), 1000, 1000},
+		{late(fails, 5*time.Second), 1000, 999},
+		{late(fails, 8*time.Second), 988, 953},
+		{late(slow, 3*time.Second), 1000, 1000},
+		{late(slow, 5*time.Second), 1000, 1000},
+		{late(slow, 8*time.Second), 1000, 978},
+		{onRoute(fails), 999, 979},
+		{onRoute(slow), 1000, 999},
+		{loaded(fails), 1000, 1000},
+		{loaded(slow), 1000, 1000},
+		{drawnKind{name: "good"}, 1000, 986},
+		{drawnKind{name: "good, a slow server", server: fault{slow: 1, factor: 5}}, 994, 933},
+		{drawnKind{name: "good, a failing server", server: fault{failed: 0.6}}, 989, 876},
+		{drawnKind{name: "good, both lose answers", both: fault{failed: 0.1}}, 979, 720},
+		{drawnKind{name: "good, both slow", both: fault{slow: 1, factor: 3}}, 1000, 955},
+		{drawnKind{name: "good, both paused", paused: 0.044}, 998, 975},
+	} {
+		for _, rate := range []struct {
+			perSecond float64
+			want      int
+		}{{100, test.hundred}, {21, test.twenty1}} {
+			checkDrawn(t, test.kind, rate.perSecond, rate.want)
+		}
+	}
+}
+
+// Services with few requests keep to the bounds by the slack alone: good versions and bad
+// ones are completed, unless those show.
+func TestDrawnOrdersOfQuietServices(t *testing.T) {
+	for _, test := range []struct {
+		kind  drawnKind
+		third int
+		some  int
+	}{
+		{drawnKind{name: "good"}, 1000, 998},
+		{drawnKind{name: "good, a failing server", server: fault{failed: 0.6}}, 996, 979},
+		{drawnKind{name: "good, both lose answers", both: fault{failed: 0.1}}, 1000, 999},
+	} {
+		checkDrawn(t, test.kind, 0.3, test.third)
+		checkDrawn(t, test.kind, 1.5, test.some)
+	}
+	for _, kind := range []drawnKind{
+		{name: "0.2 fail", version: fault{failed: 0.2}},
+		{name: "all fail", version: fault{failed: 1}},
+		{name: "slower by 10", version: fault{slow: 1, factor: 10}},
+	} {
+		for _, rate := range []float64{0.3, 1.5} {
+			t.Run(fmt.Sprintf("%s at %v", kind.name, rate), func(t *testing.T) {
+				t.Parallel()
+				counts := draw(kind, rate)
+				t.Logf("%+v", counts)
+				if counts.inside != drawnCases {
+					t.Errorf("%d of %d inside the bounds", counts.inside, drawnCases)
+				}
+			})
+		}
+	}
+}
+
+func checkDrawn(t *testing.T, kind drawnKind, rate float64, want int) {
+	t.Run(fmt.Sprintf("%s at %v", kind.name, rate), func(t *testing.T) {
+		t.Parallel()
+		counts := draw(kind, rate)
+		t.Logf("%-24s %5v/s: rolled back before the shift %4d, later %4d; completed %4d; inside the bounds %4d; right %4d",
+			kind.name, rate, counts.before, counts.later, counts.completed, counts.inside, counts.right)
+		if counts.right < want {
+			t.Errorf("%d of %d ended as they should, want %d", counts.right, drawnCases, want)
+		}
+	})
+}
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -46,7 +47,7 @@
 	measures
 )
 
-var measureNames = [measures]string{"failed", "slow"}
+var measureNames = [measures]string{"fail", "are slow"}
 
 // limit is what a good version must not show: an excess (an index). The logarithm of its
 // likelihood ratio has to be at most this part of the one that versions show on average
@@ -132,8 +133,14 @@
 // log returns the logarithm of the sum.
 func (l *logSum) log() float64 { return l.highest + math.Log(l.sum) }
 
-// byServer are the ratios of one window by server.
-type byServer map[ServerID]ratios
+// byServer are the ratios of one window, by the names of the servers: sums of them do
+// not depend on the order of a map.
+type byServer []serverRatios
+
+type serverRatios struct {
+	id ServerID
+	ratios
+}
 
 // evidence compares the answers of two versions in the same moments. The zero value
 // has none.
@@ -189,13 +196,16 @@
 	}
 }
 
+// join adds two windows up.
 func join(a, b byServer) byServer {
-	if len(a) == 0 {
-		return b
-	}
-	result := maps.Clone(a)
-	for id, one := range b {
-		result[id] = result[id].plus(one)
+	result := slices.Clone(a)
+	for _, one := range b {
+		index, known := slices.BinarySearchFunc(result, one.id, func(r serverRatios, id ServerID) int { return cmp.Compare(r.id, id) })
+		if known {
+			result[index].ratios = result[index].plus(one.ratios)
+		} else {
+			result = slices.Insert(result, index, one)
+		}
 	}
 	return result
 }
@@ -254,10 +264,10 @@
 		return nil
 	}
 	expected := r.expected(of, moment)
-	result := make(byServer, len(r.new))
-	for id, counts := range r.new {
-		if counts := counts.share(of); counts.all > 0 {
-			result[id] = counts.against(expected)
+	result := make(byServer, 0, len(r.new))
+	for _, id := range slices.Sorted(maps.Keys(r.new)) {
+		if counts := r.new[id].share(of); counts.all > 0 {
+			result = append(result, serverRatios{id, counts.against(expected)})
 		}
 	}
 	return result
@@ -295,9 +305,9 @@
 func (r *routeEvidence) stratum(name string, of measure, without ServerID, moment Counts) stratum {
 	result := stratum{route: name, of: of, windows: make([]ratios, len(r.closed[of])+1)}
 	add := func(index int, window byServer) {
-		for id, one := range window {
-			if id != without {
-				result.windows[index] = result.windows[index].plus(one)
+		for _, one := range window {
+			if one.id != without {
+				result.windows[index] = result.windows[index].plus(one.ratios)
 			}
 		}
 	}
@@ -358,12 +368,16 @@
 		return verdict
 	}
 	servers, worst := e.worst()
+	unlike := servers > 1 && worst.unlike >= math.Log(outlierBound)
+	if !suspect && !unlike {
+		return verdict
+	}
 	rest := e.strata(worst.id)
 	left, _ := against(rest)
 	switch {
 	case suspect && (servers < 2 || left >= math.Log(restBound)):
 		verdict.Finding, verdict.Cause = Bad, cause.String()
-	case servers > 1 && worst.unlike >= math.Log(outlierBound) && good(rest):
+	case unlike && good(rest):
 		verdict.Finding = Good
 		verdict.Cause = fmt.Sprintf("neither failures nor slow answers are more frequent than at the old version, but for server %s", worst.id)
 	}
@@ -396,16 +410,17 @@
 	totals := make(map[ServerID]*[measures]ratios)
 	var all [measures]ratios
 	add := func(of measure, window byServer) {
-		for id, one := range window {
-			if totals[id] == nil {
-				totals[id] = &[measures]ratios{}
+		for _, one := range window {
+			if totals[one.id] == nil {
+				totals[one.id] = &[measures]ratios{}
 			}
-			totals[id][of] = totals[id][of].plus(one)
-			all[of] = all[of].plus(one)
+			totals[one.id][of] = totals[one.id][of].plus(one.ratios)
+			all[of] = all[of].plus(one.ratios)
 		}
 	}
 	moment := e.moment()
-	for _, route := range e.routes {
+	for _, name := range slices.Sorted(maps.Keys(e.routes)) {
+		route := e.routes[name]
 		for of := range measures {
 			for _, window := range route.closed[of] {
 				add(of, window)
@@ -436,7 +451,7 @@
 // String says what the stratum shows.
 func (s stratum) String() string {
 	if s.route == "" {
-		return fmt.Sprintf("answers on all routes are %s more often than at the old version", measureNames[s.of])
+		return fmt.Sprintf("answers on all routes %s more often than at the old version", measureNames[s.of])
 	}
-	return fmt.Sprintf("answers on route %s are %s more often than at the old version", s.route, measureNames[s.of])
+	return fmt.Sprintf("answers on route %s %s more often than at the old version", s.route, measureNames[s.of])
 }
