A node that remembers too few changes hands over the whole state

One node was asked each 0.3 s, and after each answer the next one in order, so that two kinds of objects kept each other from the node that could tell.

Change: such a node answers with all objects of the kind and the revision up to which they hold (the question has to ask for it: `whole`; header Driftstage-Whole), and the follower goes on from there without a list. Servers that are missing in the list and kept only for a while are left out: nobody would tell the follower later that they are gone. While the store does not answer, up to four nodes are asked in a row if they refuse at once, and the one that answered last is asked first, for each kind. While any feed's calls fail, the others make short calls too.

--- a/internal/catalog/backoff.go
+++ b/internal/catalog/backoff.go
@@ -25,9 +25,16 @@
 	// suspectAfter is for how long calls have to fail before those under way are given
 	// up at the first answer: a single call that failed says nothing of the others.
 	suspectAfter = time.Second
+	// lostAfter is for how long a node has heard nothing of the store before it counts as
+	// lost. It is longer than others take to notice that they are no longer in touch.
+	lostAfter = 2 * time.Second
 	// failuresOnceReachable takes the place of the number of failures when there is a
 	// sign that the store is within reach: the pauses grow anew from the second one.
 	failuresOnceReachable = 2
+	// contactAge is how old the latest answer of the store may be for the node to count
+	// as in touch: more than what a follower of a node hears (relayWait, and the age of
+	// what it is told).
+	contactAge = 1500 * time.Millisecond
 )
 
 // Backoff spaces the calls to a store that fails, for all feeds of a node together: one
@@ -38,8 +45,9 @@
 	callers  int
 	failures int
 	nextAt   time.Time
-	// failingSince is when the first of the failed calls ended.
-	failingSince time.Time
+	// failingSince is when the first of the failed calls ended, heardAt when the store
+	// told what is known, to this node or to the one that it follows.
+	failingSince, heardAt time.Time
 	// woken is closed when the store seems to be back.
 	woken chan struct{}
 }
@@ -82,7 +90,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	if b.failures > 0 && now.Sub(b.failingSince) >= suspectAfter {
-		b.wake()
+		b.endWaits()
 	}
 	b.failures = 0
 }
@@ -92,15 +100,19 @@
 func (b *Backoff) Wake(now time.Time) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if b.failures == 0 {
-		return
+	if b.failures > 0 {
+		b.wakeUp(now)
 	}
+}
+
+func (b *Backoff) wakeUp(now time.Time) {
 	b.failures = min(b.failures, failuresOnceReachable)
 	b.nextAt = now
-	b.wake()
+	b.endWaits()
 }
 
-func (b *Backoff) wake() {
+// endWaits lets what waits for the store, or for an answer from it, begin anew.
+func (b *Backoff) endWaits() {
 	if b.woken != nil {
 		close(b.woken)
 		b.woken = nil
@@ -118,6 +130,26 @@
 	return b.woken
 }
 
+// Heard notes when the store told what a feed knows by now. To the other feeds of a node
+// that was lost it is a sign that the store is within reach.
+func (b *Backoff) Heard(told, now time.Time) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.lost(now) {
+		b.wakeUp(now)
+	}
+	if told.After(b.heardAt) {
+		b.heardAt = told
+	}
+}
+
+// InTouch reports whether the node knows what the store told lately.
+func (b *Backoff) InTouch(now time.Time) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return now.Sub(b.heardAt) < contactAge
+}
+
 // Failing reports whether the latest call to the store has failed.
 func (b *Backoff) Failing() bool {
 	b.mutex.Lock()
@@ -125,6 +157,18 @@
 	return b.failures > 0
 }
 
+// Lost reports whether calls to the store have failed for a while and no other node has
+// told anything in its place.
+func (b *Backoff) Lost(now time.Time) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.lost(now)
+}
+
+func (b *Backoff) lost(now time.Time) bool {
+	return b.failures > 0 && now.Sub(b.failingSince) >= lostAfter && now.Sub(b.heardAt) >= lostAfter
+}
+
 func (b *Backoff) pause() time.Duration {
 	longest := min(max(longestPause, time.Duration(b.callers)*pausePerCaller), longestSharedPause)
 	return pauseAfter(b.failures, longest)
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -31,6 +31,9 @@
 type Changes[T any] struct {
 	Changes  []Change[T]
 	Revision Revision
+	// Whole means that Changes are all objects of the kind, without names: the node that
+	// tells no longer knows what happened since the revision that was asked for.
+	Whole bool
 	// Age is how long ago the store itself told of this revision; zero for
 	// answers of the store. FreshAge is the same for its answers that may not lag.
 	Age, FreshAge time.Duration
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -24,6 +24,10 @@
 	relayTimeout = relayWait + 400*time.Millisecond
 	// relayFreshInterval takes the place of freshInterval there.
 	relayFreshInterval = 5 * time.Second
+	// sourcesInOutage is how many nodes are asked in a row while the store does not answer,
+	// as long as they say within quickRefusal that they know nothing recent either.
+	sourcesInOutage = 4
+	quickRefusal    = 100 * time.Millisecond
 	// probesBeforeList is after how many failed calls the state is listed once more, in
 	// case that the store answers but cannot go on from the known revision.
 	probesBeforeList = 12
@@ -149,25 +153,57 @@
 	if f.relay == nil {
 		return false
 	}
-	source := f.relay.Source()
-	if source == nil {
-		return false
+	for range sourcesInOutage {
+		source := f.relay.Source()
+		if source == nil {
+			return false
+		}
+		begun := time.Now()
+		if f.followSource(ctx, source) {
+			return true
+		}
+		if !f.backoff.Failing() || time.Since(begun) > quickRefusal {
+			return false
+		}
 	}
+	return false
+}
+
+// followSource takes changes from one node; false if it has none to tell.
+func (f *Follower[T]) followSource(ctx context.Context, source Watcher[T]) bool {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	begun := time.Now()
 	changes, err := abandonable(ctx, f.backoff.Woken(), func(ctx context.Context) (Changes[T], error) {
 		return source.Watch(ctx, WatchRequest{After: f.revision, Wait: relayWait})
 	})
-	if err != nil {
+	if err != nil || changes.Whole && changes.Revision < f.revision {
 		return false
 	}
-	f.resume()
-	f.apply(changes)
+	if changes.Whole {
+		f.replace(changes)
+	} else {
+		f.resume()
+		f.apply(changes)
+	}
+	f.listed = true
 	f.freshAt = begun.Add(-changes.FreshAge)
 	return true
 }
 
+// replace takes the whole state from another node.
+func (f *Follower[T]) replace(whole Changes[T]) {
+	items := make([]T, len(whole.Changes))
+	for index, change := range whole.Changes {
+		items[index] = change.Value
+	}
+	f.sink.Replace(items, f.outage)
+	f.outage = false
+	f.revision = whole.Revision
+	f.noteReached(time.Now().Add(-whole.Age))
+	klog.InfoS("state taken over from another node", "feed", f.name, "objects", len(items), "revision", f.revision)
+}
+
 // resume notes that changes go on after an outage.
 func (f *Follower[T]) resume() {
 	if !f.outage {
@@ -187,8 +223,9 @@
 	f.noteReached(time.Now().Add(-changes.Age))
 }
 
-// noteReached tells the sink how current it is, if it wants to know.
+// noteReached tells how current the sink is, the sink too if it wants to know.
 func (f *Follower[T]) noteReached(told time.Time) {
+	f.backoff.Heard(told, time.Now())
 	if sink, wants := f.sink.(RevisionSink); wants {
 		sink.Reached(f.revision, told)
 	}
@@ -223,7 +260,7 @@
 // nextWatch returns the call to make: a cheap one that does not wait as long as it is
 // not known that the store is back.
 func (f *Follower[T]) nextWatch() WatchRequest {
-	if f.outage {
+	if f.outage || f.backoff.Failing() {
 		return WatchRequest{After: f.revision, Stale: true}
 	}
 	wait, fresh := watchWait, freshInterval
--- a/internal/catalog/log.go
+++ b/internal/catalog/log.go
@@ -18,6 +18,9 @@
 	*l = Log[T]{base: revision, last: revision}
 }
 
+// Last returns the latest revision.
+func (l *Log[T]) Last() Revision { return l.last }
+
 // Append adds the changes that lead from one revision to another. If they do not
 // follow the latest one, all earlier ones are dropped.
 func (l *Log[T]) Append(after Revision, changes Changes[T]) {
--- a/internal/catalog/recovery_test.go
+++ b/internal/catalog/recovery_test.go
@@ -122,6 +122,25 @@
 	})
 }
 
+func TestNodeIsLostWhenNobodyTellsAnything(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	var backoff Backoff
+	is.True(!backoff.Lost(now))
+	is.True(!backoff.InTouch(now))
+	backoff.Heard(now, now)
+	is.True(backoff.InTouch(now.Add(contactAge / 2)))
+	is.True(!backoff.InTouch(now.Add(contactAge)))
+	is.True(!backoff.Lost(now.Add(time.Hour))) // no call has failed
+	backoff.Failed(now)
+	is.True(!backoff.Lost(now.Add(lostAfter / 2)))
+	is.True(backoff.Lost(now.Add(lostAfter)))
+	backoff.Heard(now.Add(lostAfter/2), now.Add(lostAfter/2)) // by another node
+	is.True(!backoff.Lost(now.Add(lostAfter)))
+	backoff.Succeeded(now.Add(lostAfter))
+	is.True(!backoff.Lost(now.Add(time.Hour)))
+}
+
 // After a sign that the store is back one call is made at once, and if it fails the
 // pauses begin short.
 func TestSignLetsOneCallBeMadeAtOnce(t *testing.T) {
@@ -143,3 +162,86 @@
 	is.True(wait > 0)
 	is.True(wait <= 2*firstPause)
 }
+
+// What one feed hears after a silence is such a sign for the others of the node.
+func TestHearingAnythingAfterSilenceIsASign(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	var backoff Backoff
+	backoff.SetCallers(manyNodes)
+	for range 20 {
+		backoff.Failed(now)
+	}
+	woken := backoff.Woken()
+	backoff.Heard(now, now.Add(lostAfter/2))
+	is.True(backoff.Reserve(now.Add(lostAfter/2)) > 0) // not lost yet
+	now = now.Add(2 * lostAfter)
+	backoff.Heard(now, now)
+	<-woken
+	is.Equal(backoff.Reserve(now), time.Duration(0))
+}
+
+// handingOver is another node that tells the whole state at a revision.
+type handingOver struct {
+	memoryRelay
+	revision Revision
+}
+
+func (h *handingOver) Source() Watcher[string] { return h }
+
+func (h *handingOver) Watch(ctx context.Context, request WatchRequest) (Changes[string], error) {
+	if request.After != h.revision {
+		return Changes[string]{Changes: []Change[string]{{Value: "handed over"}, {Value: "b"}}, Revision: h.revision, Whole: true}, nil
+	}
+	sleep(ctx, request.Wait)
+	return Changes[string]{Revision: request.After}, ctx.Err()
+}
+
+// ranFor runs the follower for a time, looks at what has become of its world, and
+// returns when it has ended.
+func ranFor(t *testing.T, follower *Follower[string], length time.Duration, look func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		follower.Run(ctx)
+		close(ended)
+	}()
+	time.Sleep(length)
+	look()
+	cancel()
+	<-ended
+}
+
+func TestWholeStateIsTakenFromAnotherNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		feed, sink := newMemoryFeed(), &memorySink{}
+		feed.set("main", "one")
+		follower := NewFollower("test", feed, sink, uncounted{})
+		follower.Share(&handingOver{revision: 50})
+		ranFor(t, follower, time.Minute, func() {
+			feed.configure(func() { is.Equal(feed.lists+feed.fresh+feed.stale, 1) })
+		})
+		is.Equal(sink.get(), "handed over")
+		is.Equal(sink.size, 2)
+		is.Equal(sink.replaced, 2) // the first list, and this one
+		is.Equal(follower.revision, Revision(50))
+	})
+}
+
+// A node that itself is behind hands nothing over.
+func TestOlderStateIsNotTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		feed, sink := newMemoryFeed(), &memorySink{}
+		for range 60 {
+			feed.set("main", "one")
+		}
+		follower := NewFollower("test", feed, sink, uncounted{})
+		follower.Share(&handingOver{revision: 50})
+		ranFor(t, follower, 10*time.Second, func() {})
+		is.Equal(sink.get(), "one")
+		is.Equal(sink.replaced, 1)
+		is.Equal(follower.revision, Revision(60))
+	})
+}
--- a/internal/edge/assemble.go
+++ b/internal/edge/assemble.go
@@ -79,16 +79,22 @@
 	return peers.NewSelector(own, topology.Near)
 }
 
-func newTableLink(selector *peers.Selector) *peers.Link[*routing.Table] {
-	return peers.NewLink(feedTables, peers.TableCodec{}, selector)
+func newTableLink(selector *peers.Selector, state *state) *peers.Link[*routing.Table] {
+	link := peers.NewLink(feedTables, peers.TableCodec{}, selector)
+	link.HandOver(state.tables)
+	return link
 }
 
-func newServerLink(selector *peers.Selector) *peers.Link[endpoints.Server] {
-	return peers.NewLink(feedServers, peers.PlainCodec[endpoints.Server]{}, selector)
+func newServerLink(selector *peers.Selector, directory *endpoints.Directory) *peers.Link[endpoints.Server] {
+	link := peers.NewLink(feedServers, peers.PlainCodec[endpoints.Server]{}, selector)
+	link.HandOver(directory.ListedServers)
+	return link
 }
 
-func newEvacuationLink(selector *peers.Selector) *peers.Link[endpoints.Evacuation] {
-	return peers.NewLink(feedEvacuations, peers.PlainCodec[endpoints.Evacuation]{}, selector)
+func newEvacuationLink(selector *peers.Selector, state *state) *peers.Link[endpoints.Evacuation] {
+	link := peers.NewLink(feedEvacuations, peers.PlainCodec[endpoints.Evacuation]{}, selector)
+	link.HandOver(state.evacuations)
+	return link
 }
 
 // parts are what a node consists of.
--- a/internal/edge/evacuation.go
+++ b/internal/edge/evacuation.go
@@ -9,6 +9,15 @@
 	"github.com/driftstage/driftstage/internal/endpoints"
 )
 
+// evacuations returns the zones to be emptied.
+func (s *state) evacuations() []endpoints.Evacuation {
+	var all []endpoints.Evacuation
+	for _, zone := range s.directory.Evacuated() {
+		all = append(all, endpoints.Evacuation{Zone: zone})
+	}
+	return all
+}
+
 // evacuationSink takes the zones to be emptied from a follower. A zone that is not
 // listed takes requests again: the operators alone write and remove the entries, and
 // none runs out while the store is away.
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -45,6 +45,14 @@
 // Table returns the configuration in force; nil if none is known yet.
 func (s *state) Table() *routing.Table { return s.table.Load() }
 
+// tables returns the configuration in force, the only one; none if it is not known yet.
+func (s *state) tables() []*routing.Table {
+	if table := s.table.Load(); table != nil {
+		return []*routing.Table{table}
+	}
+	return nil
+}
+
 // ready reports whether the node takes new connections.
 func (s *state) ready() bool { return s.reason() == "" }
 
--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -38,6 +38,7 @@
 	paramAfter = "after"
 	paramWait  = "wait"
 	paramAge   = "age"
+	paramWhole = "whole"
 )
 
 // Codec encodes the objects of one kind.
@@ -58,6 +59,7 @@
 	headerRevision = "Driftstage-Revision"
 	headerAge      = "Driftstage-Age"
 	headerFreshAge = "Driftstage-Fresh-Age"
+	headerWhole    = "Driftstage-Whole"
 )
 
 // encoded is the body of an answer, kept because all followers ask for the same.
@@ -89,6 +91,10 @@
 	return &Link[T]{kind: kind, codec: codec, selector: selector}
 }
 
+// HandOver lets the link tell the whole state to followers whose revision is older than
+// the changes that this node remembers. The state has to hold what is published.
+func (l *Link[T]) HandOver(state func() []T) { l.publisher.state = state }
+
 // Publish implements catalog.Relay.
 func (l *Link[T]) Publish(after catalog.Revision, told catalog.Changes[T], fresh bool) {
 	l.publisher.Publish(after, told, fresh)
@@ -102,7 +108,11 @@
 
 // Source implements catalog.Relay.
 func (l *Link[T]) Source() catalog.Watcher[T] {
-	member, found := l.selector.Pick(time.Now())
+	now := time.Now()
+	member, found := l.selector.Again(l.latestSource(), now)
+	if !found {
+		member, found = l.selector.Pick(now)
+	}
 	if !found {
 		l.note("")
 		return nil
@@ -110,6 +120,13 @@
 	return source[T]{link: l, member: member}
 }
 
+// latestSource returns the name of the node that answered last; empty for the store.
+func (l *Link[T]) latestSource() string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.followed
+}
+
 // note logs when another node has answered than the one that was followed before;
 // empty for the store. A node that does not answer is no line: while the store is
 // away for all, every node tries many.
@@ -150,6 +167,9 @@
 	ctx.Response.Header.Set(headerRevision, strconv.FormatUint(uint64(found.Revision), 10))
 	ctx.Response.Header.Set(headerAge, found.Age.String())
 	ctx.Response.Header.Set(headerFreshAge, found.FreshAge.String())
+	if found.Whole {
+		ctx.Response.Header.Set(headerWhole, strconv.FormatBool(true))
+	}
 	writeBody(ctx, body)
 }
 
@@ -158,6 +178,9 @@
 	if len(found.Changes) == 0 {
 		return nil, nil
 	}
+	if found.Whole {
+		after = 0 // the same for whatever revision was asked for
+	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if l.latest.after == after && l.latest.revision == found.Revision {
@@ -184,7 +207,7 @@
 	if err != nil {
 		return question{}, errors.Wrap(err, paramAge)
 	}
-	return question{after: catalog.Revision(after), wait: min(wait, maxWait), oldest: oldest}, nil
+	return question{after: catalog.Revision(after), wait: min(wait, maxWait), oldest: oldest, whole: args.GetBool(paramWhole)}, nil
 }
 
 func (l *Link[T]) encode(found catalog.Changes[T]) ([]byte, error) {
@@ -243,7 +266,8 @@
 	if err != nil {
 		return catalog.Changes[T]{}, errors.Wrap(err, headerFreshAge)
 	}
-	return catalog.Changes[T]{Revision: catalog.Revision(revision), Age: age, FreshAge: freshAge}, nil
+	whole := string(header.Peek(headerWhole)) == strconv.FormatBool(true)
+	return catalog.Changes[T]{Revision: catalog.Revision(revision), Age: age, FreshAge: freshAge, Whole: whole}, nil
 }
 
 // source is another node that is followed.
@@ -275,6 +299,7 @@
 	query.Set(paramAfter, strconv.FormatUint(uint64(request.After), 10))
 	query.Set(paramWait, request.Wait.String())
 	query.Set(paramAge, oldestAnswer.String())
+	query.Set(paramWhole, strconv.FormatBool(true))
 	asked, answered := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(asked)
 	defer fasthttp.ReleaseResponse(answered)
--- a/internal/peers/link_test.go
+++ b/internal/peers/link_test.go
@@ -180,3 +180,41 @@
 }
 
 func (s source[T]) address() string { return s.member.Address }
+
+// A node that follows from a revision that the reader no longer remembers gets the whole
+// state, if it asks for it.
+func TestWholeStateIsHandedOver(t *testing.T) {
+	is := is.New(t)
+	reader, source, selector := linked(t, PlainCodec[endpoints.Server]{})
+	state := []endpoints.Server{{ID: "a", Service: "s", Slots: 3}, {ID: "b", Service: "s"}}
+	reader.HandOver(func() []endpoints.Server { return state })
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	reader.Publish(5, told(7, put("a")), true)
+	for _, after := range []catalog.Revision{2, 3} {
+		got, err := source.Watch(ctx, catalog.WatchRequest{After: after, Wait: time.Second})
+		is.NoErr(err)
+		is.True(got.Whole)
+		is.Equal(got.Revision, catalog.Revision(7))
+		is.Equal(len(got.Changes), 2)
+		is.Equal(got.Changes[0].Value, state[0])
+		is.Equal(got.Changes[1].Value, state[1])
+	}
+	got, err := source.Watch(ctx, catalog.WatchRequest{After: 5, Wait: time.Second})
+	is.NoErr(err)
+	is.True(!got.Whole) // the changes are enough
+	is.Equal(got.Changes, []catalog.Change[endpoints.Server]{put("a")})
+	_, err = reader.publisher.answer(ctx, question{after: 2, wait: time.Second, oldest: time.Hour})
+	is.True(errors.Is(err, catalog.ErrHistoryGone)) // one that did not ask for the whole
+	state = nil
+	reader.Publish(8, told(9), true) // forgets what was before
+	got, err = source.Watch(ctx, catalog.WatchRequest{After: 2, Wait: time.Second})
+	is.NoErr(err)
+	is.True(got.Whole)
+	is.Equal(len(got.Changes), 0)
+	_, found := selector.Again("reader", time.Now())
+	is.True(found) // it goes on being followed while the store fails
+	selector.Failed("reader", time.Now())
+	_, found = selector.Again("reader", time.Now())
+	is.True(!found)
+}
--- a/internal/peers/publisher.go
+++ b/internal/peers/publisher.go
@@ -22,6 +22,9 @@
 type Publisher[T any] struct {
 	mutex sync.Mutex
 	log   catalog.Log[T]
+	// state returns all objects, as new as what was published at least; nil if
+	// changes alone are told.
+	state func() []T
 	// toldAt is when the store answered last, freshAt when it did so without lag.
 	toldAt, freshAt time.Time
 	askedAt         time.Time
@@ -58,6 +61,8 @@
 	wait time.Duration
 	// oldest is the greatest age of an answer that is of use.
 	oldest time.Duration
+	// whole asks for the whole state where the changes are no longer known.
+	whole bool
 }
 
 // answer returns the changes after a revision as soon as there are any, none
@@ -66,7 +71,7 @@
 	end := time.Now().Add(q.wait)
 	for {
 		changes, changed, err := p.look(q)
-		if err != nil || len(changes.Changes) > 0 {
+		if err != nil || changes.Whole || len(changes.Changes) > 0 {
 			return changes, err
 		}
 		pause := min(time.Until(end), q.oldest-changes.Age+time.Millisecond)
@@ -92,6 +97,9 @@
 		return catalog.Changes[T]{}, nil, errNotReading
 	}
 	changes, err := p.log.Since(q.after)
+	if errors.Is(err, catalog.ErrHistoryGone) && q.whole && p.state != nil {
+		changes, err = p.whole(), nil
+	}
 	changes.Age = now.Sub(p.toldAt)
 	changes.FreshAge = now.Sub(p.freshAt)
 	if p.changed == nil {
@@ -99,3 +107,12 @@
 	}
 	return changes, p.changed, err
 }
+
+// whole returns the state up to the latest revision that was published.
+func (p *Publisher[T]) whole() catalog.Changes[T] {
+	whole := catalog.Changes[T]{Revision: p.log.Last(), Whole: true}
+	for _, value := range p.state() {
+		whole.Changes = append(whole.Changes, catalog.Change[T]{Value: value})
+	}
+	return whole
+}
--- a/internal/peers/selector.go
+++ b/internal/peers/selector.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -119,10 +120,57 @@
 	return members.Member{}, false
 }
 
+// Again returns the node of the name if the store does not answer this one, and if the
+// other may be followed still.
+func (s *Selector) Again(name string, now time.Time) (members.Member, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if name == "" || !s.storeFails(now) {
+		return members.Member{}, false
+	}
+	for _, member := range slices.Concat(s.region, s.others) {
+		if member.Name == name && !s.avoids(member, now) {
+			return member, true
+		}
+	}
+	return members.Member{}, false
+}
+
 func (s *Selector) avoids(member members.Member, now time.Time) bool {
 	return now.Before(s.avoided[member.Name].until)
 }
 
+// Distant returns any other node, of another zone if there is one: the nodes of a zone are
+// often cut off together.
+func (s *Selector) Distant() (members.Member, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var zone, elsewhere []members.Member
+	for _, member := range slices.Concat(s.region, s.others) {
+		switch {
+		case member.Name == s.own.Name:
+		case member.Zone == s.own.Zone:
+			zone = append(zone, member)
+		default:
+			elsewhere = append(elsewhere, member)
+		}
+	}
+	if len(elsewhere) == 0 {
+		elsewhere = zone
+	}
+	if len(elsewhere) == 0 {
+		return members.Member{}, false
+	}
+	return elsewhere[rand.IntN(len(elsewhere))], true
+}
+
+// Forgive lets nodes be followed again that did not answer.
+func (s *Selector) Forgive() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	clear(s.avoided)
+}
+
 // StoreFailed makes the node follow any other for a while.
 func (s *Selector) StoreFailed(now time.Time) {
 	s.mutex.Lock()
