A server that refused may be asked again by the same request

Cause: an attempt that its server refused counted as one of the servers that a request may be sent to, though the server has run nothing. Where most servers refuse part of the requests, a shard was lost after two refusals.

Change: the bound on servers counts distinct servers; what was refused may be asked again there after the pause that the refusal names (Retry-After), or after the time that the server is expected to take for a request. At most eight refusals a shard, none asked again after the target, each one inside the retry budget. The same for requests that must not run twice: only a refusal reopens a server, whatever may have run does not.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -77,10 +77,10 @@
 func (r *run) Fresh() bool { return r.dispatcher.directory.Fresh(time.Now()) }
 
 // Choose implements exchange.Servers.
-func (r *run) Choose(service string, tried []*endpoints.Endpoint, extra bool) (endpoints.Choice, endpoints.Availability) {
+func (r *run) Choose(service string, tried, only []*endpoints.Endpoint, extra bool) (endpoints.Choice, endpoints.Availability) {
 	now := time.Now()
 	demand := r.demand(service, now)
-	demand.Tried, demand.Extra = tried, extra
+	demand.Tried, demand.Only, demand.Extra = tried, only, extra
 	choice, availability := r.dispatcher.directory.Choose(demand, now)
 	if known, waits := r.deferred[service]; availability != endpoints.Chosen && (!waits || known != availability) {
 		r.noteDeferred(service, availability)
--- a/internal/endpoints/choose.go
+++ b/internal/endpoints/choose.go
@@ -62,6 +62,8 @@
 	Route *routing.Route
 	// Tried are the servers that are left out.
 	Tried []*Endpoint
+	// Only are the servers of which one is chosen; nil for all.
+	Only []*Endpoint
 	// Extra sends, those beyond the first, are taken off the retry budget.
 	Extra bool
 	// Work is the learned time of work of such requests.
--- a/internal/endpoints/places.go
+++ b/internal/endpoints/places.go
@@ -16,7 +16,7 @@
 // takes reports whether the server may get this request.
 func (d *Directory) takes(endpoint *Endpoint, demand Demand, now time.Time) bool {
 	return endpoint.open() && !endpoint.missed(now) && d.allowed(endpoint, demand.Route) &&
-		!slices.Contains(demand.Tried, endpoint)
+		!slices.Contains(demand.Tried, endpoint) && (demand.Only == nil || slices.Contains(demand.Only, endpoint))
 }
 
 // allowed reports whether requests of the route may be sent to where the server
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -17,6 +17,9 @@
 	reachPause = 100 * time.Millisecond
 	// maximumUnsent bounds the attempts of a shard for which no connection came up.
 	maximumUnsent = 8
+	// maximumRefused bounds the attempts of a shard that servers may refuse: where they
+	// refuse 0.6 of all, 0.99 of the shards have their answer by then.
+	maximumRefused = 8
 	// refusalShare is the part of the target within which a request that no
 	// server takes is refused: a caller that is told early can come back in time.
 	refusalShare = 0.2
@@ -63,14 +66,16 @@
 // Reply takes the end of an attempt into account.
 func (c *Core) Reply(id AttemptID, reply upstream.Reply, now time.Duration) Batch {
 	shard := &c.shards[id.Shard]
-	shard.attempts[id.Number].finished = true
+	attempt := &shard.attempts[id.Number]
+	attempt.finished = true
 	if reply.Unsent {
+		attempt.unsent = true
 		c.noteUnsent(shard)
 	}
 	if c.done || shard.answer != nil {
 		return c.step(now)
 	}
-	c.judge(shard, id, reply)
+	c.judge(shard, attempt, reply, now)
 	shard.nextAt = now
 	return c.step(now)
 }
@@ -86,14 +91,17 @@
 }
 
 // judge records what a reply means for its shard.
-func (c *Core) judge(shard *shard, id AttemptID, reply upstream.Reply) {
+func (c *Core) judge(shard *shard, attempt *attempt, reply upstream.Reply, now time.Duration) {
 	shard.ran = shard.ran.With(reply.Verdict)
 	switch {
 	case reply.Success():
 		shard.answer = &reply
 	case reply.Kind == upstream.Reset && reply.Unsent:
 		// The server has no connection left now; it may have one in a moment.
-		shard.forget(id)
+		attempt.reopen(now)
+	case reply.Kind == upstream.Refused:
+		attempt.refused = true
+		attempt.reopen(now + refusalPause(attempt, reply))
 	case reply.Kind != upstream.Answered:
 	case c.final(&reply):
 		shard.answer = &reply
@@ -102,6 +110,15 @@
 	}
 }
 
+// refusalPause returns how long a server that has refused is not asked again: as long as
+// it names, or else what it is expected to take for a request, when a slot has come free.
+func refusalPause(attempt *attempt, reply upstream.Reply) time.Duration {
+	if reply.RetryAfter > 0 {
+		return reply.RetryAfter
+	}
+	return attempt.choice.Expected
+}
+
 // final reports whether a server's failure is the answer to the request: the
 // caller's own fault, or one that must not be repeated.
 func (c *Core) final(reply *upstream.Reply) bool {
@@ -143,11 +160,11 @@
 	switch underWay := shard.underWay(); {
 	case len(shard.attempts) == 0:
 		c.send(index, ReasonFirst, now, batch)
-	case underWay == 0 && !c.mayRetry(shard):
+	case underWay == 0 && !c.mayRetry(shard, now):
 		shard.lost = true
 	case underWay == 0:
 		c.send(index, ReasonRetry, now, batch)
-	case c.mayHedge(shard) && shard.late(now):
+	case c.mayHedge(shard, now) && shard.late(now):
 		c.send(index, ReasonHedge, now, batch)
 	case shard.late(now) && c.cutOff(shard):
 		shard.lost = true
@@ -157,26 +174,34 @@
 }
 
 // mayRetry reports whether another attempt is allowed after all have ended.
-func (c *Core) mayRetry(shard *shard) bool {
-	if !c.mayAttempt(shard) {
+func (c *Core) mayRetry(shard *shard, now time.Duration) bool {
+	if !c.mayAttempt(shard, now) {
 		return false
 	}
 	return c.plan.Repeatable || shard.ran == verdict.NotRun
 }
 
 // mayAttempt reports whether the shard has attempts left. Those that reached no
-// server do not count, within reason.
-func (c *Core) mayAttempt(shard *shard) bool {
-	return shard.arrivals() < c.plan.MaximumAttempts && shard.unsent <= maximumUnsent
+// server do not count, within reason. Those that were refused do not either, until the
+// target: a caller that is told then can still come back.
+func (c *Core) mayAttempt(shard *shard, now time.Duration) bool {
+	if shard.unsent > maximumUnsent {
+		return false
+	}
+	refusals := shard.refusals()
+	if refusals == 0 || now >= c.plan.Target || refusals > maximumRefused {
+		return shard.arrivals() < c.plan.MaximumAttempts
+	}
+	return shard.arrivals()-refusals < c.plan.MaximumAttempts
 }
 
 // mayHedge reports whether another attempt is allowed beside those under way.
-func (c *Core) mayHedge(shard *shard) bool {
-	return c.plan.Repeatable && c.mayAttempt(shard)
+func (c *Core) mayHedge(shard *shard, now time.Duration) bool {
+	return c.plan.Repeatable && c.mayAttempt(shard, now)
 }
 
 func (c *Core) nextLook(shard *shard, now time.Duration) time.Duration {
-	if c.mayHedge(shard) {
+	if c.mayHedge(shard, now) {
 		return max(shard.lateAt(), now)
 	}
 	if c.plan.Gather {
@@ -205,7 +230,11 @@
 func (c *Core) send(index int, reason Reason, now time.Duration, batch *Batch) {
 	shard := &c.shards[index]
 	extra := shard.arrivals() > 0
-	choice, availability := c.servers.Choose(shard.service, shard.tried, extra)
+	choice, availability := c.servers.Choose(shard.service, shard.barred(now), c.only(shard), extra)
+	if at, reopens := shard.reopensAt(); availability == endpoints.NoServer && reopens && at > now && at < c.plan.Target {
+		shard.nextAt = at
+		return
+	}
 	if availability != endpoints.Chosen {
 		c.wait(shard, availability, now)
 		return
@@ -214,12 +243,21 @@
 		shard.charged++
 	}
 	shard.attempts = append(shard.attempts, attempt{choice: choice, sentAt: now})
-	shard.tried = append(shard.tried, choice.Endpoint)
 	shard.nextAt = c.nextLook(shard, now)
 	id := AttemptID{Shard: index, Number: len(shard.attempts) - 1}
 	batch.Sends = append(batch.Sends, Send{ID: id, Reason: reason, Choice: choice})
 }
 
+// only returns the servers to which the shard keeps once it has asked as many as it may;
+// nil as long as it may ask others.
+func (c *Core) only(shard *shard) []*endpoints.Endpoint {
+	reached := shard.reached()
+	if len(reached) < c.plan.MaximumAttempts {
+		return nil
+	}
+	return reached
+}
+
 // wait puts off a send for which there is no server or no budget. A shard with
 // nothing under way, or out of reach alone, that has waited in vain for long enough is
 // lost.
--- a/internal/exchange/shard.go
+++ b/internal/exchange/shard.go
@@ -14,13 +14,28 @@
 	choice   endpoints.Choice
 	sentAt   time.Duration
 	finished bool
+	// unsent is set if it ended before anything was written, refused if its server has
+	// run nothing.
+	unsent, refused bool
+	// reopens is set if the server may be asked again, from reopensAt on.
+	reopens   bool
+	reopensAt time.Duration
+}
+
+// bars reports whether the attempt keeps its server from being asked at the time.
+func (a *attempt) bars(now time.Duration) bool {
+	return !a.reopens || now < a.reopensAt
+}
+
+// reopen lets the server of the attempt be asked again.
+func (a *attempt) reopen(at time.Duration) {
+	a.reopens, a.reopensAt = true, at
 }
 
 // shard is the state of one shard of a request.
 type shard struct {
 	service  string
 	attempts []attempt
-	tried    []*endpoints.Endpoint
 	// answer is the reply that counts, once there is one.
 	answer *upstream.Reply
 	// fallback is a server's failure that is handed on if nothing better comes.
@@ -40,10 +55,59 @@
 	return shard{service: service, ran: verdict.NotRun}
 }
 
-// forget lets the server of an attempt be chosen again.
-func (s *shard) forget(id AttemptID) {
-	endpoint := s.attempts[id.Number].choice.Endpoint
-	s.tried = slices.DeleteFunc(s.tried, func(other *endpoints.Endpoint) bool { return other == endpoint })
+// barred returns the servers that must not be asked at the time.
+func (s *shard) barred(now time.Duration) []*endpoints.Endpoint {
+	var barred []*endpoints.Endpoint
+	for index := range s.attempts {
+		if attempt := &s.attempts[index]; attempt.bars(now) {
+			barred = append(barred, attempt.choice.Endpoint)
+		}
+	}
+	return barred
+}
+
+// reached returns the servers that attempts reached or still may.
+func (s *shard) reached() []*endpoints.Endpoint {
+	var reached []*endpoints.Endpoint
+	for index := range s.attempts {
+		attempt := &s.attempts[index]
+		if !attempt.unsent && !slices.Contains(reached, attempt.choice.Endpoint) {
+			reached = append(reached, attempt.choice.Endpoint)
+		}
+	}
+	return reached
+}
+
+// refusals returns how many attempts were refused by their servers.
+func (s *shard) refusals() int {
+	count := 0
+	for index := range s.attempts {
+		if s.attempts[index].refused {
+			count++
+		}
+	}
+	return count
+}
+
+// reopensAt returns when the next server that has refused may be asked again, and
+// whether there is one.
+func (s *shard) reopensAt() (time.Duration, bool) {
+	next, found := time.Duration(0), false
+	for index := range s.attempts {
+		attempt := &s.attempts[index]
+		if attempt.refused && s.newest(index) && (!found || attempt.reopensAt < next) {
+			next, found = attempt.reopensAt, true
+		}
+	}
+	return next, found
+}
+
+// newest reports whether the attempt is the newest one at its server.
+func (s *shard) newest(index int) bool {
+	endpoint := s.attempts[index].choice.Endpoint
+	return !slices.ContainsFunc(s.attempts[index+1:], func(later attempt) bool {
+		return later.choice.Endpoint == endpoint
+	})
 }
 
 func (s *shard) resolved() bool {
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -22,7 +22,8 @@
 	Gather bool
 	// Repeatable requests may run more than once.
 	Repeatable bool
-	// MaximumAttempts bounds the sends for each shard.
+	// MaximumAttempts bounds the servers that are asked for each shard, and the sends that
+	// may run. A server that has refused may be asked again.
 	MaximumAttempts int
 	// LeastShards is how many shards make a success.
 	LeastShards int
@@ -56,9 +57,9 @@
 	// of them to tell.
 	Pressed() bool
 	Fresh() bool
-	// Choose reserves a server other than the ones tried. An extra send, one
-	// beyond the first, is taken off the retry budget of the service.
-	Choose(service string, tried []*endpoints.Endpoint, extra bool) (endpoints.Choice, endpoints.Availability)
+	// Choose reserves a server other than the ones tried, one of only unless that is nil.
+	// An extra send, one beyond the first, is taken off the retry budget of the service.
+	Choose(service string, tried, only []*endpoints.Endpoint, extra bool) (endpoints.Choice, endpoints.Availability)
 	// OutOfReach reports whether there is no way to the zone of a server.
 	OutOfReach(endpoint *endpoints.Endpoint) bool
 	// RefundRetry gives back what an extra send took off the retry budget.
--- a/internal/upstream/doc.go
+++ b/internal/upstream/doc.go
@@ -103,6 +103,8 @@
 	Body   []byte
 	// Load is what the server has told of itself.
 	Load Load
+	// RetryAfter is the pause that a refusal names; zero if it names none.
+	RetryAfter time.Duration
 	// Err is the cause of a failure, for logs.
 	Err error
 }
--- a/internal/upstream/receive.go
+++ b/internal/upstream/receive.go
@@ -83,6 +83,7 @@
 		reply.Kind, reply.Verdict = Foreign, verdict.NotRun
 	case len(response.Header.Peek(c.headers.NotExecuted)) > 0:
 		reply.Kind, reply.Verdict = Refused, verdict.NotRun
+		reply.RetryAfter = parseRetryAfter(string(response.Header.Peek(fasthttp.HeaderRetryAfter)))
 	case len(response.Header.ContentEncoding()) > 0:
 		reply.Kind = Malformed
 		reply.Err = errors.New("the body is encoded")
@@ -98,6 +99,19 @@
 	return reply
 }
 
+// maximumRetryAfter bounds what is taken for a pause between two attempts.
+const maximumRetryAfter = time.Hour
+
+// parseRetryAfter returns the pause of a header in seconds, fractions included; zero for
+// what is none.
+func parseRetryAfter(header string) time.Duration {
+	seconds, err := strconv.ParseFloat(header, 64)
+	if err != nil || !(seconds > 0) {
+		return 0
+	}
+	return time.Duration(min(seconds, maximumRetryAfter.Seconds()) * float64(time.Second))
+}
+
 // endToEndFields copies the headers that are meant for the caller.
 func endToEndFields(header *fasthttp.ResponseHeader) []Field {
 	var fields []Field
