Servers that refuse a part of their requests come second

A refusal was not counted as a failure, so that the near server was asked first again 100 ms later: each request paid for it with a retry, until the budget was spent.

Change: a refusal counts in the share of failed requests of its server, as errors and resets do. Where all copies refuse alike, the nearest stays first.

--- a/internal/endpoints/choose.go
+++ b/internal/endpoints/choose.go
@@ -277,6 +277,7 @@
 		}
 	case ResultRefused:
 		endpoint.refused(now)
+		endpoint.failures.note(true, now)
 	case ResultReset:
 		endpoint.resetConnection(now)
 		endpoint.failures.note(true, now)
--- a/internal/endpoints/failures_test.go
+++ b/internal/endpoints/failures_test.go
@@ -10,7 +10,7 @@
 // A server that fails a part of its requests is not asked first while another can
 // answer in time, also between its good answers, and is after a while without failure.
 func TestServerThatFailsAPartOfItsRequestsComesSecond(t *testing.T) {
-	for _, result := range []Result{ResultFailed, ResultErred} {
+	for _, result := range []Result{ResultFailed, ResultErred, ResultRefused} {
 		is := is.New(t)
 		directory := directoryOf(server("near", "near-1"), server("far", "far-1"))
 		work := established(20 * time.Millisecond)
