A gathered request that the retry budget can not make whole is refused at once

Cause: where all copies of some shards refuse most requests, the budget is spent within a second. What starts then loses shards, and its caller waits 100 to 200 ms for a failure.

Change: while servers refuse, the chance of a success is reckoned before anything is sent: for each shard from the share that its most reliable server has failed lately and what is left of the budget, for the request from the chance that enough shards answer. The property draws prospects as well.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -76,6 +76,11 @@
 // Fresh implements exchange.Servers.
 func (r *run) Fresh() bool { return r.dispatcher.directory.Fresh(time.Now()) }
 
+// Prospect implements exchange.Servers.
+func (r *run) Prospect(service string) endpoints.Prospect {
+	return r.dispatcher.directory.Prospect(service, r.request.Route, time.Now())
+}
+
 // Choose implements exchange.Servers.
 func (r *run) Choose(service string, tried, only []*endpoints.Endpoint, extra bool) (endpoints.Choice, endpoints.Availability) {
 	now := time.Now()
--- a/internal/endpoints/failures.go
+++ b/internal/endpoints/failures.go
@@ -13,6 +13,8 @@
 	// requests: a node sends one or two a second to a server, and trouble of this sort
 	// lasts for seconds.
 	failureHalfLife = 3 * time.Second
+	// recentHalfLife is the time in which half of what failed lately is forgotten.
+	recentHalfLife = time.Second
 	// unreliableShare is the share of failures from which a near server is not preferred
 	// any more. It takes two good answers, or a half-life, after a single failure.
 	unreliableShare = 0.16
@@ -42,10 +44,20 @@
 
 // current returns the share of requests that are expected to fail.
 func (f *failures) current(now time.Time) float64 {
+	return f.kept(now, failureHalfLife)
+}
+
+// recent returns the share of requests that failed lately.
+func (f *failures) recent(now time.Time) float64 {
+	return f.kept(now, recentHalfLife)
+}
+
+// kept returns what is left of the share where half of it is forgotten in so long.
+func (f *failures) kept(now time.Time, halfLife time.Duration) float64 {
 	if f.share == 0 {
 		return 0
 	}
-	return f.share * math.Exp2(-float64(now.Sub(f.at))/float64(failureHalfLife))
+	return f.share * math.Exp2(-float64(now.Sub(f.at))/float64(halfLife))
 }
 
 // cost returns what is expected to be lost by failures: the time until the target, as
--- a/internal/endpoints/failures_test.go
+++ b/internal/endpoints/failures_test.go
@@ -27,6 +27,15 @@
 	}
 }
 
+// What failed lately is forgotten sooner than what a server is known for.
+func TestRecentFailuresAreForgottenSoon(t *testing.T) {
+	is := is.New(t)
+	var seen failures
+	seen.note(true, epoch)
+	is.Equal(seen.recent(epoch.Add(recentHalfLife)), failureWeight/2)
+	is.True(seen.recent(epoch.Add(recentHalfLife)) < seen.current(epoch.Add(recentHalfLife)))
+}
+
 // Where all servers fail alike, the near one stays first.
 func TestServersThatFailAlikeAreChosenAsBefore(t *testing.T) {
 	is := is.New(t)
--- /dev/null
+++ b/internal/endpoints/prospect_test.go
@@ -0,0 +1,30 @@
+package endpoints
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// What a service is expected to fail is the share of its most reliable server, and is
+// forgotten; what was sent beyond the first sends is off its budget.
+func TestProspectIsThatOfTheMostReliableServer(t *testing.T) {
+	is := is.New(t)
+	directory := directoryOf(server("near", "near-1"), server("far", "far-1"))
+	work := established(20 * time.Millisecond)
+	is.Equal(directory.Prospect("s", nil, epoch), Prospect{Extra: 10})
+	near := choose(t, directory, demand(work), epoch)
+	directory.Finish(near, work, ResultRefused, epoch)
+	is.Equal(directory.Prospect("s", nil, epoch).Failing, 0.0) // the far one has refused nothing
+	second := demand(work, near.Endpoint)
+	second.Extra = true
+	directory.Finish(choose(t, directory, second, epoch), work, ResultRefused, epoch)
+	is.Equal(directory.Prospect("s", nil, epoch), Prospect{Failing: failureWeight, Extra: 9})
+	is.True(directory.Prospect("s", nil, epoch.Add(10*failureHalfLife)).Failing < 0.01)
+}
+
+// A service without servers fails all requests.
+func TestProspectWithoutServers(t *testing.T) {
+	is.New(t).Equal(directoryOf().Prospect("s", nil, epoch).Failing, 1.0)
+}
--- a/internal/exchange/admit.go
+++ b/internal/exchange/admit.go
@@ -13,6 +13,8 @@
 //     the callers that waited would fill the servers' queues together.
 //   - Where too few shards have a server at all, the request waits if the list may
 //     be incomplete, and is refused otherwise.
+//   - Where servers refuse so much that the retry budgets of its shards are not likely to
+//     make it a success, the request is refused.
 //
 // A request that is only expected to be late is not refused: its caller would come
 // back after its target, so that the refusal itself would make it late.
@@ -28,6 +30,9 @@
 		return false
 	case c.plan.Gather && c.yields(now, batch):
 		return false
+	case c.plan.Gather && !c.affordable():
+		c.refuse(CauseNoBudget, batch)
+		return false
 	}
 	c.admitted = true
 	return true
--- a/internal/exchange/property_test.go
+++ b/internal/exchange/property_test.go
@@ -27,15 +27,20 @@
 	rapid.Check(t, func(t *rapid.T) {
 		plan := drawPlan(t)
 		servers := &fleet{
-			servers:  make(map[string]int),
-			budget:   rapid.IntRange(0, 6).Draw(t, "budget"),
-			busy:     make(map[string]bool),
-			settling: rapid.Bool().Draw(t, "settling"),
-			fresh:    rapid.Bool().Draw(t, "fresh"),
-			pressed:  rapid.Bool().Draw(t, "pressed"),
+			servers:   make(map[string]int),
+			prospects: make(map[string]endpoints.Prospect),
+			budget:    rapid.IntRange(0, 6).Draw(t, "budget"),
+			busy:      make(map[string]bool),
+			settling:  rapid.Bool().Draw(t, "settling"),
+			fresh:     rapid.Bool().Draw(t, "fresh"),
+			pressed:   rapid.Bool().Draw(t, "pressed"),
 		}
 		for _, service := range plan.Services {
 			servers.servers[service] = rapid.IntRange(0, 3).Draw(t, "servers")
+			servers.prospects[service] = endpoints.Prospect{
+				Failing: rapid.Float64Range(0, 1).Draw(t, "failing"),
+				Extra:   float64(rapid.IntRange(-1, 6).Draw(t, "extra")),
+			}
 		}
 		seen := &history{sends: make(map[int]int), chosen: make(map[AttemptID]*endpoints.Endpoint), started: make(map[AttemptID]bool), ended: make(map[AttemptID]upstream.Reply)}
 		core := New(plan, servers)
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -57,6 +57,9 @@
 	// of them to tell.
 	Pressed() bool
 	Fresh() bool
+	// Prospect tells how often the servers of a service fail and what its retry budget
+	// allows.
+	Prospect(service string) endpoints.Prospect
 	// Choose reserves a server other than the ones tried, one of only unless that is nil.
 	// An extra send, one beyond the first, is taken off the retry budget of the service.
 	Choose(service string, tried, only []*endpoints.Endpoint, extra bool) (endpoints.Choice, endpoints.Availability)
--- a/internal/exchange/world_test.go
+++ b/internal/exchange/world_test.go
@@ -38,6 +38,8 @@
 	growing bool
 	// pressed is set while servers refuse work, fresh while nothing is known of them.
 	pressed, fresh bool
+	// prospects are what is known of the services' failures.
+	prospects map[string]endpoints.Prospect
 	// made are the servers that have been chosen, in order.
 	made map[string][]*endpoints.Endpoint
 }
@@ -52,6 +54,8 @@
 
 func (f *fleet) Fresh() bool { return f.fresh }
 
+func (f *fleet) Prospect(service string) endpoints.Prospect { return f.prospects[service] }
+
 func (f *fleet) Choose(service string, tried, only []*endpoints.Endpoint, extra bool) (endpoints.Choice, endpoints.Availability) {
 	chosen := f.choose(service, tried, only)
 	switch {
