Failures that come again are remembered longer

Cause: a server that refuses 0.6 of its requests was forgiven 2.7 s after each failure and asked first again, by each node for itself; each such look costs a send of the retry budget at 0.6.

Change: the time in which half of a server's failures is forgotten doubles from 3 to 12 s each time that it fails again within 10 s. A first failure is forgiven as before.

--- a/internal/endpoints/failures.go
+++ b/internal/endpoints/failures.go
@@ -11,8 +11,12 @@
 	failureWeight = 0.3
 	// failureHalfLife is the time in which half of that is forgotten without further
 	// requests: a node sends one or two a second to a server, and trouble of this sort
-	// lasts for seconds.
-	failureHalfLife = 3 * time.Second
+	// lasts for seconds. It doubles up to longestFailureHalfLife each time that the server
+	// fails once more within failureMemory: each look at it costs a send of the retry
+	// budget.
+	failureHalfLife        = 3 * time.Second
+	longestFailureHalfLife = 12 * time.Second
+	failureMemory          = 10 * time.Second
 	// recentHalfLife is the time in which half of what failed lately is forgotten.
 	recentHalfLife = time.Second
 	// unreliableShare is the share of failures from which a near server is not preferred
@@ -31,6 +35,10 @@
 type failures struct {
 	share float64
 	at    time.Time
+	// halfLife is the time in which half of the share is forgotten, failedAt when the
+	// server failed last.
+	halfLife time.Duration
+	failedAt time.Time
 }
 
 // note takes the end of a request into account.
@@ -38,13 +46,24 @@
 	share := f.current(now) * (1 - failureWeight)
 	if failed {
 		share += failureWeight
+		f.remember(now)
 	}
 	f.share, f.at = share, now
 }
 
+// remember sets how long a failure is remembered.
+func (f *failures) remember(now time.Time) {
+	if now.Sub(f.failedAt) > failureMemory {
+		f.halfLife = failureHalfLife
+	} else {
+		f.halfLife = min(2*f.halfLife, longestFailureHalfLife)
+	}
+	f.failedAt = now
+}
+
 // current returns the share of requests that are expected to fail.
 func (f *failures) current(now time.Time) float64 {
-	return f.kept(now, failureHalfLife)
+	return f.kept(now, f.halfLife)
 }
 
 // recent returns the share of requests that failed lately.
@@ -57,7 +76,7 @@
 	if f.share == 0 {
 		return 0
 	}
-	return f.share * math.Exp2(-float64(now.Sub(f.at))/float64(halfLife))
+	return f.share * math.Exp2(-float64(now.Sub(f.at))/float64(max(halfLife, recentHalfLife)))
 }
 
 // cost returns what is expected to be lost by failures: the time until the target, as
--- a/internal/endpoints/failures_test.go
+++ b/internal/endpoints/failures_test.go
@@ -23,10 +23,32 @@
 		}
 		is.True(!near.backsOff(now))
 		is.Equal(choose(t, directory, demand(work), now).Server.ID, "far")
-		is.Equal(choose(t, directory, demand(work), now.Add(5*failureHalfLife)).Server.ID, "near")
+		is.Equal(choose(t, directory, demand(work), now.Add(5*longestFailureHalfLife)).Server.ID, "near")
 	}
 }
 
+// A server that fails again and again is looked at less and less often; one that has not
+// failed for long is forgiven as soon as before.
+func TestRepeatedFailuresAreRememberedLonger(t *testing.T) {
+	is := is.New(t)
+	var seen failures
+	seen.note(true, epoch)
+	is.Equal(seen.current(epoch.Add(failureHalfLife)), failureWeight/2)
+	again := epoch.Add(failureMemory)
+	seen.note(true, again)
+	share := seen.current(again)
+	is.Equal(seen.current(again.Add(2*failureHalfLife)), share/2)
+	for range 5 {
+		seen.note(true, again)
+	}
+	share = seen.current(again)
+	is.Equal(seen.current(again.Add(longestFailureHalfLife)), share/2)
+	later := again.Add(failureMemory + time.Second)
+	seen.note(true, later)
+	share = seen.current(later)
+	is.Equal(seen.current(later.Add(failureHalfLife)), share/2)
+}
+
 // What failed lately is forgotten sooner than what a server is known for.
 func TestRecentFailuresAreForgottenSoon(t *testing.T) {
 	is := is.New(t)
@@ -41,7 +63,7 @@
 	is := is.New(t)
 	directory := directoryOf(server("near", "near-1"), server("far", "far-1"))
 	for _, endpoint := range directory.byID {
-		endpoint.failures = failures{share: 0.4, at: epoch}
+		endpoint.failures = failures{share: 0.4, at: epoch, halfLife: failureHalfLife}
 	}
 	is.Equal(choose(t, directory, demand(established(20*time.Millisecond)), epoch).Server.ID, "near")
 }
