A member that announced its leave and falls silent has left, not failed

Cause of TestAppliedCountsCutOffMembers counting 7 in place of 6: the leave had not reached all that stay when the cut began (Leave gives it a second, which is not enough on a busy machine). And by reading: news of a suspicion or an end carries the same incarnation as the leave and a higher status, so that it overtakes the leave for good: whoever heard of the end first counted the member as failed for as long as it was remembered, though others knew better.

Change: who knows of the leave spreads the end as "left", which overrides "dead"; a leave that arrives after the suspicion or the end still counts.

The test of the list waits until those that stay know of the leave before it cuts: who has not heard cannot tell a leave from a failure, and 7 is then the right answer.

--- a/internal/gossip/failed_test.go
+++ b/internal/gossip/failed_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/driftstage/driftstage/internal/membership"
 )
 
 // setMachines gives every node a machine list that holds the nodes named.
@@ -19,6 +21,16 @@
 	}
 }
 
+// knowLeave reports whether the nodes know that one of them leaves.
+func (cluster *cluster) knowLeave(leaving int, knowing ...int) bool {
+	id := cluster.nodes[leaving].self.ID
+	return !slices.ContainsFunc(knowing, func(number int) bool {
+		return !slices.ContainsFunc(cluster.nodes[number].Members(), func(member membership.Member) bool {
+			return member.ID == id && member.State == membership.Leaving
+		})
+	})
+}
+
 // A revision is not applied everywhere while members that were judged dead are
 // listed as live machines: they may be cut off. Those that announced that they
 // leave, and those that the list has dropped, do not count.
@@ -30,6 +42,8 @@
 	cluster.awaitMembers(7)
 	cluster.setMachines(cluster.nodes...)
 	cluster.nodes[6].Leave(context.Background())
+	// Who has not heard of the leave when the cut begins can not tell it from a failure.
+	cluster.eventually("the leave is known", func() bool { return cluster.knowLeave(6, 0, 1, 2, 3) })
 	cluster.isolate(4, 5, 6)
 	cluster.eventually("the others are judged dead", func() bool { return len(cluster.nodes[0].Members()) == 4 })
 	cluster.nodes[0].Publish(entry(1))
--- a/internal/membership/update.go
+++ b/internal/membership/update.go
@@ -13,6 +13,7 @@
 		core.join(update)
 		return
 	}
+	update = known.explained(update)
 	if !known.olderThan(update) || !core.takesAddress(update) {
 		return
 	}
@@ -20,6 +21,22 @@
 	core.spread(update)
 }
 
+// explained returns the update with what is known of a leave: a member that announced
+// one and is found dead has left. The two pieces of news may come in either order, and
+// of the later one the lower status alone would change nothing.
+func (record *record) explained(update Update) Update {
+	if update.Status == StatusLeaving && update.Incarnation == record.Incarnation {
+		record.announcedLeave = true
+		if record.dead() {
+			update.Status = StatusLeft
+		}
+	}
+	if update.Status == StatusDead && record.announcedLeave {
+		update.Status = StatusLeft
+	}
+	return update
+}
+
 // refute answers a claim about this node that is not its own.
 func (core *Core) refute(update Update) {
 	if core.self.dead() {
@@ -110,6 +127,7 @@
 		}
 		update := suspect.update()
 		update.Status = StatusDead
+		update = suspect.explained(update)
 		core.overwrite(suspect, update)
 		core.spread(update)
 	}
