--- a/internal/rollout/judge_test.go
+++ b/internal/rollout/judge_test.go
@@ -29,7 +29,7 @@
 }
 
 // judged returns the verdict on the answers of one route, or of several alike.
-func judged(routes int, answers []second) Verdict {
+func judgedAs(routes int, answers []second) Verdict {
 	var evidence evidence
 	for index, one := range answers {
 		evidence.advance(time.Duration(index) * windowLength)
@@ -72,7 +72,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			verdict := judged(test.routes, test.answers)
+			verdict := judgedAs(test.routes, test.answers)
 			is.Equal(verdict.Finding, test.want)
 			is.Equal(verdict.Cause == "", test.want == Undecided)
 		})
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -245,9 +245,28 @@
 	}
 }
 
+// keptDirectory returns a directory for logs, which are kept if the test fails.
+func keptDirectory(t *testing.T) string {
+	t.Helper()
+	directory, err := os.MkdirTemp("", "driftstage-soak-logs-")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("logs in %s", directory)
+			return
+		}
+		if err := os.RemoveAll(directory); err != nil {
+			t.Error(err)
+		}
+	})
+	return directory
+}
+
 func startNodes(t *testing.T, world *world, layout layout) []*node {
 	t.Helper()
-	directory := t.TempDir()
+	directory := keptDirectory(t)
 	peers := make([]string, layout.nodes)
 	for index := range peers {
 		peers[index] = freeAddress(t)
