Addresses of processes that are started for tests belong to the process that starts them

Cause: soak runs beside others failed in three ways, all traced to one: an address that was found free was taken by another run or by an outgoing connection before the node was started, or while it was down ("address already in use": exit status 1, not ready; requests of one run answered by the nodes of another: "ran 4 times"). Change: package loopback gives addresses at an IP of the loopback network that belongs to the asking process; the soak, the tests of edge, the demo and the experiment use it.

--- a/cmd/driftlab/router.go
+++ b/cmd/driftlab/router.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v4"
 
+	"github.com/driftstage/driftstage/internal/loopback"
 	"github.com/driftstage/driftstage/platform/standin"
 )
 
@@ -157,7 +158,7 @@
 	}
 	process := &routerProcess{}
 	for _, address := range []*string{&process.address, &process.readiness} {
-		if *address, err = freeLoopbackAddress(); err != nil {
+		if *address, err = loopback.FreeAddress(); err != nil {
 			return nil, err
 		}
 	}
@@ -178,15 +179,6 @@
 	return process, nil
 }
 
-func freeLoopbackAddress() (string, error) {
-	listen, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer listen.Close()
-	return listen.Addr().String(), nil
-}
-
 // show asks one request of each route and prints the answers.
 func (r *routerProcess) show(ctx context.Context) error {
 	for _, path := range []string{"/all/x", "/one/x"} {
--- a/internal/edge/world_test.go
+++ b/internal/edge/world_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/driftstage/driftstage/internal/edge"
+	"github.com/driftstage/driftstage/internal/loopback"
 	"github.com/driftstage/driftstage/internal/settings"
 	"github.com/driftstage/driftstage/platform"
 	"github.com/driftstage/driftstage/platform/standin"
@@ -88,10 +89,11 @@
 
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	listen, err := net.Listen("tcp4", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	defer listen.Close()
-	return listen.Addr().String()
+	address, err := loopback.FreeAddress()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return address
 }
 
 // start runs the node; it does not wait until it is ready.
--- a/internal/lab/rollouts/fleet.go
+++ b/internal/lab/rollouts/fleet.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"path/filepath"
 	"strings"
 	"sync/atomic"
@@ -15,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/driftstage/driftstage/internal/lab/cluster"
+	"github.com/driftstage/driftstage/internal/loopback"
 	"github.com/driftstage/driftstage/platform/standin"
 )
 
@@ -25,10 +24,6 @@
 	readyTimeout = 20 * time.Second
 	// pollInterval is how often something is looked at that is waited for.
 	pollInterval = 10 * time.Millisecond
-	// lowestPort and portCount are the ports from which the nodes' addresses are drawn;
-	// portTries is how often one may be in use.
-	lowestPort, portCount = 12_000, 20_000
-	portTries             = 20
 	// kindMembers is the kind of the nodes' announcements.
 	kindMembers = "members"
 )
@@ -88,28 +83,13 @@
 	}
 	built := &node{name: fmt.Sprintf("node-%d", index), entrance: entrance}
 	for _, address := range []*string{&built.address, &built.readiness, &built.peer} {
-		if *address, err = freeAddress(); err != nil {
+		if *address, err = loopback.FreeAddress(); err != nil {
 			return nil, err
 		}
 	}
 	return built, nil
 }
 
-// freeAddress returns a loopback address at which nothing listens. Its port is below those
-// that systems give to outgoing connections, so that none takes it before the node does.
-func freeAddress() (string, error) {
-	var failed error
-	for range portTries {
-		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(portCount))
-		listen, err := net.Listen("tcp4", address)
-		if err == nil {
-			return address, listen.Close()
-		}
-		failed = err
-	}
-	return "", failed
-}
-
 // openLinks leads each node to the store and to each other node by a proxy of its own.
 func (f *fleet) openLinks() error {
 	for _, from := range f.nodes {
--- /dev/null
+++ b/internal/loopback/loopback_test.go
@@ -0,0 +1,22 @@
+package loopback
+
+import (
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestFreeAddressIsThisProcessesOwn(t *testing.T) {
+	is := is.New(t)
+	first, err := FreeAddress()
+	is.NoErr(err)
+	listener, err := net.Listen("tcp4", first)
+	is.NoErr(err) // nothing listens there
+	defer listener.Close()
+	second, err := FreeAddress()
+	is.NoErr(err)
+	is.True(first != second)
+	is.True(!ownIP(1).Equal(ownIP(2)))
+	is.True(ownIP(1).IsLoopback() && ownIP(1<<22-1).IsLoopback())
+}
--- a/test/soak/node_test.go
+++ b/test/soak/node_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -12,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/driftstage/driftstage/internal/loopback"
 	"github.com/driftstage/driftstage/platform/standin"
 )
 
@@ -69,12 +69,11 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listen, err := net.Listen("tcp4", "127.0.0.1:0")
+	address, err := loopback.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listen.Close()
-	return listen.Addr().String()
+	return address
 }
 
 // place is where a node stands and whom it can reach.
