--- a/cmd/driftlab/router.go
+++ b/cmd/driftlab/router.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
