rollout: the canary stage allows its share from its first moment on

Cause: at elapsed 0 no slack is free and allowed() took that for no stage at all: TestVersionsOfOrders/canary of internal/endpoints got 0 of 100 sends. Change: the share tells whether a stage exposes; TestExposureGrowsWithTheStages begins at 0 (failed before). A test of a pool that starts late.

--- a/internal/rollout/exposure.go
+++ b/internal/rollout/exposure.go
@@ -89,7 +89,7 @@
 // allowed returns how many sends the stage allows in all.
 func (e *Exposure) allowed(stage Stage, plan Plan, elapsed time.Duration) float64 {
 	share, slack := usable(stage, plan, elapsed)
-	if slack == 0 {
+	if share == 0 {
 		return 0
 	}
 	allowed := math.Floor(share*e.limits.Share*float64(e.requests) + e.limits.Offset)
--- a/internal/rollout/exposure_test.go
+++ b/internal/rollout/exposure_test.go
@@ -72,7 +72,7 @@
 		stage Stage
 		at    time.Duration
 	}{
-		{StageCanary, time.Second}, {StageCanary, plan.Load - 1},
+		{StageCanary, 0}, {StageCanary, time.Second}, {StageCanary, plan.Load - 1},
 		{StageLoad, plan.Load + time.Second}, {StageLoad, plan.Shift - 1},
 		{StageShift, plan.Shift + time.Second}, {StageShift, plan.Whole},
 	} {
--- a/internal/rollout/pool_test.go
+++ b/internal/rollout/pool_test.go
@@ -105,3 +105,26 @@
 	}
 	is.New(t).Equal((&Pool{}).MayAdvance(order, plan, bounds, epoch), false) // nothing was reported
 }
+
+// A node that begins to decide late gets all counts with the first reports.
+func TestPoolThatStartsLateJudgesAlike(t *testing.T) {
+	fine := map[ServerID]Counts{"a": all(20, 0, 1), "b": all(20, 0, 0)}
+	for _, test := range []struct {
+		name string
+		new  map[ServerID]Counts
+		want Finding
+	}{
+		{"good", fine, Good},
+		{"bad", map[ServerID]Counts{"a": all(20, 6, 1), "b": all(20, 5, 0)}, Bad},
+		{"one server fails", map[ServerID]Counts{"a": all(20, 12, 0), "b": all(20, 0, 1)}, Good},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			var pool Pool
+			for _, node := range []string{"n", "m"} {
+				pool.Add(node, 1, 40, answers(all(300, 0, 12), test.new), epoch)
+			}
+			is.Equal(pool.Judge().Finding, test.want)
+		})
+	}
+}
