--- a/internal/rollout/admission.go
+++ b/internal/rollout/admission.go
@@ -121,7 +121,7 @@
 }
 
 func (t *Tracker) standing(service string, now time.Time) Admission {
-	admission := Admission{barred: t.withdrawn[service], known: t.reached}
+	admission := Admission{rule: ruleAny, barred: t.withdrawn[service], known: t.reached}
 	known := t.orders[service]
 	if known == nil {
 		return admission
