driftlab experiment rollout: failed callers by route

Cause: runs with versions that turn bad later or under load showed callers that failed, and not which. Change: callers_failed_by_route; figures are rounded.

--- a/internal/lab/rollouts/callers.go
+++ b/internal/lab/rollouts/callers.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/driftstage/driftstage/platform/standin"
@@ -29,34 +28,41 @@
 
 // callerCounts are what callers saw. A request failed if its answer was no success, lacked
 // a shard or did not come in time.
-type callerCounts struct{ asked, failed int }
+type callerCounts struct {
+	asked, failed int
+	// byRoute are the failed ones by the path of their route.
+	byRoute map[string]int
+}
 
 // run sends requests for the span and waits for their answers.
 func (c *callers) run(ctx context.Context, span time.Duration) callerCounts {
-	counts := callerCounts{asked: int(span.Seconds() * callerRate)}
-	var failed atomic.Int64
+	counts := callerCounts{asked: int(span.Seconds() * callerRate), byRoute: make(map[string]int)}
+	var mutex sync.Mutex
 	var group sync.WaitGroup
 	start := time.Now()
 	for number := range counts.asked {
 		time.Sleep(time.Until(start.Add(time.Duration(number) * time.Second / callerRate)))
-		target, path, id := c.next()
+		target, route, id := c.next()
 		group.Go(func() {
-			if !asked(ctx, target, path, id) {
-				failed.Add(1)
+			if asked(ctx, target, route+id, id) {
+				return
 			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			counts.failed++
+			counts.byRoute[route]++
 		})
 	}
 	group.Wait()
-	counts.failed = int(failed.Load())
 	return counts
 }
 
 // next draws a request. Nodes that are away get none, as from a load balancer that has
 // noticed; they are asked all the same if there are no others.
-func (c *callers) next() (target *node, path, id string) {
+func (c *callers) next() (target *node, route, id string) {
 	c.sent++
 	id = fmt.Sprintf("request-%d", c.sent)
-	path = [...]string{pathAll, pathFew, pathRead, pathPost}[c.random.IntN(4)] + id
+	route = [...]string{pathAll, pathFew, pathRead, pathPost}[c.random.IntN(4)]
 	first := c.random.IntN(len(c.nodes))
 	for offset := range c.nodes {
 		target = c.nodes[(first+offset)%len(c.nodes)]
@@ -64,7 +70,7 @@
 			break
 		}
 	}
-	return target, path, id
+	return target, route, id
 }
 
 // asked sends one request and reports whether it was served whole.
--- a/internal/lab/rollouts/result.go
+++ b/internal/lab/rollouts/result.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"slices"
 	"time"
 
@@ -37,6 +38,8 @@
 	CallersAsked        int `json:"callers_asked"`
 	CallersFailed       int `json:"callers_failed"`
 	CallersFailedBefore int `json:"callers_failed_before"`
+	// CallersFailedByRoute are those of CallersFailed by the path of their route.
+	CallersFailedByRoute map[string]int `json:"callers_failed_by_route"`
 	// StoreCalls are the calls of all nodes from the order to its deadline.
 	StoreCalls int `json:"store_calls"`
 	// Broken names the bounds that did not hold.
@@ -46,12 +49,12 @@
 // Write prints the result for readers.
 func (r *Result) Write(output io.Writer) error {
 	_, err := fmt.Fprintf(output, "%s version of %s, trouble %s, %d nodes, %v s, seed %d\n"+
-		"  state %s after %s; exposed %d of at most %.1f, %d bad answers, last send after the 50th %s\n"+
-		"  callers: %d of %d failed, before the order %d; %d calls to the store\n"+
+		"  state %s after %s; exposed %d of at most %.0f, %d bad answers, last send after the 50th %s\n"+
+		"  callers: %d of %d failed %v, before the order %d; %d calls to the store\n"+
 		"  broken: %v\n",
 		r.Version, r.Service, r.Trouble, r.Nodes, r.Seconds, r.Seed,
 		r.State, seconds(r.DecidedAfter), r.Exposed, r.ExposureBound, r.BadAnswers, seconds(r.LastSendAfterFiftiethBad),
-		r.CallersFailed, r.CallersAsked, r.CallersFailedBefore, r.StoreCalls, r.Broken)
+		r.CallersFailed, r.CallersAsked, r.CallersFailedByRoute, r.CallersFailedBefore, r.StoreCalls, r.Broken)
 	return err
 }
 
@@ -71,19 +74,20 @@
 	result := &Result{
 		Version: r.options.Version, Trouble: r.options.Trouble, Nodes: r.options.Nodes,
 		Seconds: r.options.Duration.Seconds(), Seed: r.options.Seed, Service: r.service,
-		State:               r.world.store.RolloutStatus(r.service).State,
-		Exposed:             count(exposed, within),
-		BadAnswers:          count(exposed, func(at standin.Run) bool { return at.Flawed && within(at) }),
-		CallersAsked:        during.asked,
-		CallersFailed:       during.failed,
-		CallersFailedBefore: before.failed,
-		Broken:              []string{},
+		State:                r.world.store.RolloutStatus(r.service).State,
+		Exposed:              count(exposed, within),
+		BadAnswers:           count(exposed, func(at standin.Run) bool { return at.Flawed && within(at) }),
+		CallersAsked:         during.asked,
+		CallersFailed:        during.failed,
+		CallersFailedBefore:  before.failed,
+		CallersFailedByRoute: during.byRoute,
+		Broken:               []string{},
 	}
-	result.ExposureBound = exposeShare*float64(count(old, within)+result.Exposed) + exposeSlack
+	reached := count(old, within) + result.Exposed
+	result.ExposureBound = math.Floor(exposeShare*float64(reached) + exposeSlack)
 	result.LastSendAfterFiftiethBad = lastAfterFiftiethBad(exposed)
 	if !r.operator.decidedAt.IsZero() {
-		decided := r.operator.decidedAt.Sub(r.operator.orderedAt).Round(time.Millisecond).Seconds()
-		result.DecidedAfter = &decided
+		result.DecidedAfter = inSeconds(r.operator.decidedAt.Sub(r.operator.orderedAt))
 	}
 	if result.State != r.operator.state {
 		result.Broken = append(result.Broken, "ended as "+r.operator.state+" and was changed after that")
@@ -139,6 +143,11 @@
 	if len(flawed) < badAnswersThatTell {
 		return nil
 	}
-	late := runs[len(runs)-1].At.Sub(flawed[badAnswersThatTell-1].At).Round(time.Millisecond).Seconds()
-	return &late
+	return inSeconds(runs[len(runs)-1].At.Sub(flawed[badAnswersThatTell-1].At))
+}
+
+// inSeconds returns the time in seconds, to the millisecond.
+func inSeconds(span time.Duration) *float64 {
+	rounded := float64(span.Milliseconds()) / 1000
+	return &rounded
 }
