--- a/cmd/driftlab/experiment.go
+++ b/cmd/driftlab/experiment.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"os"
 	"path/filepath"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/peterbourgon/ff/v4"
 
 	"github.com/driftstage/driftstage/internal/lab/experiment"
@@ -46,7 +46,7 @@
 		Flags:     flags,
 		Exec: func(ctx context.Context, args []string) error {
 			if len(args) > 0 || *duration <= 0 {
-				return errors.Mark(errors.New("want no arguments, and a duration above zero"), errUsage)
+				return fmt.Errorf("%w: want no arguments, and a duration above zero", errUsage)
 			}
 			return runExperiment(ctx, run, experiment.Options{Duration: *duration, Seed: uint64(*seed)}, *asJSON)
 		},
--- a/cmd/driftlab/rollout.go
+++ b/cmd/driftlab/rollout.go
@@ -43,10 +43,10 @@
 				Duration: time.Duration(*seconds * float64(time.Second)), Seed: uint64(*seed),
 			}
 			if err := errors.CombineErrors(wantNoArguments(args), options.Validate()); err != nil {
-				return errors.Mark(err, errUsage)
+				return fmt.Errorf("%w: %w", errUsage, err)
 			}
 			if *output != outputText && *output != outputJSON {
-				return errors.Mark(errors.Newf("output: no %q", *output), errUsage)
+				return fmt.Errorf("%w: output: no %q", errUsage, *output)
 			}
 			return runRollout(ctx, options, *output == outputJSON)
 		},
--- a/test/e2e/rollout_test.go
+++ b/test/e2e/rollout_test.go
@@ -32,3 +32,18 @@
 		})
 	}
 }
+
+// Wrong flags of experiments are told apart from what went wrong in one: exit status 2.
+func TestWrongFlagsOfExperiments(t *testing.T) {
+	for _, arguments := range [][]string{
+		{"rollout", "--nodes", "0"},
+		{"rollout", "--version", "unheard-of"},
+		{"rollout", "--output", "xml"},
+		{"overhead", "--duration", "0s"},
+	} {
+		is := is.New(t)
+		command := exec.CommandContext(t.Context(), filepath.Join(binaries, "driftlab"), append([]string{"experiment"}, arguments...)...)
+		is.True(command.Run() != nil)
+		is.Equal(command.ProcessState.ExitCode(), 2)
+	}
+}
