--- a/internal/peers/starter.go
+++ b/internal/peers/starter.go
@@ -1,9 +1,11 @@
-// Package peers lets a node that has just started learn the configuration and the
-// servers from other nodes while the store is away.
+// Package peers lets nodes learn from each other what the store told: the followers of a
+// node that reads the store for them, nodes that have just started while the store is
+// away, and nodes that were cut off from it, which also look for signs that the way
+// to it is back.
 //
-// What a peer tells may be as old as its own contact with the store. A node takes
-// it only as long as the store itself has told nothing, and never goes back to an
-// older configuration.
+// What a peer tells may be as old as its own contact with the store. A node that has just
+// started takes it only as long as the store itself has told nothing, and never goes
+// back to an older configuration.
 package peers
 
 import (
