--- a/internal/rollout/agent_test.go
+++ b/internal/rollout/agent_test.go
@@ -591,6 +591,42 @@
 	return order, ErrChanged
 }
 
+// keepingTransport keeps what is sent.
+type keepingTransport struct{ sent chan Report }
+
+func (k keepingTransport) Send(_ context.Context, _ string, report Report) ([]Ruling, error) {
+	k.sent <- report
+	return nil, errors.New("kept")
+}
+
+// Orders that the same node decides share a report.
+func TestOrdersOfTheSameDeciderShareAReport(t *testing.T) {
+	is := is.New(t)
+	const count = 20
+	own, other := members.Member{Name: "own", Address: "own"}, members.Member{Name: "other", Address: "other"}
+	tracker := NewTracker(deciderBounds)
+	transport := keepingTransport{sent: make(chan Report, count)}
+	agent := NewAgent(Options{
+		Own: own, Bounds: deciderBounds, Tracker: tracker, Transport: transport, Registry: refusingRegistry{},
+		Fleet: func(Order) Fleet { return Fleet{} }, Observer: silentObserver{},
+	})
+	agent.SetMembers([]members.Member{own, other})
+	now, elsewhere := time.Now(), 0
+	for number := range count {
+		order := orderAt(StateRunning, StageCanary, 0)
+		order.Service = fmt.Sprint("service-", number)
+		tracker.Put(order, now)
+		if agent.electors.first(order.Service, now) == other {
+			elsewhere++
+		}
+	}
+	is.True(elsewhere > 0 && elsewhere < count)
+	agent.tick(t.Context(), now)
+	agent.tasks.Wait()
+	is.Equal(len(transport.sent), 1)
+	is.Equal(len((<-transport.sent).Orders), elsewhere)
+}
+
 // What is told of an order that is not known is no ruling: the reporter turns to another.
 func TestUnknownOrdersGetNoRuling(t *testing.T) {
 	is := is.New(t)
@@ -619,8 +655,9 @@
 	is.True(!tracker.Update(order, now))
 	orders, _ := tracker.Orders()
 	is.Equal(len(orders), 0)
-	next := Order{Service: "s", Target: "v3", Duration: 20 * time.Second, Created: 10, Revision: 10}
+	next := Order{Service: "s", Target: "v3", Duration: 20 * time.Second, Created: 20, Revision: 20}
 	tracker.Put(next, now)
+	order.Revision = 30
 	is.True(!tracker.Update(order, now))
 	orders, _ = tracker.Orders()
 	is.Equal(orders, []Order{next})
--- a/internal/rollout/decider.go
+++ b/internal/rollout/decider.go
@@ -74,8 +74,8 @@
 	adoptedAt time.Time
 }
 
-// judged is what a decider asks of the pooled reports; Pool implements it.
-type judged interface {
+// pooled is what a decider asks of the pooled reports; Pool implements it.
+type pooled interface {
 	Judge() Verdict
 	Reporters(now time.Time, within time.Duration) int
 	Adopted(revision catalog.Revision, now time.Time, within time.Duration) int
@@ -99,7 +99,7 @@
 // moment is one tick of a decider.
 type moment struct {
 	View
-	pool    judged
+	pool    pooled
 	plan    Plan
 	current Status
 	elapsed time.Duration
@@ -109,7 +109,7 @@
 	doubtful bool
 }
 
-func (d *Decider) decide(view View, pool judged, now time.Time) Action {
+func (d *Decider) decide(view View, pool pooled, now time.Time) Action {
 	if view.Order.Ended() {
 		return Action{}
 	}
