rollout: a burst at the end of the load stage; what can't be repeated goes last; the old version takes over in the last stage too

The load stage gave one server 21 requests a second where it has to bear 33. And callers paid: up to 24 of 2,400 failed, most of them unrepeatable requests. Change: half of what the load stage adds is free evenly, the rest at once in its last quarter, at one server. Unrepeatable requests wait for the shift stage where the service has others. Hedges and retries go to the old version in the stage whole as well.

--- a/internal/rollout/admission.go
+++ b/internal/rollout/admission.go
@@ -157,15 +157,17 @@
 		return admission
 	}
 	elapsed := known.elapsed(now)
+	known.repeatable = known.repeatable || ask.Repeatable
 	switch stage := t.stage(known, now); {
 	case stage == StageWaiting:
+	case ask.Extra:
+		// The old version takes over what the new one answers late or fails.
+		admission.rule = ruleOthers
 	case stage == StageWhole:
 		admission.counted = true
 		known.exposure.Add()
-	case ask.Extra:
-		// The old version takes over what the new one answers late or fails.
-	case stage == StageCanary && !ask.Repeatable:
-		// What can't be repeated goes there once repeatable requests have shown something.
+	case !ask.Repeatable && !known.takesUnrepeatable(stage):
+		// What can't be repeated is lost where the version fails it.
 	case known.exposure.Take(stage, known.plan, elapsed):
 		admission.rule, admission.counted, admission.trial = ruleTarget, true, true
 		admission.dense = stage == StageLoad
@@ -193,3 +195,13 @@
 		known.exposure.Refund()
 	}
 }
+
+// takesUnrepeatable reports whether requests that can't be repeated may go to the target in
+// the stage: last, once others have shown something. Where there are no others, all but
+// the canary stage need them.
+func (k *tracked) takesUnrepeatable(stage Stage) bool {
+	if k.repeatable {
+		return stage >= StageShift
+	}
+	return stage >= StageLoad
+}
--- a/internal/rollout/exposure.go
+++ b/internal/rollout/exposure.go
@@ -38,6 +38,12 @@
 	loadSlack   = 0.8
 	shiftShare  = 0.95
 	shiftSlack  = 0.8
+	// evenLoad is the part of what the load stage adds that becomes free evenly, until
+	// burstFrom, a part of the stage's time. The rest is free at once then: for a while
+	// most requests go to one server, which works harder than it will have to. A version
+	// that fails only under load shows it there, where it gets some 30 requests.
+	evenLoad  = 0.5
+	burstFrom = 0.75
 	// spareSharers allows for processes that have just started.
 	spareSharers = 2
 )
@@ -101,15 +107,23 @@
 	return allowed
 }
 
+// loaded returns which part of what the load stage adds is free at a part of its time.
+func loaded(over float64) float64 {
+	if over >= burstFrom {
+		return 1
+	}
+	return evenLoad * over / burstFrom
+}
+
 // usable returns the parts of the share and of the slack that may be used. They grow
-// evenly over each stage.
+// evenly over the canary and the shift stage.
 func usable(stage Stage, plan Plan, elapsed time.Duration) (share, slack float64) {
 	between := func(from, to, over float64) float64 { return from + (to-from)*over }
 	switch stage {
 	case StageCanary:
 		return canaryShare, canarySlack * progress(elapsed, 0, plan.Load)
 	case StageLoad:
-		over := progress(elapsed, plan.Load, plan.Shift)
+		over := loaded(progress(elapsed, plan.Load, plan.Shift))
 		return between(canaryShare, loadShare, over), between(canarySlack, loadSlack, over)
 	case StageShift:
 		over := progress(elapsed, plan.Shift, plan.Whole)
--- a/internal/rollout/tracker.go
+++ b/internal/rollout/tracker.go
@@ -57,6 +57,8 @@
 	unreportedSince time.Time
 	// halted is set once the target was found to be bad.
 	halted bool
+	// repeatable is set once the service had a request that may be repeated.
+	repeatable bool
 }
 
 // NewTracker returns a tracker that knows of no orders; nil where the deployment has none.
