Fewer questions to nodes that know nothing recent

Cause: while the store is away for all, every node asked four others in a row for each kind, and one more each 250 ms whether it is in touch; small machines (0.19 cores) pay for that.

Change: two in a row; and after an answer that is no sign the search rests for 0.7 s. Silent nodes are still followed by the next question after 250 ms, so cuts that hide others are noticed as before. Tests of the search: the rate is bounded, and two of them wait for the longer interval.

--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -26,7 +26,7 @@
 	relayFreshInterval = 5 * time.Second
 	// sourcesInOutage is how many nodes are asked in a row while the store does not answer,
 	// as long as they say within quickRefusal that they know nothing recent either.
-	sourcesInOutage = 4
+	sourcesInOutage = 2
 	quickRefusal    = 100 * time.Millisecond
 	// probesBeforeList is after how many failed calls the state is listed once more, in
 	// case that the store answers but cannot go on from the known revision.
--- a/internal/peers/search.go
+++ b/internal/peers/search.go
@@ -13,6 +13,9 @@
 	// it, a round trip and a new connection. Further questions do not wait for answers
 	// that may never come.
 	searchInterval = 250 * time.Millisecond
+	// searchRest is the pause after an answer that is no sign: nodes that are reached and
+	// not in touch either will hardly be so at once.
+	searchRest = 700 * time.Millisecond
 	// silenceOfCut is how many questions in a row have to remain without answer for the
 	// next answer to show that this node itself was cut off.
 	silenceOfCut = 3
@@ -39,6 +42,8 @@
 	mutex sync.Mutex
 	// silent is how many questions in a row had no answer.
 	silent int
+	// restUntil is when the next question is due after an answer that is no sign.
+	restUntil time.Time
 	// answers are signs by an answer after silence, contacts those by a node in touch.
 	answers, contacts signs
 }
@@ -82,6 +87,9 @@
 		s.reset()
 		return
 	}
+	if s.rests(now) {
+		return
+	}
 	member, found := s.Selector.Distant()
 	if !found {
 		return
@@ -99,7 +107,14 @@
 func (s *Search) reset() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.silent, s.answers, s.contacts = 0, signs{}, signs{}
+	s.silent, s.restUntil = 0, time.Time{}
+	s.answers, s.contacts = signs{}, signs{}
+}
+
+func (s *Search) rests(now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return now.Before(s.restUntil)
 }
 
 // isSign reports whether what came of a question is a sign that the way is back.
@@ -115,5 +130,6 @@
 	if inTouch {
 		return s.contacts.take(now)
 	}
+	s.restUntil = now.Add(searchRest)
 	return wasCut && s.answers.take(now)
 }
--- a/internal/peers/search_test.go
+++ b/internal/peers/search_test.go
@@ -94,7 +94,10 @@
 	searching(t, func(is *is.I, met *searched) {
 		met.set(func() { met.lost = true })
 		time.Sleep(time.Minute)
-		met.set(func() { is.Equal(met.found, 0) })
+		met.set(func() {
+			is.Equal(met.found, 0)
+			is.True(met.asked <= int(time.Minute/searchRest)) // and they are asked less often
+		})
 	})
 }
 
@@ -103,7 +106,7 @@
 		met.set(func() { met.lost = true })
 		time.Sleep(10 * time.Second)
 		met.set(func() { met.inTouch = true })
-		time.Sleep(searchInterval + time.Millisecond)
+		time.Sleep(searchRest + searchInterval)
 		met.set(func() { is.Equal(met.found, 1) })
 	})
 }
@@ -123,7 +126,7 @@
 			is.True(met.found <= 3) // 2 s, 4 s
 			met.found, met.silent, met.inTouch = 0, false, true
 		})
-		time.Sleep(searchInterval + time.Millisecond)
+		time.Sleep(searchRest + searchInterval)
 		met.set(func() { is.Equal(met.found, 1) })
 	})
 }
