--- a/internal/edge/rollout.go
+++ b/internal/edge/rollout.go
@@ -17,8 +17,13 @@
 
 func newTracker(loaded settings.Router) *rollout.Tracker { return rollout.NewTracker(loaded.Rollouts) }
 
-func newRolloutLink(selector *peers.Selector) *peers.Link[rollout.Order] {
-	return peers.NewLink(feedRollouts, peers.PlainCodec[rollout.Order]{}, selector)
+func newRolloutLink(selector *peers.Selector, versions *rollout.Tracker) *peers.Link[rollout.Order] {
+	link := peers.NewLink(feedRollouts, peers.PlainCodec[rollout.Order]{}, selector)
+	link.HandOver(func() []rollout.Order {
+		orders, _ := versions.Orders()
+		return orders
+	})
+	return link
 }
 
 // newAgent returns the agent that carries out orders; nil where the deployment has none.
