--- a/cmd/driftlab/rollout.go
+++ b/cmd/driftlab/rollout.go
@@ -31,6 +31,7 @@
 	seconds := flags.Float64Long("seconds", 12, "the order's time, 4 to 24; callers ask for as long before")
 	seed := flags.UintLong("seed", 1, "seed of arrivals and of the trouble's time; odd: a shard is moved, even: a whole service")
 	output := flags.StringLong("output", outputText, "text or json")
+	keep := flags.BoolLong("keep", "keep the nodes' logs and print their directory on standard error")
 	return &ff.Command{
 		Name:      "rollout",
 		Usage:     "driftlab experiment rollout [FLAGS]",
@@ -48,7 +49,7 @@
 			if *output != outputText && *output != outputJSON {
 				return fmt.Errorf("%w: output: no %q", errUsage, *output)
 			}
-			return runRollout(ctx, options, *output == outputJSON)
+			return runRollout(ctx, options, *output == outputJSON, *keep)
 		},
 	}
 }
@@ -66,8 +67,9 @@
 	return help.String()
 }
 
-// runRollout plays one roll-out and prints what came of it.
-func runRollout(ctx context.Context, options rollouts.Options, asJSON bool) error {
+// runRollout plays one roll-out and prints what came of it. The logs are kept if that is
+// asked for or a bound was broken.
+func runRollout(ctx context.Context, options rollouts.Options, asJSON, keep bool) error {
 	executable, err := os.Executable()
 	if err != nil {
 		return err
@@ -88,5 +90,9 @@
 	if len(result.Broken) > 0 {
 		return errors.CombineErrors(err, errors.Wrapf(errBoundBroken, "logs in %s", options.Directory))
 	}
+	if keep {
+		fmt.Fprintf(os.Stderr, "logs in %s\n", options.Directory)
+		return err
+	}
 	return errors.CombineErrors(err, os.RemoveAll(options.Directory))
 }
--- a/test/e2e/rollout_test.go
+++ b/test/e2e/rollout_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -11,24 +13,37 @@
 	"github.com/driftstage/driftstage/internal/lab/rollouts"
 )
 
-// A good version gets a service's traffic, a bad one is rolled back inside the bounds.
+// A good version gets a service's traffic, a bad one is rolled back inside the bounds. The
+// nodes' logs are kept where that is asked for.
 func TestRollouts(t *testing.T) {
 	for _, test := range []struct {
 		version, seconds, state string
+		keep                    bool
 	}{
-		{"good", "10", "completed"},
-		{"errors", "8", "rolled_back"},
+		{"good", "10", "completed", false},
+		{"errors", "8", "rolled_back", true},
 	} {
 		t.Run(test.version, func(t *testing.T) {
 			is := is.New(t)
-			command := exec.CommandContext(t.Context(), filepath.Join(binaries, "driftlab"),
-				"experiment", "rollout", "--version", test.version, "--seconds", test.seconds, "--output", "json")
+			arguments := []string{"experiment", "rollout", "--version", test.version, "--seconds", test.seconds, "--output", "json"}
+			if test.keep {
+				arguments = append(arguments, "--keep")
+			}
+			directory := t.TempDir()
+			command := exec.CommandContext(t.Context(), filepath.Join(binaries, "driftlab"), arguments...)
+			command.Env = append(os.Environ(), "TMPDIR="+directory)
+			var messages strings.Builder
+			command.Stderr = &messages
 			output, err := command.Output()
 			t.Logf("%s", output)
 			is.NoErr(err) // no bound was broken
 			var result rollouts.Result
 			is.NoErr(json.Unmarshal(output, &result))
 			is.Equal(result.State, test.state)
+			logs, err := filepath.Glob(filepath.Join(directory, "*", "node-*.log"))
+			is.NoErr(err)
+			is.Equal(len(logs) > 0, test.keep)
+			is.Equal(strings.Contains(messages.String(), "logs in "+directory), test.keep)
 		})
 	}
 }
