rollout: what is known of an order does not go back

Cause: a change of an order's duration set its elapsed time back to that of the last status written, so that deadline and stages began late; and orders adopted from a peer that knew less removed those that another had told, after which the store's list was taken for old news. Change: the time that an order has run never shrinks in a process; adopted orders count only if they are known up to a later revision, under one lock. Figures: TestElapsedGoesOnWhenTheOrderIsChanged and TestAdoptedOrdersDoNotGoBack failed before (1s for 6s; no order for one), pass now.

--- a/internal/rollout/tracker.go
+++ b/internal/rollout/tracker.go
@@ -46,8 +46,10 @@
 type tracked struct {
 	order Order
 	plan  Plan
-	// adoptedAt is when the status in force became known.
-	adoptedAt time.Time
+	// ranFor is for how long the order had run at knownAt, when the state in force became
+	// known.
+	ranFor  time.Duration
+	knownAt time.Time
 	exposure  Exposure
 	routes    map[string]*RouteCounts
 	// oldUnderWay are requests under way at servers of other versions.
@@ -88,6 +90,10 @@
 func (t *Tracker) Replace(orders []Order, now time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.replace(orders, now)
+}
+
+func (t *Tracker) replace(orders []Order, now time.Time) {
 	listed := make(map[string]bool, len(orders))
 	for _, order := range orders {
 		listed[order.Service] = true
@@ -111,8 +117,8 @@
 	known := t.orders[order.Service]
 	if known != nil && known.order.Key() == order.Key() {
 		if order.Revision > known.order.Revision {
-			known.order, known.adoptedAt = order, now
-			known.plan = NewPlan(order.Duration)
+			known.ranFor, known.knownAt = max(known.elapsed(now), order.Current().Elapsed), now
+			known.order, known.plan = order, NewPlan(order.Duration)
 		}
 		return
 	}
@@ -125,11 +131,12 @@
 	// used its part of the slack.
 	older := t.first > 0 && order.Created > t.first
 	t.orders[order.Service] = &tracked{
-		order:     order,
-		plan:      NewPlan(order.Duration),
-		adoptedAt: now,
-		exposure:  Exposure{limits: NewLimits(t.bounds, t.position, t.processes, older)},
-		routes:    make(map[string]*RouteCounts),
+		order:    order,
+		plan:     NewPlan(order.Duration),
+		ranFor:   order.Current().Elapsed,
+		knownAt:  now,
+		exposure: Exposure{limits: NewLimits(t.bounds, t.position, t.processes, older)},
+		routes:   make(map[string]*RouteCounts),
 	}
 }
 
@@ -180,21 +187,19 @@
 	return orders, t.reached
 }
 
-// Adopt takes over orders that another node knows, as far as the store has told none.
+// Adopt takes over orders that another node knows, unless the store or a node that knew
+// more has told.
 func (t *Tracker) Adopt(orders []Order, reached catalog.Revision, now time.Time) {
 	if t == nil {
 		return
 	}
 	t.mutex.Lock()
-	known := t.first > 0
-	t.mutex.Unlock()
-	if known || reached == 0 {
+	defer t.mutex.Unlock()
+	if t.first > 0 || reached <= t.reached {
 		return
 	}
-	t.Replace(orders, now)
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	t.reached = max(t.reached, reached)
+	t.replace(orders, now)
+	t.reached = reached
 }
 
 // Elapsed returns for how long the order of a service has run, as far as is known.
@@ -208,7 +213,7 @@
 }
 
 func (k *tracked) elapsed(now time.Time) time.Duration {
-	return k.order.Current().Elapsed + now.Sub(k.adoptedAt)
+	return k.ranFor + now.Sub(k.knownAt)
 }
 
 // stage returns the stage in force at this process: none without permission.
--- a/internal/rollout/tracker_test.go
+++ b/internal/rollout/tracker_test.go
@@ -121,3 +121,41 @@
 	known, _ = tracker.Orders()
 	is.Equal(known, []Order{again}) // a new order of the same version counts
 }
+
+// An operator who changes the time of an order does not set back for how long it has run.
+func TestElapsedGoesOnWhenTheOrderIsChanged(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker(Bounds{Share: 0.1, Slack: 50, RollBack: 5 * time.Second})
+	order := Order{
+		Service: "s", Target: "v2", Duration: 20 * time.Second, Created: 2, Revision: 3,
+		Status: Status{State: StateRunning, Target: "v2", Stage: StageCanary, Elapsed: time.Second},
+	}
+	tracker.Put(order, epoch)
+	order.Revision, order.Duration = 4, 30*time.Second
+	tracker.Put(order, epoch.Add(5*time.Second))
+	is.Equal(tracker.Elapsed("s", epoch.Add(5*time.Second)), 6*time.Second)
+	is.Equal(tracker.Elapsed("s", epoch.Add(7*time.Second)), 8*time.Second)
+	order.Revision, order.Status.Elapsed = 5, 10*time.Second
+	tracker.Put(order, epoch.Add(7*time.Second))
+	is.Equal(tracker.Elapsed("s", epoch.Add(8*time.Second)), 11*time.Second) // others know better
+}
+
+// What a peer knew earlier takes nothing away from what a later one has told: the store's
+// list would not bring it back.
+func TestAdoptedOrdersDoNotGoBack(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker(Bounds{Share: 0.1, Slack: 50, RollBack: 5 * time.Second})
+	order := Order{Service: "s", Target: "v2", Duration: 20 * time.Second, Created: 2, Revision: 3}
+	tracker.Adopt([]Order{order}, 5, epoch)
+	tracker.Adopt(nil, 1, epoch)
+	known, reached := tracker.Orders()
+	is.Equal(known, []Order{order})
+	is.Equal(int(reached), 5)
+	tracker.Adopt(nil, 6, epoch)
+	known, _ = tracker.Orders()
+	is.Equal(len(known), 0) // withdrawn since
+	tracker.Reached(7, epoch)
+	tracker.Adopt([]Order{order}, 8, epoch)
+	known, _ = tracker.Orders()
+	is.Equal(len(known), 0) // the store has told
+}
