rollout: admissions do not change with later orders

Cause: an admission holds the tracker's slice of withdrawn versions; a later order of one of them deleted from that slice in place, without the lock that readers hold: a data race, after which sends that were under way found a withdrawn version allowed and servers without a version barred. Change: the tracker deletes from a copy. Figures: TestAdmissionKeepsItsBars failed before, passes now.

--- a/internal/rollout/tracker.go
+++ b/internal/rollout/tracker.go
@@ -48,10 +48,10 @@
 	plan  Plan
 	// ranFor is for how long the order had run at knownAt, when the state in force became
 	// known.
-	ranFor  time.Duration
-	knownAt time.Time
-	exposure  Exposure
-	routes    map[string]*RouteCounts
+	ranFor   time.Duration
+	knownAt  time.Time
+	exposure Exposure
+	routes   map[string]*RouteCounts
 	// oldUnderWay are requests under way at servers of other versions.
 	oldUnderWay int
 	// unreportedSince is when the oldest thing that came of the target happened that no
@@ -126,7 +126,9 @@
 		return
 	}
 	t.remove(order.Service)
-	t.withdrawn[order.Service] = slices.DeleteFunc(t.withdrawn[order.Service], func(v Version) bool { return v == order.Target })
+	// A copy: admissions hold the slice.
+	withdrawn := slices.Clone(t.withdrawn[order.Service])
+	t.withdrawn[order.Service] = slices.DeleteFunc(withdrawn, func(v Version) bool { return v == order.Target })
 	// A process that is younger than the order may have taken the place of one that has
 	// used its part of the slack.
 	older := t.first > 0 && order.Created > t.first
--- a/internal/rollout/tracker_test.go
+++ b/internal/rollout/tracker_test.go
@@ -159,3 +159,20 @@
 	known, _ = tracker.Orders()
 	is.Equal(len(known), 0) // the store has told
 }
+
+// What a send was admitted by stays as it was, whatever is ordered meanwhile.
+func TestAdmissionKeepsItsBars(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker(Bounds{Share: 0.1, Slack: 50, RollBack: 5 * time.Second})
+	for index, target := range []Version{"v2", "v3"} {
+		revision := catalog.Revision(2 + index)
+		tracker.Put(Order{Service: "s", Target: target, Duration: 20 * time.Second, Created: revision, Revision: revision}, epoch)
+		tracker.Remove("s")
+	}
+	before := tracker.Standing("s", epoch)
+	tracker.Put(Order{Service: "s", Target: "v2", Duration: 20 * time.Second, Created: 9, Revision: 9}, epoch)
+	for _, target := range []Version{"v2", "v3"} {
+		is.True(!before.Allows(Candidate{ID: "new", Version: target, Created: 20}))
+	}
+	is.True(before.Allows(Candidate{ID: "old", Created: 1})) // a server without a version
+}
