rollout: what comes while a report is under way is news for the next one

Cause: the end of a report took everything for told, also what had come since the report was made. The last answers of a burst waited for the next report that is due without news (0.75 s), and a permission could last for that much too long. Change: the tracker keeps when the latest answer came; a report tells what is older than itself.

--- a/internal/rollout/samples.go
+++ b/internal/rollout/samples.go
@@ -93,12 +93,20 @@
 			counts.New = make(map[ServerID]Counts)
 		}
 		counts.New[candidate.ID] = counts.New[candidate.ID].Plus(added)
-		if known.unreportedSince.IsZero() && added != (Counts{}) {
-			known.unreportedSince = now
+		if added != (Counts{}) {
+			known.noteNews(now)
 		}
 	})
 }
 
+// noteNews notes that something came of the target that no report has told.
+func (k *tracked) noteNews(now time.Time) {
+	k.sampledAt = now
+	if k.unreportedSince.IsZero() {
+		k.unreportedSince = now
+	}
+}
+
 // change applies a change to the order by which a send was admitted, if that still
 // stands.
 func (t *Tracker) change(admission Admission, apply func(known *tracked)) {
--- a/internal/rollout/tracker.go
+++ b/internal/rollout/tracker.go
@@ -55,8 +55,8 @@
 	// oldUnderWay are requests under way at servers of other versions.
 	oldUnderWay int
 	// unreportedSince is when the oldest thing that came of the target happened that no
-	// report has told; zero for none.
-	unreportedSince time.Time
+	// report has told, or a little earlier; zero for none. sampledAt is when the latest did.
+	unreportedSince, sampledAt time.Time
 	// halted is set once the target was found to be bad.
 	halted bool
 }
@@ -273,13 +273,21 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	for _, key := range keys {
-		known := t.orders[key.Service]
-		if known != nil && known.order.Key() == key && !known.unreportedSince.After(made) {
-			known.unreportedSince = time.Time{}
+		if known := t.orders[key.Service]; known != nil && known.order.Key() == key {
+			known.reported(made)
 		}
 	}
 }
 
+func (k *tracked) reported(made time.Time) {
+	switch {
+	case !k.sampledAt.After(made):
+		k.unreportedSince = time.Time{}
+	case k.unreportedSince.Before(made):
+		k.unreportedSince = made
+	}
+}
+
 // Halt stops all sends to the target of an order. It returns false if that was known.
 func (t *Tracker) Halt(key Key) bool {
 	t.mutex.Lock()
--- a/internal/rollout/tracker_test.go
+++ b/internal/rollout/tracker_test.go
@@ -176,3 +176,31 @@
 	}
 	is.True(before.Allows(Candidate{ID: "old", Created: 1})) // a server without a version
 }
+
+// What came of a send while a report was under way is news for the next one.
+func TestReportLeavesLaterNews(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker(testBounds)
+	order := runningOrder(20, StageWhole)
+	tracker.Reached(20, epoch)
+	tracker.Put(order, epoch)
+	at := func(milliseconds int) time.Time { return epoch.Add(time.Duration(milliseconds) * time.Millisecond) }
+	answer := func(now time.Time) {
+		candidate := Candidate{ID: "new", Version: "v2", Created: 20}
+		admission := tracker.Admit(Ask{Service: "s", Repeatable: true}, now)
+		tracker.Begin(candidate, admission)
+		tracker.End(candidate, admission, "route", Sample{Result: OutcomeAnswered}, now)
+	}
+	news := func(now time.Time) bool {
+		_, news := tracker.Reports(now)
+		return news
+	}
+	answer(at(100))
+	made := at(200)
+	answer(at(300))
+	tracker.Reported([]Key{order.Key()}, made)
+	is.True(news(at(400)))
+	is.Equal(tracker.Usages(at(400))[0].Unreported, 200*time.Millisecond) // since the report was made
+	tracker.Reported([]Key{order.Key()}, at(400))
+	is.True(!news(at(500)))
+}
