rollout: methods that only tests called are gone

Cause: Pool.BadAnswers and Tracker.Elapsed had no other callers. Change: the tests look at what the product uses: the counts of the verdict (all four, not their sum) and the usages.

--- a/internal/rollout/pool.go
+++ b/internal/rollout/pool.go
@@ -142,19 +142,6 @@
 	return p.sum(func(report OrderReport) uint32 { return report.Sent })
 }
 
-// BadAnswers returns how many answers of the target failed or were slow.
-func (p *Pool) BadAnswers() uint32 {
-	return p.sum(func(report OrderReport) uint32 {
-		var bad uint32
-		for _, route := range report.Routes {
-			for _, counts := range route.New {
-				bad += counts.Failed + counts.Slow
-			}
-		}
-		return bad
-	})
-}
-
 func (p *Pool) sum(value func(OrderReport) uint32) uint32 {
 	var sum uint32
 	for _, latest := range p.reporters {
--- a/internal/rollout/pool_test.go
+++ b/internal/rollout/pool_test.go
@@ -69,7 +69,7 @@
 	is.Equal(pool.Servers(), 3)
 	is.Equal(pool.Requests(), uint32(60))
 	is.Equal(pool.Sent(), uint32(5))
-	is.Equal(pool.BadAnswers(), uint32(2))
+	is.Equal(pool.Judge().New, Counts{Answers: 3, Failed: 1, Timed: 2, Slow: 1})
 }
 
 // A version of which too few requests come to break the bounds needs no evidence.
--- a/internal/rollout/tracker.go
+++ b/internal/rollout/tracker.go
@@ -204,16 +204,6 @@
 	t.reached = reached
 }
 
-// Elapsed returns for how long the order of a service has run, as far as is known.
-func (t *Tracker) Elapsed(service string, now time.Time) time.Duration {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	if known := t.orders[service]; known != nil {
-		return known.elapsed(now)
-	}
-	return 0
-}
-
 func (k *tracked) elapsed(now time.Time) time.Duration {
 	return k.ranFor + now.Sub(k.knownAt)
 }
