--- a/internal/rollout/admission_test.go
+++ b/internal/rollout/admission_test.go
@@ -84,7 +84,7 @@
 	order := runningOrder(20, StageCanary)
 	order.Status.Elapsed = 3 * time.Second
 	tracker.Put(order, now)
-	is.Equal(tracker.Usages(now.Add(2*time.Second))[0].Elapsed, 5*time.Second)
+	is.Equal(tracker.Usages(now.Add(2 * time.Second))[0].Elapsed, 5*time.Second)
 }
 
 func TestStatusOfAnEarlierOrderIsNone(t *testing.T) {
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -4,10 +4,10 @@
 //
 // Operators write an Order. All nodes of the query tier follow the orders; each
 // sends a small, bounded share of its requests to the new version (Exposure), keeps
-// what came of it beside what came of the old one (Evidence) and reports that to the
-// node that decides. The decider pools the reports (Pool), judges them (Judge) and
-// writes the next Status on condition that nobody else has written meanwhile. What
-// the status says is what all nodes do. See docs/design/rollouts.md.
+// what came of it beside what came of the old one (Tracker, RouteCounts) and reports that
+// to the node that decides (Agent, Report). The decider (Decider) pools the reports (Pool),
+// judges them (Verdict) and writes the next Status on condition that nobody else has
+// written meanwhile. What the status says is what all nodes do. See docs/design/rollouts.md.
 package rollout
 
 import (
--- a/internal/rollout/tracker.go
+++ b/internal/rollout/tracker.go
@@ -16,7 +16,7 @@
 	// more.
 	longestSilence = 4 * time.Second
 	// longestUnreported is how long something that came of a node's own sends may be
-	// unreported while it exposes: a report is due twice a second and may turn from
+	// unreported while it exposes: a report is due twice a second or more often and may turn from
 	// one silent node to the next.
 	longestUnreported = 2 * time.Second
 )
--- a/internal/rollout/tracker_test.go
+++ b/internal/rollout/tracker_test.go
@@ -133,11 +133,11 @@
 	tracker.Put(order, epoch)
 	order.Revision, order.Duration = 4, 30*time.Second
 	tracker.Put(order, epoch.Add(5*time.Second))
-	is.Equal(tracker.Usages(epoch.Add(5*time.Second))[0].Elapsed, 6*time.Second)
-	is.Equal(tracker.Usages(epoch.Add(7*time.Second))[0].Elapsed, 8*time.Second)
+	is.Equal(tracker.Usages(epoch.Add(5 * time.Second))[0].Elapsed, 6*time.Second)
+	is.Equal(tracker.Usages(epoch.Add(7 * time.Second))[0].Elapsed, 8*time.Second)
 	order.Revision, order.Status.Elapsed = 5, 10*time.Second
 	tracker.Put(order, epoch.Add(7*time.Second))
-	is.Equal(tracker.Usages(epoch.Add(8*time.Second))[0].Elapsed, 11*time.Second) // others know better
+	is.Equal(tracker.Usages(epoch.Add(8 * time.Second))[0].Elapsed, 11*time.Second) // others know better
 }
 
 // What a peer knew earlier takes nothing away from what a later one has told: the store's
--- a/internal/rollout/verdict.go
+++ b/internal/rollout/verdict.go
@@ -6,7 +6,7 @@
 const (
 	// Undecided needs more evidence.
 	Undecided Finding = iota
-	// Good is as good as the old version, within the errors that Judge names.
+	// Good is as good as the old version, within the errors that judge.go names.
 	Good
 	// Bad fails or is slow more often than the old version in the same moments.
 	Bad
--- a/internal/rollout/windows.go
+++ b/internal/rollout/windows.go
@@ -8,7 +8,7 @@
 )
 
 // windowLength is how long answers count as of the same moment: processes report twice a
-// second. It doubles whenever an order has lasted for maxWindows.
+// second or more often. It doubles whenever an order has lasted for maxWindows.
 const (
 	windowLength = time.Second
 	maxWindows   = 64
