--- a/internal/rollout/tracker.go
+++ b/internal/rollout/tracker.go
@@ -16,7 +16,7 @@
 	// more.
 	longestSilence = 4 * time.Second
 	// longestUnreported is how long something that came of a node's own sends may be
-	// unreported while it exposes: a report is due twice a second and may turn from
+	// unreported while it exposes: a report is due twice a second or more often and may turn from
 	// one silent node to the next.
 	longestUnreported = 2 * time.Second
 )
@@ -46,15 +46,17 @@
 type tracked struct {
 	order Order
 	plan  Plan
-	// adoptedAt is when the status in force became known.
-	adoptedAt time.Time
-	exposure  Exposure
-	routes    map[string]*RouteCounts
+	// ranFor is for how long the order had run at knownAt, when the state in force became
+	// known.
+	ranFor   time.Duration
+	knownAt  time.Time
+	exposure Exposure
+	routes   map[string]*RouteCounts
 	// oldUnderWay are requests under way at servers of other versions.
 	oldUnderWay int
 	// unreportedSince is when the oldest thing that came of the target happened that no
-	// report has told; zero for none.
-	unreportedSince time.Time
+	// report has told, or a little earlier; zero for none. sampledAt is when the latest did.
+	unreportedSince, sampledAt time.Time
 	// halted is set once the target was found to be bad.
 	halted bool
 	// repeatable is set once the service had a request that may be repeated.
@@ -90,6 +92,10 @@
 func (t *Tracker) Replace(orders []Order, now time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	t.replace(orders, now)
+}
+
+func (t *Tracker) replace(orders []Order, now time.Time) {
 	listed := make(map[string]bool, len(orders))
 	for _, order := range orders {
 		listed[order.Service] = true
@@ -113,8 +119,8 @@
 	known := t.orders[order.Service]
 	if known != nil && known.order.Key() == order.Key() {
 		if order.Revision > known.order.Revision {
-			known.order, known.adoptedAt = order, now
-			known.plan = NewPlan(order.Duration)
+			known.ranFor, known.knownAt = max(known.elapsed(now), order.Current().Elapsed), now
+			known.order, known.plan = order, NewPlan(order.Duration)
 		}
 		return
 	}
@@ -122,16 +128,19 @@
 		return
 	}
 	t.remove(order.Service)
-	t.withdrawn[order.Service] = slices.DeleteFunc(t.withdrawn[order.Service], func(v Version) bool { return v == order.Target })
+	// A copy: admissions hold the slice.
+	withdrawn := slices.Clone(t.withdrawn[order.Service])
+	t.withdrawn[order.Service] = slices.DeleteFunc(withdrawn, func(v Version) bool { return v == order.Target })
 	// A process that is younger than the order may have taken the place of one that has
 	// used its part of the slack.
 	older := t.first > 0 && order.Created > t.first
 	t.orders[order.Service] = &tracked{
-		order:     order,
-		plan:      NewPlan(order.Duration),
-		adoptedAt: now,
-		exposure:  Exposure{limits: NewLimits(t.bounds, t.position, t.processes, older)},
-		routes:    make(map[string]*RouteCounts),
+		order:    order,
+		plan:     NewPlan(order.Duration),
+		ranFor:   order.Current().Elapsed,
+		knownAt:  now,
+		exposure: Exposure{limits: NewLimits(t.bounds, t.position, t.processes, older)},
+		routes:   make(map[string]*RouteCounts),
 	}
 }
 
@@ -182,35 +191,23 @@
 	return orders, t.reached
 }
 
-// Adopt takes over orders that another node knows, as far as the store has told none.
+// Adopt takes over orders that another node knows, unless the store or a node that knew
+// more has told.
 func (t *Tracker) Adopt(orders []Order, reached catalog.Revision, now time.Time) {
 	if t == nil {
 		return
 	}
 	t.mutex.Lock()
-	known := t.first > 0
-	t.mutex.Unlock()
-	if known || reached == 0 {
-		return
-	}
-	t.Replace(orders, now)
-	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.reached = max(t.reached, reached)
-}
-
-// Elapsed returns for how long the order of a service has run, as far as is known.
-func (t *Tracker) Elapsed(service string, now time.Time) time.Duration {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	if known := t.orders[service]; known != nil {
-		return known.elapsed(now)
+	if t.first > 0 || reached <= t.reached {
+		return
 	}
-	return 0
+	t.replace(orders, now)
+	t.reached = reached
 }
 
 func (k *tracked) elapsed(now time.Time) time.Duration {
-	return k.order.Current().Elapsed + now.Sub(k.adoptedAt)
+	return k.ranFor + now.Sub(k.knownAt)
 }
 
 // stage returns the stage in force at this process: none without permission.
@@ -268,13 +265,21 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	for _, key := range keys {
-		known := t.orders[key.Service]
-		if known != nil && known.order.Key() == key && !known.unreportedSince.After(made) {
-			known.unreportedSince = time.Time{}
+		if known := t.orders[key.Service]; known != nil && known.order.Key() == key {
+			known.reported(made)
 		}
 	}
 }
 
+func (k *tracked) reported(made time.Time) {
+	switch {
+	case !k.sampledAt.After(made):
+		k.unreportedSince = time.Time{}
+	case k.unreportedSince.Before(made):
+		k.unreportedSince = made
+	}
+}
+
 // Halt stops all sends to the target of an order. It returns false if that was known.
 func (t *Tracker) Halt(key Key) bool {
 	t.mutex.Lock()
@@ -308,57 +313,6 @@
 	return Known{Order: known.order, Elapsed: known.elapsed(now), Halted: halted}, true
 }
 
-// Usage is what one process has sent to the target of an order.
-type Usage struct {
-	Known
-	// Stage is the one in force at the process.
-	Stage Stage
-	// Requests are all of the service, Sent those to the target, Allowed how many these
-	// may be by now.
-	Requests, Sent, Allowed uint32
-	// Share is what part of its requests the process may send to the target now.
-	Share float64
-	// Unreported is the age of the oldest answer of the target that no report has told.
-	Unreported time.Duration
-	// Old and New are the answers of other versions and of the target.
-	Old, New Counts
-}
-
-// Usages returns what was sent for all orders, by service.
-func (t *Tracker) Usages(now time.Time) []Usage {
-	if t == nil {
-		return nil
-	}
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	usages := make([]Usage, 0, len(t.orders))
-	for _, service := range slices.Sorted(maps.Keys(t.orders)) {
-		usages = append(usages, t.usage(t.orders[service], now))
-	}
-	return usages
-}
-
-func (t *Tracker) usage(known *tracked, now time.Time) Usage {
-	usage := Usage{
-		Known:    Known{Order: known.order, Elapsed: known.elapsed(now), Halted: known.halted},
-		Stage:    t.stage(known, now),
-		Requests: known.exposure.requests,
-		Sent:     known.exposure.sent,
-	}
-	usage.Share = known.exposure.share(usage.Stage, known.plan, usage.Elapsed)
-	if !known.unreportedSince.IsZero() {
-		usage.Unreported = now.Sub(known.unreportedSince)
-	}
-	usage.Allowed = uint32(known.exposure.allowed(usage.Stage, known.plan, usage.Elapsed))
-	for _, counts := range known.routes {
-		usage.Old = usage.Old.Plus(counts.Old)
-		for _, ofServer := range counts.New {
-			usage.New = usage.New.Plus(ofServer)
-		}
-	}
-	return usage
-}
-
 // Complete reports whether the orders are known at all. A nil tracker needs none.
 func (t *Tracker) Complete() bool {
 	if t == nil {
@@ -391,128 +345,3 @@
 	t.put(order, now)
 	return true
 }
-
-// Outcome is what the end of a send says of the version of its server.
-type Outcome uint8
-
-const (
-	// OutcomeNone says nothing.
-	OutcomeNone Outcome = iota
-	// OutcomeAnswered is an answer.
-	OutcomeAnswered
-	// OutcomeFailed is an error of the server, a refusal or a connection that failed.
-	OutcomeFailed
-	// OutcomeSilent is a request that was given up while under way.
-	OutcomeSilent
-	// OutcomeUnsent is a send that reached no server.
-	OutcomeUnsent
-)
-
-// Sample is the end of one send.
-type Sample struct {
-	Result Outcome
-	// Ratio is the time that it took in units of what such requests usually take.
-	Ratio float64
-	// Cold is set if the server has just started.
-	Cold bool
-}
-
-// slowFactor is the ratio from which an answer counts as slow. Work that is spread by
-// 0.35 to 0.5 (standard deviation of its logarithm) exceeds twice its mean in 2 to 8 of 100
-// answers; of a version that takes three times as long, 80 in 100 do.
-const slowFactor = 2.0
-
-// counts returns what the sample adds.
-func (s Sample) counts() Counts {
-	slow := s.Ratio >= slowFactor
-	switch {
-	case s.Result == OutcomeFailed:
-		return Counts{Answers: 1, Failed: 1}
-	case s.Result == OutcomeAnswered && s.Cold:
-		return Counts{Answers: 1}
-	case s.Result == OutcomeAnswered && slow:
-		return Counts{Answers: 1, Timed: 1, Slow: 1}
-	case s.Result == OutcomeAnswered:
-		return Counts{Answers: 1, Timed: 1}
-	case s.Result == OutcomeSilent && slow && !s.Cold:
-		// Of a request that was given up early nothing is known.
-		return Counts{Timed: 1, Slow: 1}
-	}
-	return Counts{}
-}
-
-// Request counts a request of a service.
-func (t *Tracker) Request(service string) {
-	if t == nil {
-		return
-	}
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	if known := t.orders[service]; known != nil {
-		known.exposure.Request()
-	}
-}
-
-// Begin notes a send to the candidate.
-func (t *Tracker) Begin(candidate Candidate, admission Admission) {
-	t.change(admission, func(known *tracked) {
-		if !admission.target(candidate) {
-			known.oldUnderWay++
-		}
-	})
-}
-
-// End notes what came of a send to the candidate on a route.
-func (t *Tracker) End(candidate Candidate, admission Admission, route string, sample Sample, now time.Time) {
-	if sample.Result == OutcomeUnsent {
-		t.Refund(admission)
-	}
-	t.change(admission, func(known *tracked) {
-		counts := known.routes[route]
-		if counts == nil {
-			counts = &RouteCounts{Route: route}
-			known.routes[route] = counts
-		}
-		added := sample.counts()
-		if !admission.target(candidate) {
-			known.oldUnderWay--
-			counts.Old = counts.Old.Plus(added)
-			return
-		}
-		if counts.New == nil {
-			counts.New = make(map[ServerID]Counts)
-		}
-		counts.New[candidate.ID] = counts.New[candidate.ID].Plus(added)
-		if known.unreportedSince.IsZero() && added != (Counts{}) {
-			known.unreportedSince = now
-		}
-	})
-}
-
-// change applies a change to the order by which a send was admitted, if that still
-// stands.
-func (t *Tracker) change(admission Admission, apply func(known *tracked)) {
-	if t == nil || admission.order == (Key{}) {
-		return
-	}
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	if known := t.orders[admission.order.Service]; known != nil && known.order.Key() == admission.order {
-		apply(known)
-	}
-}
-
-// Halted reports whether nothing more may be sent to the candidate, whatever was
-// admitted before.
-func (t *Tracker) Halted(service string, candidate Candidate) bool {
-	if t == nil {
-		return false
-	}
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	known := t.orders[service]
-	if known == nil || candidate.Version != known.order.Target || candidate.Created > 0 && candidate.Created <= known.order.Created {
-		return false
-	}
-	return known.halted || known.order.Current().State == StateRolledBack
-}
--- a/internal/rollout/tracker_test.go
+++ b/internal/rollout/tracker_test.go
@@ -121,3 +121,86 @@
 	known, _ = tracker.Orders()
 	is.Equal(known, []Order{again}) // a new order of the same version counts
 }
+
+// An operator who changes the time of an order does not set back for how long it has run.
+func TestElapsedGoesOnWhenTheOrderIsChanged(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker(Bounds{Share: 0.1, Slack: 50, RollBack: 5 * time.Second})
+	order := Order{
+		Service: "s", Target: "v2", Duration: 20 * time.Second, Created: 2, Revision: 3,
+		Status: Status{State: StateRunning, Target: "v2", Stage: StageCanary, Elapsed: time.Second},
+	}
+	tracker.Put(order, epoch)
+	order.Revision, order.Duration = 4, 30*time.Second
+	tracker.Put(order, epoch.Add(5*time.Second))
+	is.Equal(tracker.Usages(epoch.Add(5 * time.Second))[0].Elapsed, 6*time.Second)
+	is.Equal(tracker.Usages(epoch.Add(7 * time.Second))[0].Elapsed, 8*time.Second)
+	order.Revision, order.Status.Elapsed = 5, 10*time.Second
+	tracker.Put(order, epoch.Add(7*time.Second))
+	is.Equal(tracker.Usages(epoch.Add(8 * time.Second))[0].Elapsed, 11*time.Second) // others know better
+}
+
+// What a peer knew earlier takes nothing away from what a later one has told: the store's
+// list would not bring it back.
+func TestAdoptedOrdersDoNotGoBack(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker(Bounds{Share: 0.1, Slack: 50, RollBack: 5 * time.Second})
+	order := Order{Service: "s", Target: "v2", Duration: 20 * time.Second, Created: 2, Revision: 3}
+	tracker.Adopt([]Order{order}, 5, epoch)
+	tracker.Adopt(nil, 1, epoch)
+	known, reached := tracker.Orders()
+	is.Equal(known, []Order{order})
+	is.Equal(int(reached), 5)
+	tracker.Adopt(nil, 6, epoch)
+	known, _ = tracker.Orders()
+	is.Equal(len(known), 0) // withdrawn since
+	tracker.Reached(7, epoch)
+	tracker.Adopt([]Order{order}, 8, epoch)
+	known, _ = tracker.Orders()
+	is.Equal(len(known), 0) // the store has told
+}
+
+// What a send was admitted by stays as it was, whatever is ordered meanwhile.
+func TestAdmissionKeepsItsBars(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker(Bounds{Share: 0.1, Slack: 50, RollBack: 5 * time.Second})
+	for index, target := range []Version{"v2", "v3"} {
+		revision := catalog.Revision(2 + index)
+		tracker.Put(Order{Service: "s", Target: target, Duration: 20 * time.Second, Created: revision, Revision: revision}, epoch)
+		tracker.Remove("s")
+	}
+	before := tracker.Standing("s", epoch)
+	tracker.Put(Order{Service: "s", Target: "v2", Duration: 20 * time.Second, Created: 9, Revision: 9}, epoch)
+	for _, target := range []Version{"v2", "v3"} {
+		is.True(!before.Allows(Candidate{ID: "new", Version: target, Created: 20}))
+	}
+	is.True(before.Allows(Candidate{ID: "old", Created: 1})) // a server without a version
+}
+
+// What came of a send while a report was under way is news for the next one.
+func TestReportLeavesLaterNews(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker(testBounds)
+	order := runningOrder(20, StageWhole)
+	tracker.Reached(20, epoch)
+	tracker.Put(order, epoch)
+	at := func(milliseconds int) time.Time { return epoch.Add(time.Duration(milliseconds) * time.Millisecond) }
+	answer := func(now time.Time) {
+		candidate := Candidate{ID: "new", Version: "v2", Created: 20}
+		admission := tracker.Admit(Ask{Service: "s", Repeatable: true}, now)
+		tracker.Begin(candidate, admission)
+		tracker.End(candidate, admission, "route", Sample{Result: OutcomeAnswered}, now)
+	}
+	news := func(now time.Time) bool {
+		_, news := tracker.Reports(now)
+		return news
+	}
+	answer(at(100))
+	made := at(200)
+	answer(at(300))
+	tracker.Reported([]Key{order.Key()}, made)
+	is.True(news(at(400)))
+	is.Equal(tracker.Usages(at(400))[0].Unreported, 200*time.Millisecond) // since the report was made
+	tracker.Reported([]Key{order.Key()}, at(400))
+	is.True(!news(at(500)))
+}
