--- a/cmd/driftlab/rollout.go
+++ b/cmd/driftlab/rollout.go
@@ -30,6 +30,7 @@
 	nodes := flags.IntLong("nodes", 3, "driftrouter processes, 1 to 12")
 	seconds := flags.Float64Long("seconds", 12, "the order's time, 4 to 24; callers ask for as long before")
 	seed := flags.UintLong("seed", 1, "seed of arrivals and of the trouble's time; odd: a shard is moved, even: a whole service")
+	troubleAt := flags.Float64Long("trouble-at", -1, "part of the order's time after which the trouble begins; negative: drawn by the seed, up to 0.4")
 	output := flags.StringLong("output", outputText, "text or json")
 	keep := flags.BoolLong("keep", "keep the nodes' logs and print their directory on standard error")
 	return &ff.Command{
@@ -41,7 +42,7 @@
 		Exec: func(ctx context.Context, args []string) error {
 			options := rollouts.Options{
 				Version: *version, Trouble: *trouble, Nodes: *nodes,
-				Duration: time.Duration(*seconds * float64(time.Second)), Seed: uint64(*seed),
+				Duration: time.Duration(*seconds * float64(time.Second)), Seed: uint64(*seed), TroubleAt: *troubleAt,
 			}
 			if err := errors.CombineErrors(wantNoArguments(args), options.Validate()); err != nil {
 				return fmt.Errorf("%w: %w", errUsage, err)
--- a/internal/catalog/follower_test.go
+++ b/internal/catalog/follower_test.go
@@ -408,10 +408,15 @@
 
 // ListStale implements StaleLister.
 func (c *cheapFeed) ListStale(ctx context.Context, after string) (Page[string], error) {
-	c.cheap++
+	c.configure(func() { c.cheap++ })
 	return c.List(ctx, after)
 }
 
+func (c *cheapFeed) cheapLists() (count int) {
+	c.configure(func() { count = c.cheap })
+	return count
+}
+
 func TestOnlyTheFirstListMayLag(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -422,14 +427,14 @@
 		defer cancel()
 		go follower.Run(ctx)
 		time.Sleep(time.Second)
-		is.Equal(feed.cheap, 1)
+		is.Equal(feed.cheapLists(), 1)
 		feed.configure(func() { feed.fail = true })
 		time.Sleep(5 * time.Second)
 		feed.set("b", "2")
 		feed.forget()
 		feed.configure(func() { feed.fail = false })
 		time.Sleep(5 * time.Second)
-		is.Equal(feed.cheap, 1)
-		is.True(feed.lists >= 2) // the history was gone
+		is.Equal(feed.cheapLists(), 1)
+		feed.configure(func() { is.True(feed.lists >= 2) }) // the history was gone
 	})
 }
--- a/internal/lab/rollouts/options.go
+++ b/internal/lab/rollouts/options.go
@@ -31,6 +31,9 @@
 	// Seed of arrivals, of the time of the trouble, and of the service that is moved: a
 	// shard for odd ones, the service of whole requests for even ones.
 	Seed uint64
+	// TroubleAt is the part of the order's time after which the trouble begins; negative: the
+	// seed draws it.
+	TroubleAt float64
 	// Binaries is the directory of driftrouter, Directory takes its logs.
 	Binaries, Directory string
 }
@@ -44,6 +47,8 @@
 		return errors.Newf("version: no %q", o.Version)
 	case !trouble:
 		return errors.Newf("trouble: no %q", o.Trouble)
+	case o.TroubleAt > 1:
+		return errors.New("trouble-at: want a part of the order's time, up to 1")
 	case o.Nodes < 1 || o.Nodes > mostNodes:
 		return errors.Newf("nodes: want 1 to %d", mostNodes)
 	case o.Duration < shortestOrder || o.Duration > longestOrder:
--- a/internal/lab/rollouts/trouble.go
+++ b/internal/lab/rollouts/trouble.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// earliestTrouble and latestTrouble are when a trouble may begin, as parts of the
-	// order's time.
+	// earliestTrouble and latestTrouble are when a trouble may begin that the seed draws, as
+	// parts of the order's time.
 	earliestTrouble, latestTrouble = 0.02, 0.4
 	// troublePart is how long one lasts, as a part of the order's time; at most
 	// longestTrouble.
@@ -46,6 +46,7 @@
 		return playStore(ctx, r, span, standin.StoreFaults{LoseAnswers: true, DelayWrites: lostWriteDelay})
 	}},
 	{Name: "kill-decider", Help: "the node that wrote a status last is killed and started again", play: playKill},
+	{Name: "kill-all", Help: "all nodes are killed at once and started again", play: playKillAll},
 	{Name: "freeze-decider", Help: "the node that wrote a status last stands still", play: playFreeze},
 	{Name: "cut", Help: "the node that wrote a status last is cut off from the store and the other nodes", play: playCut, links: true},
 }
@@ -62,7 +63,10 @@
 // trouble waits for its time and plays it.
 func (r *run) trouble(ctx context.Context) error {
 	duration := r.options.Duration
-	part := earliestTrouble + (latestTrouble-earliestTrouble)*r.troubleAt
+	part := r.options.TroubleAt
+	if part < 0 {
+		part = earliestTrouble + (latestTrouble-earliestTrouble)*r.troubleAt
+	}
 	if err := sleep(ctx, time.Duration(part*float64(duration))); err != nil {
 		return err
 	}
@@ -93,19 +97,38 @@
 	if err != nil {
 		return err
 	}
-	killed := r.fleet.nodes[index]
-	killed.away.Store(true)
-	killed.process.Kill()
+	return r.killAndStart(ctx, index)
+}
+
+func playKillAll(ctx context.Context, r *run, _ time.Duration) error {
+	all := make([]int, len(r.fleet.nodes))
+	for index := range all {
+		all[index] = index
+	}
+	return r.killAndStart(ctx, all...)
+}
+
+// killAndStart kills nodes at once, starts them again after restartPause and waits until
+// they are ready. Callers leave them alone meanwhile.
+func (r *run) killAndStart(ctx context.Context, indexes ...int) error {
+	for _, index := range indexes {
+		r.fleet.nodes[index].away.Store(true)
+		r.fleet.nodes[index].process.Kill()
+	}
 	if err := sleep(ctx, restartPause); err != nil {
 		return err
 	}
-	if err := r.fleet.start(ctx, index); err != nil {
-		return err
+	for _, index := range indexes {
+		if err := r.fleet.start(ctx, index); err != nil {
+			return err
+		}
 	}
 	if err := r.fleet.awaitReady(ctx); err != nil {
 		return err
 	}
-	killed.away.Store(false)
+	for _, index := range indexes {
+		r.fleet.nodes[index].away.Store(false)
+	}
 	return nil
 }
 
--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -5,13 +5,31 @@
 import (
 	"net"
 	"os"
+	"sync"
 )
 
-// FreeAddress returns an address (IP:port) at which nothing listens. It is for a process
-// that is started later, and again after it was killed: its IP belongs to this process
-// alone, so that neither the connections of others nor a second run of the same program
-// take the port meanwhile, as happens at 127.0.0.1.
+// given are the addresses that this process has handed out: until they are used, the
+// system may choose them again.
+var given sync.Map
+
+// FreeAddress returns an address (IP:port) at which nothing listens, another one each
+// time. It is for a process that is started later, and again after it was killed: its IP
+// belongs to this process alone, so that neither the connections of others nor a second
+// run of the same program take the port meanwhile, as happens at 127.0.0.1.
 func FreeAddress() (string, error) {
+	for {
+		address, err := chosen()
+		if err != nil {
+			return "", err
+		}
+		if _, taken := given.LoadOrStore(address, true); !taken {
+			return address, nil
+		}
+	}
+}
+
+// chosen returns an address that the system chooses.
+func chosen() (string, error) {
 	listener, err := net.Listen("tcp4", net.JoinHostPort(ownIP(os.Getpid()).String(), "0"))
 	if err != nil {
 		return "", err
--- a/internal/loopback/loopback_test.go
+++ b/internal/loopback/loopback_test.go
@@ -20,3 +20,14 @@
 	is.True(!ownIP(1).Equal(ownIP(2)))
 	is.True(ownIP(1).IsLoopback() && ownIP(1<<22-1).IsLoopback())
 }
+
+func TestNoAddressIsGivenTwice(t *testing.T) {
+	is := is.New(t)
+	seen := make(map[string]bool)
+	for range 2000 {
+		address, err := FreeAddress()
+		is.NoErr(err)
+		is.True(!seen[address])
+		seen[address] = true
+	}
+}
