--- a/internal/rollout/admission_test.go
+++ b/internal/rollout/admission_test.go
@@ -103,3 +103,27 @@
 	tracker.Request("s")
 	is.True(tracker.Admit(Ask{Service: "s"}, time.Now()).Allows(Candidate{Version: "v9", Created: 9}))
 }
+
+// A process that is younger than the order may have taken the place of one that has used
+// its part of the slack: it gets none.
+func TestProcessThatIsYoungerThanTheOrderHasNoSlack(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		learned catalog.Revision
+		slack   bool
+	}{
+		{"older", 5, true},
+		{"younger", 15, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Now()
+			tracker := NewTracker(Bounds{Slack: 50, RollBack: testBounds.RollBack})
+			tracker.Reached(test.learned, now)
+			order := runningOrder(20, StageShift)
+			tracker.Put(order, now)
+			tracker.Reached(order.Revision, now)
+			is.Equal(exposes(tracker, now), test.slack)
+		})
+	}
+}
