--- a/bench/regression.sh
+++ b/bench/regression.sh
@@ -9,6 +9,8 @@
 
 # Days to hunt: 40, or 8 on deployments of 60 machines or more.
 deployments=(
+  newcomers/abay-billing-grown:8
+  newcomers/okoorun-archive-grown:40
   shifted/gzebi-drift-now-grown:8
   large/gzebi-drift-large:8
   large/kfl-soeg-large:8
