rollout: withdrawn orders bar the servers that they started, no others

Cause: a withdrawn order barred its version by name. An order of the version in use that was withdrawn, or changed to another version, took all servers away: no answers at all after the withdrawal and after a roll-back, half of the requests to the new version while the changed order was waiting. After such an order was completed, the first replacement server got all requests. A repeated order took the servers that the withdrawn one had started for old ones, without any bound. Where a withdrawn version was the last one left, its service had no server. Change: a withdrawn order bars what was listed after it; a repeated one bounds the servers of the first; a completed one allows its version whenever listed; without other servers those of a withdrawn order are used.

--- a/internal/endpoints/versions_test.go
+++ b/internal/endpoints/versions_test.go
@@ -58,9 +58,15 @@
 }
 
 func (w *versionWorld) order(state rollout.State, stage rollout.Stage, elapsed time.Duration) {
+	w.orderOf(newVersion, rollout.Status{State: state, Stage: stage, Elapsed: elapsed})
+}
+
+// orderOf orders a version, with a status about it.
+func (w *versionWorld) orderOf(target rollout.Version, status rollout.Status) {
+	status.Target = target
 	w.tracker.Put(rollout.Order{
-		Service: "s", Target: newVersion, Duration: 20 * time.Second, Created: orderCreated, Revision: 40 + catalog.Revision(state)*10 + catalog.Revision(stage),
-		Status: rollout.Status{State: state, Target: newVersion, Stage: stage, Elapsed: elapsed},
+		Service: "s", Target: target, Duration: 20 * time.Second, Created: orderCreated,
+		Revision: 40 + catalog.Revision(status.State)*10 + catalog.Revision(status.Stage), Status: status,
 	}, w.now)
 }
 
@@ -232,6 +238,68 @@
 	is.Equal(world.ask(50, false, ResultAnswered, true)[newVersion], 0)
 }
 
+func TestWithdrawnVersionServesWhereNoOtherIsLeft(t *testing.T) {
+	is := is.New(t)
+	world := newVersionWorld()
+	world.reach(orderCreated - 1)
+	world.order(rollout.StateRunning, rollout.StageCanary, 0)
+	world.reach(newCreated)
+	world.putNew()
+	world.tracker.Remove("s")
+	for index := range 2 {
+		world.directory.Remove(fmt.Sprintf("old-%d", index))
+	}
+	is.Equal(world.ask(50, false, ResultAnswered, true)[newVersion], 50)
+}
+
+func TestWithdrawnOrderOfTheVersionInUseTakesNothing(t *testing.T) {
+	is := is.New(t)
+	world := newVersionWorld()
+	world.reach(orderCreated - 1)
+	world.orderOf(oldVersion, rollout.Status{State: rollout.StateRunning})
+	world.tracker.Remove("s")
+	is.Equal(world.ask(50, false, ResultAnswered, true)[oldVersion], 50)
+}
+
+func TestOrderOfTheVersionInUseIsChanged(t *testing.T) {
+	is := is.New(t)
+	world := newVersionWorld()
+	world.reach(orderCreated - 1)
+	world.orderOf(oldVersion, rollout.Status{State: rollout.StateRunning})
+	world.order(rollout.StateRunning, rollout.StageWaiting, 0)
+	world.reach(newCreated)
+	world.putNew()
+	is.Equal(world.hold(50)[newVersion], 0)
+	world.order(rollout.StateRolledBack, rollout.StageWaiting, 0)
+	is.Equal(world.ask(50, false, ResultAnswered, true)[oldVersion], 50)
+}
+
+func TestReplacementAfterACompletedOrderOfTheVersionInUse(t *testing.T) {
+	is := is.New(t)
+	world := newVersionWorld()
+	world.reach(orderCreated - 1)
+	world.orderOf(oldVersion, rollout.Status{State: rollout.StateCompleted})
+	world.put("old-2", oldVersion, 100)
+	world.reach(100)
+	world.hold(30)
+	for index := range 3 {
+		is.True(len(world.directory.byID[fmt.Sprintf("old-%d", index)].underWay) > 0)
+	}
+}
+
+func TestRepeatedOrderBoundsServersOfTheFirst(t *testing.T) {
+	is := is.New(t)
+	world := newVersionWorld()
+	world.reach(orderCreated - 1)
+	world.order(rollout.StateRunning, rollout.StageCanary, 0)
+	world.reach(newCreated)
+	world.putNew()
+	world.tracker.Remove("s")
+	world.tracker.Put(rollout.Order{Service: "s", Target: newVersion, Duration: 20 * time.Second, Created: 100, Revision: 100}, world.now)
+	world.reach(100)
+	is.Equal(world.hold(50)[newVersion], 0)
+}
+
 func TestLoadStageTurnsFromServerToServer(t *testing.T) {
 	is := is.New(t)
 	world := newVersionWorld()
--- a/internal/rollout/admission.go
+++ b/internal/rollout/admission.go
@@ -42,8 +42,10 @@
 type Admission struct {
 	rule  rule
 	order Key
-	// barred are the versions of withdrawn orders.
-	barred []Version
+	// since is the revision after which servers of the target are the order's.
+	since catalog.Revision
+	// barred are the withdrawn orders whose servers get nothing.
+	barred []Key
 	// known is the revision up to which the orders are known; zero if that does not matter.
 	known catalog.Revision
 	// dense draws all sends to the candidate that comes first at the turn.
@@ -61,13 +63,13 @@
 
 // Allows reports whether the candidate may get the send.
 func (a Admission) Allows(candidate Candidate) bool {
-	if slices.Contains(a.barred, candidate.Version) {
+	if slices.ContainsFunc(a.barred, func(order Key) bool { return order.explains(candidate) }) {
 		return false
 	}
 	target := a.target(candidate)
 	switch a.rule {
 	case ruleTarget:
-		return target || a.after > 0 && candidate.Created > a.after
+		return target || a.after > 0 && (candidate.Version == a.order.Target || candidate.Created > a.after)
 	case ruleOthers:
 		return !target
 	case ruleAny:
@@ -78,12 +80,17 @@
 // target reports whether the candidate is one of the order's new servers: an order is older
 // than the servers that it starts.
 func (a Admission) target(candidate Candidate) bool {
-	return a.order.Target != "" && candidate.Version == a.order.Target && (candidate.Created == 0 || candidate.Created > a.order.Created)
+	return Key{Target: a.order.Target, Created: a.since}.explains(candidate)
+}
+
+// explains reports whether the candidate is one of the servers that the order started.
+func (k Key) explains(candidate Candidate) bool {
+	return k.Target != "" && candidate.Version == k.Target && (candidate.Created == 0 || candidate.Created > k.Created)
 }
 
 // AllowsAll reports whether servers that are all of one version need no closer look.
 func (a Admission) AllowsAll(version Version, same bool) bool {
-	return same && a.order.Target != version && !slices.Contains(a.barred, version)
+	return same && a.order.Target != version && !slices.ContainsFunc(a.barred, func(order Key) bool { return order.Target == version })
 }
 
 // Unexplained reports whether the orders are not known to be as new as the candidate: it
@@ -125,9 +132,10 @@
 	admission := Admission{rule: ruleAny, barred: t.withdrawn[service], known: t.reached}
 	known := t.orders[service]
 	if known == nil {
+		admission.bypass = len(admission.barred) > 0
 		return admission
 	}
-	admission.order = known.order.Key()
+	admission.order, admission.since = known.order.Key(), known.since
 	switch known.order.Current().State {
 	case StateCompleted:
 		admission.rule, admission.bypass = ruleTarget, true
--- a/internal/rollout/samples.go
+++ b/internal/rollout/samples.go
@@ -129,7 +129,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	known := t.orders[service]
-	if known == nil || candidate.Version != known.order.Target || candidate.Created > 0 && candidate.Created <= known.order.Created {
+	if known == nil || !(Key{Target: known.order.Target, Created: known.since}).explains(candidate) {
 		return false
 	}
 	return known.halted || known.order.Current().State == StateRolledBack
--- a/internal/rollout/tracker.go
+++ b/internal/rollout/tracker.go
@@ -29,8 +29,8 @@
 
 	mutex  sync.Mutex
 	orders map[string]*tracked
-	// withdrawn are the targets of orders that ended before they were completed.
-	withdrawn map[string][]Version
+	// withdrawn are the orders that ended before they were completed.
+	withdrawn map[string][]Key
 	// removed are the latest revisions of the orders that were taken away: news of them
 	// that comes late changes nothing.
 	removed map[string]catalog.Revision
@@ -45,6 +45,9 @@
 // tracked is what a process keeps of one order.
 type tracked struct {
 	order Order
+	// since is the revision after which servers of the target are the order's: those that
+	// earlier, withdrawn orders of the version started are among them.
+	since catalog.Revision
 	plan  Plan
 	// ranFor is for how long the order had run at knownAt, when the state in force became
 	// known.
@@ -69,7 +72,7 @@
 	return &Tracker{
 		bounds:    bounds,
 		orders:    make(map[string]*tracked),
-		withdrawn: make(map[string][]Version),
+		withdrawn: make(map[string][]Key),
 		removed:   make(map[string]catalog.Revision),
 		processes: 1,
 	}
@@ -126,14 +129,13 @@
 		return
 	}
 	t.remove(order.Service)
-	// A copy: admissions hold the slice.
-	withdrawn := slices.Clone(t.withdrawn[order.Service])
-	t.withdrawn[order.Service] = slices.DeleteFunc(withdrawn, func(v Version) bool { return v == order.Target })
+	since := t.reorder(order)
 	// A process that is younger than the order may have taken the place of one that has
 	// used its part of the slack.
 	older := t.first > 0 && order.Created > t.first
 	t.orders[order.Service] = &tracked{
 		order:    order,
+		since:    since,
 		plan:     NewPlan(order.Duration),
 		ranFor:   order.Current().Elapsed,
 		knownAt:  now,
@@ -142,6 +144,23 @@
 	}
 }
 
+// reorder takes the order's target off the withdrawn ones. It returns the revision after
+// which servers of the target are no ordinary ones.
+func (t *Tracker) reorder(order Order) catalog.Revision {
+	since := order.Created
+	// A new slice: admissions hold the old one.
+	var rest []Key
+	for _, withdrawn := range t.withdrawn[order.Service] {
+		if withdrawn.Target == order.Target {
+			since = min(since, withdrawn.Created)
+		} else {
+			rest = append(rest, withdrawn)
+		}
+	}
+	t.withdrawn[order.Service] = rest
+	return since
+}
+
 // Remove forgets the order of a service: its operators have withdrawn it.
 func (t *Tracker) Remove(service string) {
 	t.mutex.Lock()
@@ -157,7 +176,7 @@
 	delete(t.orders, service)
 	t.removed[service] = known.order.Revision
 	if known.order.Current().State != StateCompleted && known.order.Target != "" {
-		t.withdrawn[service] = append(t.withdrawn[service], known.order.Target)
+		t.withdrawn[service] = append(t.withdrawn[service], Key{Service: service, Target: known.order.Target, Created: known.since})
 	}
 }
 
