--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -1,99 +1,155 @@
 package rollout
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
+)
 
-	"github.com/driftstage/driftstage/internal/catalog"
+// windowLength is how long answers count as of the same moment: processes report twice a
+// second or more often. It doubles whenever an order has lasted for maxWindows.
+const (
+	windowLength = time.Second
+	maxWindows   = 64
 )
 
-// Counts are answers of one version, or of one server of it, to one route. They only
-// grow within a process, so that a report that is repeated or overtaken does no harm.
-type Counts struct {
-	// Answers are all ends that tell whether the server works, Failed the errors,
-	// refusals and broken connections among them.
-	Answers uint32 `json:"a,omitempty"`
-	Failed  uint32 `json:"f,omitempty"`
-	// Timed are answers, or long silences, of servers that have not just started; Slow
-	// are those of more than slowFactor times the usual time.
-	Timed uint32 `json:"t,omitempty"`
-	Slow  uint32 `json:"s,omitempty"`
+// byServer are the ratios of one window, by the names of the servers: sums of them do
+// not depend on the order of a map.
+type byServer []serverRatios
+
+type serverRatios struct {
+	id ServerID
+	ratios
 }
 
-// Plus returns the sum.
-func (c Counts) Plus(other Counts) Counts {
-	return Counts{
-		Answers: c.Answers + other.Answers,
-		Failed:  c.Failed + other.Failed,
-		Timed:   c.Timed + other.Timed,
-		Slow:    c.Slow + other.Slow,
+// evidence compares the answers of two versions in the same moments. The zero value
+// has none.
+type evidence struct {
+	// window counts windows of the length since the start.
+	window   int
+	length   time.Duration
+	routes   map[string]*routeEvidence
+	old, new Counts
+}
+
+// routeEvidence is the evidence on one route.
+type routeEvidence struct {
+	// old and new are the answers of the current window.
+	old Counts
+	new map[ServerID]Counts
+	// before are the old version's answers of earlier windows.
+	before Counts
+	// closed are the earlier windows.
+	closed [measures][]byServer
+}
+
+// advance begins new windows up to the time since the start.
+func (e *evidence) advance(elapsed time.Duration) {
+	if e.length == 0 {
+		e.length = windowLength
+	}
+	for e.window < int(elapsed/e.length) {
+		if e.window == maxWindows {
+			e.coarsen()
+			continue
+		}
+		moment := e.moment()
+		for _, route := range e.routes {
+			route.close(moment)
+		}
+		e.window++
 	}
 }
 
-// Minus returns what has been added since an earlier state of the same counts.
-func (c Counts) Minus(earlier Counts) Counts {
-	return Counts{
-		Answers: c.Answers - earlier.Answers,
-		Failed:  c.Failed - earlier.Failed,
-		Timed:   c.Timed - earlier.Timed,
-		Slow:    c.Slow - earlier.Slow,
+// coarsen joins windows in pairs.
+func (e *evidence) coarsen() {
+	e.length *= 2
+	e.window /= 2
+	for _, route := range e.routes {
+		for of := range measures {
+			windows := route.closed[of]
+			for index := range windows[:len(windows)/2] {
+				windows[index] = join(windows[2*index], windows[2*index+1])
+			}
+			route.closed[of] = windows[:len(windows)/2]
+		}
 	}
 }
 
-// RouteCounts is what came of the requests of one route.
-type RouteCounts struct {
-	Route string `json:"r"`
-	// Old are the answers of all other versions, New those of the target by server.
-	Old Counts              `json:"o"`
-	New map[ServerID]Counts `json:"n,omitempty"`
+// join adds two windows up.
+func join(a, b byServer) byServer {
+	result := slices.Clone(a)
+	for _, one := range b {
+		index, known := slices.BinarySearchFunc(result, one.id, func(r serverRatios, id ServerID) int { return cmp.Compare(r.id, id) })
+		if known {
+			result[index].ratios = result[index].plus(one.ratios)
+		} else {
+			result = slices.Insert(result, index, one)
+		}
+	}
+	return result
 }
 
-// OrderReport is what one process has seen of one order since it learned of it.
-type OrderReport struct {
-	Service string           `json:"service"`
-	Target  Version          `json:"target"`
-	Created catalog.Revision `json:"created"`
-	// Revision of the order that is in force at the node.
-	Revision catalog.Revision `json:"revision"`
-	// Elapsed is for how long the order has run, as far as the node knows.
-	Elapsed time.Duration `json:"elapsed"`
-	// OldUnderWay are requests under way at servers of other versions.
-	OldUnderWay int `json:"oldUnderWay,omitempty"`
-	// Servers are the ready servers of the target that the node knows.
-	Servers int `json:"servers,omitempty"`
-	// Requests are all requests of the service that the process has had since it learned of
-	// the order, Sent the sends to the target among them.
-	Requests uint32 `json:"requests,omitempty"`
-	Sent     uint32 `json:"sent,omitempty"`
-	// Halted is set if the node was told that the target is bad: the next node that
-	// decides need not find it out again.
-	Halted bool          `json:"halted,omitempty"`
-	Routes []RouteCounts `json:"routes,omitempty"`
+// add adds answers to the current window.
+func (e *evidence) add(counts RouteCounts) {
+	if e.routes == nil {
+		e.routes = make(map[string]*routeEvidence)
+	}
+	route := e.routes[counts.Route]
+	if route == nil {
+		route = &routeEvidence{new: make(map[ServerID]Counts)}
+		for of := range measures {
+			route.closed[of] = make([]byServer, e.window)
+		}
+		e.routes[counts.Route] = route
+	}
+	route.old = route.old.Plus(counts.Old)
+	e.old = e.old.Plus(counts.Old)
+	for id, added := range counts.New {
+		route.new[id] = route.new[id].Plus(added)
+		e.new = e.new.Plus(added)
+	}
 }
 
-// Key returns what names the order.
-func (o OrderReport) Key() Key { return Key{Service: o.Service, Target: o.Target, Created: o.Created} }
+// moment returns the old version's answers of the current window on all routes.
+func (e *evidence) moment() Counts {
+	var sum Counts
+	for _, route := range e.routes {
+		sum = sum.Plus(route.old)
+	}
+	return sum
+}
 
-// Report is what a process tells the node that decides. Reports are cumulative.
-type Report struct {
-	Node string `json:"node"`
-	// Process tells the processes of a node apart; Sequence rises with each report.
-	Process  uint64        `json:"process"`
-	Sequence uint64        `json:"sequence"`
-	Orders   []OrderReport `json:"orders"`
+// close moves the current window to the closed ones.
+func (r *routeEvidence) close(moment Counts) {
+	for of := range measures {
+		r.closed[of] = append(r.closed[of], r.current(of, moment))
+	}
+	r.before = r.before.Plus(r.old)
+	r.old = Counts{}
+	clear(r.new)
 }
 
-// Ruling is the answer to a report of one order.
-type Ruling struct {
-	Service string           `json:"service"`
-	Target  Version          `json:"target"`
-	Created catalog.Revision `json:"created"`
-	// Halt means that the version has been found to be bad: it gets nothing more, also
-	// while the store cannot be told.
-	Halt bool `json:"halt,omitempty"`
-	// Unable means that the node that answers gets nothing written: another one had better
-	// decide.
-	Unable bool `json:"unable,omitempty"`
+// expected returns the share of bad answers that the old version has in the current
+// window: what it usually has on the route, or more if it has more now, there or on all
+// routes.
+func (r *routeEvidence) expected(of measure, moment Counts) float64 {
+	usual := r.before.Plus(r.old).share(of).estimate(priorShare)
+	return max(leastShare, usual, r.old.share(of).estimate(usual), moment.share(of).estimate(usual))
 }
 
-// Key returns what names the order.
-func (r Ruling) Key() Key { return Key{Service: r.Service, Target: r.Target, Created: r.Created} }
+// current returns the ratios of the current window.
+func (r *routeEvidence) current(of measure, moment Counts) byServer {
+	if len(r.new) == 0 {
+		return nil
+	}
+	expected := r.expected(of, moment)
+	result := make(byServer, 0, len(r.new))
+	for _, id := range slices.Sorted(maps.Keys(r.new)) {
+		if counts := r.new[id].share(of); counts.all > 0 {
+			result = append(result, serverRatios{id, counts.against(expected)})
+		}
+	}
+	return result
+}
--- /dev/null
+++ b/internal/rollout/messages.go
@@ -0,0 +1,99 @@
+package rollout
+
+import (
+	"time"
+
+	"github.com/driftstage/driftstage/internal/catalog"
+)
+
+// Counts are answers of one version, or of one server of it, to one route. They only
+// grow within a process, so that a report that is repeated or overtaken does no harm.
+type Counts struct {
+	// Answers are all ends that tell whether the server works, Failed the errors,
+	// refusals and broken connections among them.
+	Answers uint32 `json:"a,omitempty"`
+	Failed  uint32 `json:"f,omitempty"`
+	// Timed are answers, or long silences, of servers that have not just started; Slow
+	// are those of more than slowFactor times the usual time.
+	Timed uint32 `json:"t,omitempty"`
+	Slow  uint32 `json:"s,omitempty"`
+}
+
+// Plus returns the sum.
+func (c Counts) Plus(other Counts) Counts {
+	return Counts{
+		Answers: c.Answers + other.Answers,
+		Failed:  c.Failed + other.Failed,
+		Timed:   c.Timed + other.Timed,
+		Slow:    c.Slow + other.Slow,
+	}
+}
+
+// Minus returns what has been added since an earlier state of the same counts.
+func (c Counts) Minus(earlier Counts) Counts {
+	return Counts{
+		Answers: c.Answers - earlier.Answers,
+		Failed:  c.Failed - earlier.Failed,
+		Timed:   c.Timed - earlier.Timed,
+		Slow:    c.Slow - earlier.Slow,
+	}
+}
+
+// RouteCounts is what came of the requests of one route.
+type RouteCounts struct {
+	Route string `json:"r"`
+	// Old are the answers of all other versions, New those of the target by server.
+	Old Counts              `json:"o"`
+	New map[ServerID]Counts `json:"n,omitempty"`
+}
+
+// OrderReport is what one process has seen of one order since it learned of it.
+type OrderReport struct {
+	Service string           `json:"service"`
+	Target  Version          `json:"target"`
+	Created catalog.Revision `json:"created"`
+	// Revision of the order that is in force at the node.
+	Revision catalog.Revision `json:"revision"`
+	// Elapsed is for how long the order has run, as far as the node knows.
+	Elapsed time.Duration `json:"elapsed"`
+	// OldUnderWay are requests under way at servers of other versions.
+	OldUnderWay int `json:"oldUnderWay,omitempty"`
+	// Servers are the ready servers of the target that the node knows.
+	Servers int `json:"servers,omitempty"`
+	// Requests are all requests of the service that the process has had since it learned of
+	// the order, Sent the sends to the target among them.
+	Requests uint32 `json:"requests,omitempty"`
+	Sent     uint32 `json:"sent,omitempty"`
+	// Halted is set if the node was told that the target is bad: the next node that
+	// decides need not find it out again.
+	Halted bool          `json:"halted,omitempty"`
+	Routes []RouteCounts `json:"routes,omitempty"`
+}
+
+// Key returns what names the order.
+func (o OrderReport) Key() Key { return Key{Service: o.Service, Target: o.Target, Created: o.Created} }
+
+// Report is what a process tells the node that decides. Reports are cumulative.
+type Report struct {
+	Node string `json:"node"`
+	// Process tells the processes of a node apart; Sequence rises with each report.
+	Process  uint64        `json:"process"`
+	Sequence uint64        `json:"sequence"`
+	Orders   []OrderReport `json:"orders"`
+}
+
+// Ruling is the answer to a report of one order.
+type Ruling struct {
+	Service string           `json:"service"`
+	Target  Version          `json:"target"`
+	Created catalog.Revision `json:"created"`
+	// Halt means that the version has been found to be bad: it gets nothing more, also
+	// while the store cannot be told.
+	Halt bool `json:"halt,omitempty"`
+	// Unable means that the node that answers gets nothing written: another one had better
+	// decide.
+	Unable bool `json:"unable,omitempty"`
+}
+
+// Key returns what names the order.
+func (r Ruling) Key() Key { return Key{Service: r.Service, Target: r.Target, Created: r.Created} }
