--- a/internal/endpoints/versions_test.go
+++ b/internal/endpoints/versions_test.go
@@ -47,6 +47,17 @@
 	return world
 }
 
+// newOrderedWorld is such a world with an order that came while the node ran, and with the
+// servers that it started.
+func newOrderedWorld(state rollout.State, stage rollout.Stage, elapsed time.Duration) *versionWorld {
+	world := newVersionWorld()
+	world.reach(orderCreated - 1)
+	world.order(state, stage, elapsed)
+	world.reach(newCreated)
+	world.putNew()
+	return world
+}
+
 func (w *versionWorld) put(id string, version rollout.Version, created catalog.Revision) {
 	w.directory.Put(Server{ID: id, Service: "s", Address: "a", Zone: "z", Slots: 1000, Version: version, Created: created}, w.now)
 }
@@ -132,11 +143,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			world := newVersionWorld()
-			world.reach(orderCreated - 1)
-			world.order(test.state, test.stage, test.elapsed)
-			world.reach(newCreated)
-			world.putNew()
+			world := newOrderedWorld(test.state, test.stage, test.elapsed)
 			seen := world.ask(count, test.extra, ResultAnswered, true)
 			is.Equal(seen["none"], 0)
 			if got := seen[newVersion]; got < test.least || got > test.most {
@@ -169,11 +176,7 @@
 
 func TestNodeWithoutWordExposesNothing(t *testing.T) {
 	is := is.New(t)
-	world := newVersionWorld()
-	world.reach(orderCreated - 1)
-	world.order(rollout.StateRunning, rollout.StageShift, 14*time.Second)
-	world.reach(newCreated)
-	world.putNew()
+	world := newOrderedWorld(rollout.StateRunning, rollout.StageShift, 14*time.Second)
 	world.now = world.now.Add(5 * time.Second)
 	is.Equal(world.ask(50, false, ResultAnswered, true)[newVersion], 0) // nothing was heard of the store for 5 s
 	world.reach(newCreated)
@@ -189,11 +192,7 @@
 
 func TestCutOffNodeGoesOverWhenOldServersAreGone(t *testing.T) {
 	is := is.New(t)
-	world := newVersionWorld()
-	world.reach(orderCreated - 1)
-	world.order(rollout.StateRunning, rollout.StageCanary, 0)
-	world.reach(newCreated)
-	world.putNew()
+	world := newOrderedWorld(rollout.StateRunning, rollout.StageCanary, 0)
 	world.now = world.now.Add(6 * time.Second)
 	world.ask(2, false, ResultUnreachable, true) // both old ones
 	is.Equal(world.ask(10, false, ResultAnswered, true)[newVersion] > 0, true)
@@ -201,11 +200,7 @@
 
 func TestHaltedVersionGetsNothing(t *testing.T) {
 	is := is.New(t)
-	world := newVersionWorld()
-	world.reach(orderCreated - 1)
-	world.order(rollout.StateRunning, rollout.StageWhole, 0)
-	world.reach(newCreated)
-	world.putNew()
+	world := newOrderedWorld(rollout.StateRunning, rollout.StageWhole, 0)
 	route := &routing.Route{Name: "route", Repeatable: true}
 	choice, _ := world.directory.Choose(Demand{Service: "s", Route: route, Work: world.estimate, Left: time.Second}, world.now)
 	is.Equal(choice.Server.Version, newVersion)
@@ -219,11 +214,7 @@
 
 func TestUnrepeatableRequestsGoToANewVersionLast(t *testing.T) {
 	is := is.New(t)
-	world := newVersionWorld()
-	world.reach(orderCreated - 1)
-	world.order(rollout.StateRunning, rollout.StageCanary, 0)
-	world.reach(newCreated)
-	world.putNew()
+	world := newOrderedWorld(rollout.StateRunning, rollout.StageCanary, 0)
 	is.Equal(world.ask(100, false, ResultAnswered, false)[newVersion], 0)
 	world.order(rollout.StateRunning, rollout.StageLoad, 9*time.Second)
 	is.True(world.ask(100, false, ResultAnswered, false)[newVersion] > 0) // there are no others
@@ -235,22 +226,14 @@
 
 func TestWithdrawnVersionGetsNothing(t *testing.T) {
 	is := is.New(t)
-	world := newVersionWorld()
-	world.reach(orderCreated - 1)
-	world.order(rollout.StateRunning, rollout.StageCanary, 0)
-	world.reach(newCreated)
-	world.putNew()
+	world := newOrderedWorld(rollout.StateRunning, rollout.StageCanary, 0)
 	world.tracker.Remove("s")
 	is.Equal(world.ask(50, false, ResultAnswered, true)[newVersion], 0)
 }
 
 func TestWithdrawnVersionServesWhereNoOtherIsLeft(t *testing.T) {
 	is := is.New(t)
-	world := newVersionWorld()
-	world.reach(orderCreated - 1)
-	world.order(rollout.StateRunning, rollout.StageCanary, 0)
-	world.reach(newCreated)
-	world.putNew()
+	world := newOrderedWorld(rollout.StateRunning, rollout.StageCanary, 0)
 	world.tracker.Remove("s")
 	for index := range 2 {
 		world.directory.Remove(fmt.Sprintf("old-%d", index))
@@ -295,11 +278,7 @@
 
 func TestRepeatedOrderBoundsServersOfTheFirst(t *testing.T) {
 	is := is.New(t)
-	world := newVersionWorld()
-	world.reach(orderCreated - 1)
-	world.order(rollout.StateRunning, rollout.StageCanary, 0)
-	world.reach(newCreated)
-	world.putNew()
+	world := newOrderedWorld(rollout.StateRunning, rollout.StageCanary, 0)
 	world.tracker.Remove("s")
 	world.tracker.Put(rollout.Order{Service: "s", Target: newVersion, Duration: 20 * time.Second, Created: 100, Revision: 100}, world.now)
 	world.reach(100)
@@ -308,11 +287,7 @@
 
 func TestLoadStageTurnsFromServerToServer(t *testing.T) {
 	is := is.New(t)
-	world := newVersionWorld()
-	world.reach(orderCreated - 1)
-	world.order(rollout.StateRunning, rollout.StageLoad, 9*time.Second)
-	world.reach(newCreated)
-	world.putNew()
+	world := newOrderedWorld(rollout.StateRunning, rollout.StageLoad, 9*time.Second)
 	route := &routing.Route{Name: "route", Repeatable: true}
 	turns := make(map[string]bool)
 	for range 12 {
@@ -334,11 +309,7 @@
 
 func TestEvidenceOfBothVersions(t *testing.T) {
 	is := is.New(t)
-	world := newVersionWorld()
-	world.reach(orderCreated - 1)
-	world.order(rollout.StateRunning, rollout.StageShift, 14*time.Second)
-	world.reach(newCreated)
-	world.putNew()
+	world := newOrderedWorld(rollout.StateRunning, rollout.StageShift, 14*time.Second)
 	world.ask(100, false, ResultErred, true)
 	reports, _ := world.tracker.Reports(world.now)
 	is.Equal(len(reports), 1)
