--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -191,6 +191,9 @@
 	{1, "the soak itself: a node was killed while its planned stop was waited for; then, with the race detector on: " +
 		"requests that outlasted the stop timeout were cut"},
 	{3, "both of the same"},
+	{1796241673339394375, "the soak itself: another process took a node's address while it was down"},
+	{4, "the same: callers of one run reached the nodes of another"},
+	{11, "the same: a node could not start"},
 }
 
 func TestSeedsThatFailed(t *testing.T) {
