Servers that start again under their id are told apart by their birth

Cause: a server was taken for the same for as long as its id stood in the list, so that one that starts again under it kept the slowness, failures, back-off, warmth and requests under way of the process before, and its connections. Change: a server is its id and its birth (endpoints.Server.Incarnation). A later birth takes the place of the earlier endpoint, which has ended as after a crash: its connections are closed, what was learned of it is gone, the quarantine counts it as a server that ended, and the evidence of roll-outs stays with it. An earlier birth that is told late changes nothing back; without a birth all is as before. Ruled out: ending the requests under way to the earlier birth at once; after a crash they end by their connection or by a hedge as well, and a clock of a server that jumps must not cut requests. Not told apart: an order's old and new servers where the entry of a new birth keeps the creation revision of the old one (Created is the entry's); the fleet with births has no roll-outs.

--- a/internal/dispatch/losses.go
+++ b/internal/dispatch/losses.go
@@ -16,7 +16,7 @@
 
 // tellKeeper tells what the end of an attempt says of its server and of the request.
 func (r *run) tellKeeper(ctx context.Context, send exchange.Send, reply upstream.Reply, now time.Time) {
-	keeper, server := r.dispatcher.keeper, quarantine.ServerID(send.Choice.Server.ID)
+	keeper, server := r.dispatcher.keeper, quarantine.ServerID(send.Choice.Incarnation)
 	switch {
 	case reply.Kind == upstream.Foreign, reply.NobodyListens():
 		keeper.Ended(server)
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -191,12 +191,13 @@
 func (r *run) attempt(ctx context.Context, send exchange.Send) {
 	choice, begun := send.Choice, r.dispatcher.suspended()
 	reply := r.dispatcher.client.Do(ctx, upstream.Call{
-		Request:   r.request.Message,
-		ServerID:  send.Choice.Server.ID,
-		Address:   send.Choice.Server.Address,
-		Deadline:  r.deadline.Add(-r.slept()),
-		IdleLimit: r.dispatcher.directory.IdleLimit(send.Choice.Server),
-		BodyOnly:  r.plan.Gather,
+		Request:     r.request.Message,
+		ServerID:    send.Choice.Server.ID,
+		Incarnation: send.Choice.Incarnation,
+		Address:     send.Choice.Server.Address,
+		Deadline:    r.deadline.Add(-r.slept()),
+		IdleLimit:   r.dispatcher.directory.IdleLimit(send.Choice.Server),
+		BodyOnly:    r.plan.Gather,
 		Permitted: func() bool {
 			awake := r.dispatcher.suspended()-begun < shortestSuspension
 			return awake && r.dispatcher.directory.Open(choice.Endpoint) && r.admission.Permits()
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -230,9 +230,9 @@
 
 // forget closes the connections to servers that were removed.
 func (s *state) forget(removed []string) {
-	for _, id := range removed {
-		s.client.Forget(id)
-		s.keeper.Ended(quarantine.ServerID(id))
+	for _, incarnation := range removed {
+		s.client.Forget(incarnation)
+		s.keeper.Ended(quarantine.ServerID(incarnation))
 	}
 }
 
@@ -251,11 +251,15 @@
 
 // Apply implements catalog.Sink.
 func (s serverSink) Apply(change catalog.Change[endpoints.Server]) {
-	if change.Removed {
-		if s.state.directory.Withdraw(change.Name, time.Now()) {
-			s.state.forget([]string{change.Name})
+	directory := s.state.directory
+	switch {
+	case change.Removed:
+		if incarnation, known := directory.Withdraw(change.Name, time.Now()); known {
+			s.state.forget([]string{incarnation})
+		}
+	default:
+		if ended, restarted := directory.Put(change.Value, time.Now()); restarted {
+			s.state.forget([]string{ended})
 		}
-		return
 	}
-	s.state.directory.Put(change.Value, time.Now())
 }
--- a/internal/edge/state_test.go
+++ b/internal/edge/state_test.go
@@ -1,13 +1,17 @@
 package edge
 
 import (
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/driftstage/driftstage/internal/catalog"
 	"github.com/driftstage/driftstage/internal/endpoints"
 	"github.com/driftstage/driftstage/internal/routing"
+	"github.com/driftstage/driftstage/internal/upstream"
 )
 
 // busyFor is a load that has lasted for a time.
@@ -56,3 +60,42 @@
 	state.directory.NoteHeard("other", time.Now())
 	is.True(state.ready())
 }
+
+// What is asked of a server that has started again under its id ends as after a crash: the
+// connections to the earlier process are closed.
+func TestServerBornAnewGetsNoOldConnections(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	answer := "HTTP/1.1 200 OK\r\nA: r\r\nS: seal\r\nContent-Length: 0\r\n\r\n"
+	go func() { _ = http.Serve(listener, hijacked(answer)) }()
+	t.Cleanup(func() { _ = listener.Close() })
+	client := upstream.NewClient(upstream.Headers{AttemptID: "A", Deadline: "D", ExpectedInstance: "E", NotExecuted: "N", Seal: "S", Load: "L"})
+	state := &state{directory: endpoints.New(endpoints.Topology{}, client), client: client, load: busyFor(0), knows: make(chan struct{})}
+	server := endpoints.Server{ID: "i-1", Born: 100, Service: "s", Address: listener.Addr().String(), Zone: "z"}
+	serverSink{state}.Apply(catalog.Change[endpoints.Server]{Name: "i-1", Value: server})
+	reply := client.Do(t.Context(), upstream.Call{
+		Request:     &upstream.Request{ID: "r", Head: []byte("GET / HTTP/1.1\r\nHost: h\r\nA: r\r\n")},
+		ServerID:    server.ID,
+		Incarnation: server.Incarnation(),
+		Address:     server.Address,
+		Deadline:    time.Now().Add(5 * time.Second),
+		IdleLimit:   1,
+	})
+	is.Equal(reply.Kind, upstream.Answered)
+	is.Equal(client.Idle(), 1)
+	server.Born = 200
+	is.True(!client.HasIdle(server.Incarnation()))
+	serverSink{state}.Apply(catalog.Change[endpoints.Server]{Name: "i-1", Value: server})
+	is.Equal(client.Idle(), 0)
+}
+
+// hijacked answers each request on a connection with the same bytes, and keeps it open.
+func hijacked(answer string) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		connection, _, err := writer.(http.Hijacker).Hijack()
+		if err == nil {
+			_, _ = connection.Write([]byte(answer))
+		}
+	})
+}
--- a/internal/endpoints/choose.go
+++ b/internal/endpoints/choose.go
@@ -10,8 +10,10 @@
 // Choice is a server for one request together with what is expected of it.
 type Choice struct {
 	Endpoint *Endpoint
-	// Server is the registry entry by which the choice was made.
-	Server Server
+	// Server is the registry entry by which the choice was made, Incarnation names its
+	// process.
+	Server      Server
+	Incarnation string
 	// Expected is the predicted time until the answer, round trip included.
 	Expected time.Duration
 	// LateAfter is the time after which the answer is taken for late.
@@ -188,15 +190,16 @@
 
 func (d *Directory) reserve(endpoint *Endpoint, demand Demand, now time.Time) Choice {
 	choice := Choice{
-		Endpoint:   endpoint,
-		Server:     endpoint.Server,
-		Expected:   d.expected(endpoint, demand, now),
-		LateAfter:  d.lateAfter(endpoint, demand, now),
-		Connecting: d.connecting(endpoint),
-		Delay:      demand.Delay,
-		UnderWay:   len(endpoint.underWay),
-		BudgetLeft: d.service(endpoint.Service).extra.Left(d.budget, now),
-		Reserved:   now,
+		Endpoint:    endpoint,
+		Server:      endpoint.Server,
+		Incarnation: endpoint.incarnation,
+		Expected:    d.expected(endpoint, demand, now),
+		LateAfter:   d.lateAfter(endpoint, demand, now),
+		Connecting:  d.connecting(endpoint),
+		Delay:       demand.Delay,
+		UnderWay:    len(endpoint.underWay),
+		BudgetLeft:  d.service(endpoint.Service).extra.Left(d.budget, now),
+		Reserved:    now,
 	}
 	endpoint.begin(now)
 	d.noteWarming(endpoint, now)
--- a/internal/endpoints/directory.go
+++ b/internal/endpoints/directory.go
@@ -83,13 +83,24 @@
 // before the directory is used.
 func (d *Directory) CountSuspensions(suspended func() time.Duration) { d.suspended = suspended }
 
-// Put adds the server or replaces what is known of it.
-func (d *Directory) Put(server Server, now time.Time) {
+// Put adds the server or replaces what is known of it. It returns the incarnation that has
+// ended, if the server has started again under its id: nothing that was learned of that one
+// holds for the new one.
+func (d *Directory) Put(server Server, now time.Time) (ended string, restarted bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if known, found := d.byID[server.ID]; found {
+	known, found := d.byID[server.ID]
+	switch {
+	case !found:
+	case server.Born > 0 && known.bornAfter(server):
+		// Word of a process that has ended by now.
+		return "", false
+	case server.bornAfter(known.Server):
+		d.remove(known)
+		ended, restarted = known.incarnation, true
+	default:
 		known.update(server, now)
-		return
+		return "", false
 	}
 	if d.knownSince.IsZero() {
 		d.knownSince = now
@@ -101,6 +112,7 @@
 	owner.growth.add(now)
 	endpoint.setCeiling(d.ceiling(server, owner.maxConnections), now)
 	owner.endpoints = append(owner.endpoints, endpoint)
+	return ended, restarted
 }
 
 // supersede takes the servers out of use that had the address of a newer one before: they
@@ -114,15 +126,21 @@
 	}
 }
 
-// Remove forgets the server: it gets no new requests.
-func (d *Directory) Remove(id string) {
+// Remove forgets the server: it gets no new requests. It returns the incarnation that was
+// known, if there was one.
+func (d *Directory) Remove(id string) (removed string, known bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	endpoint, found := d.byID[id]
 	if !found {
-		return
+		return "", false
 	}
-	delete(d.byID, id)
+	d.remove(endpoint)
+	return endpoint.incarnation, true
+}
+
+func (d *Directory) remove(endpoint *Endpoint) {
+	delete(d.byID, endpoint.ID)
 	owner := d.service(endpoint.Service)
 	if index := slices.Index(owner.endpoints, endpoint); index >= 0 {
 		owner.endpoints = slices.Delete(owner.endpoints, index, index+1)
@@ -130,23 +148,35 @@
 }
 
 // Replace makes the servers the whole content of the directory and returns the
-// ids of those that were removed.
+// incarnations that were removed.
 func (d *Directory) Replace(servers []Server, now time.Time) []string {
 	listed := make(map[string]bool, len(servers))
 	for _, server := range servers {
 		listed[server.ID] = true
-		d.Put(server, now)
 	}
-	var removed []string
+	removed := d.putAll(servers, now)
 	for _, id := range d.ids() {
-		if !listed[id] {
-			d.Remove(id)
-			removed = append(removed, id)
+		if listed[id] {
+			continue
+		}
+		if incarnation, known := d.Remove(id); known {
+			removed = append(removed, incarnation)
 		}
 	}
 	return removed
 }
 
+// putAll puts the servers and returns the incarnations that have ended.
+func (d *Directory) putAll(servers []Server, now time.Time) []string {
+	var ended []string
+	for _, server := range servers {
+		if incarnation, restarted := d.Put(server, now); restarted {
+			ended = append(ended, incarnation)
+		}
+	}
+	return ended
+}
+
 func (d *Directory) ids() []string {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
--- a/internal/endpoints/endpoint.go
+++ b/internal/endpoints/endpoint.go
@@ -40,6 +40,8 @@
 // fields are guarded by the Directory's lock.
 type Endpoint struct {
 	Server
+	// incarnation is the name of the server's process.
+	incarnation string
 	// limit bounds the requests under way; 0 for unbounded.
 	limit float64
 	// ceiling is the limit while the server resets no new connections.
@@ -77,15 +79,19 @@
 
 func newEndpoint(server Server, now time.Time) *Endpoint {
 	return &Endpoint{
-		Server:     server,
-		slowness:   1,
-		slownessAt: now,
-		halfLife:   slownessHalfLife,
-		ratio:      1,
-		coldUntil:  now.Add(server.ColdRemaining),
+		Server:      server,
+		incarnation: server.Incarnation(),
+		slowness:    1,
+		slownessAt:  now,
+		halfLife:    slownessHalfLife,
+		ratio:       1,
+		coldUntil:   now.Add(server.ColdRemaining),
 	}
 }
 
+// Incarnation names the server's process.
+func (e *Endpoint) Incarnation() string { return e.incarnation }
+
 // update takes over what the registry tells anew. A server that tells another time for
 // which it is cold has turned cold once more, or still is.
 func (e *Endpoint) update(server Server, now time.Time) {
@@ -96,7 +102,9 @@
 		// An entry that ran out and was made anew is of the same server.
 		server.Created = min(server.Created, e.Created)
 	}
+	server.Born = max(server.Born, e.Born)
 	e.Server = server
+	e.incarnation = server.Incarnation()
 	e.goneAt = time.Time{}
 }
 
--- a/internal/endpoints/server.go
+++ b/internal/endpoints/server.go
@@ -3,16 +3,23 @@
 package endpoints
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/driftstage/driftstage/internal/catalog"
 	"github.com/driftstage/driftstage/internal/rollout"
 )
 
-// Server is one incarnation of a server, as its registry entry tells.
+// Birth is when a process of a server started, in Unix milliseconds by the server's clock;
+// zero if it does not tell.
+type Birth int64
+
+// Server is one process of a server, as its registry entry tells.
 type Server struct {
-	// ID is unique among all incarnations.
+	// ID is unique among the servers of one time. A server that starts again may keep it, and
+	// has another Birth then.
 	ID      string
+	Born    Birth `json:",omitempty"`
 	Service string
 	// Address is IP:port.
 	Address string
@@ -29,6 +36,19 @@
 	ColdRemaining time.Duration
 }
 
+// Incarnation names the process among all that ever had the id.
+func (s Server) Incarnation() string {
+	if s.Born == 0 {
+		return s.ID
+	}
+	return s.ID + "@" + strconv.FormatInt(int64(s.Born), 10)
+}
+
+// bornAfter reports whether both tell when they started, and this one did later.
+func (s Server) bornAfter(other Server) bool {
+	return other.Born > 0 && s.Born > other.Born
+}
+
 // Place is where a node or server stands.
 type Place struct {
 	Zone   string
--- a/internal/endpoints/settling.go
+++ b/internal/endpoints/settling.go
@@ -50,12 +50,10 @@
 		d.unsettle(first, now)
 		return removed
 	}
-	for _, server := range servers {
-		d.Put(server, now)
-	}
+	ended := d.putAll(servers, now)
 	d.markUnlisted(servers, now)
 	d.unsettle(first, now)
-	return nil
+	return ended
 }
 
 // lapsed reports whether many servers that are known are missing in the list.
@@ -86,16 +84,15 @@
 	}
 }
 
-// Withdraw takes into account that the entry of a server has gone and reports whether
-// the server is forgotten for that. While the store settles after an outage, entries
+// Withdraw takes into account that the entry of a server has gone. It returns the incarnation
+// that is forgotten for that, if one is. While the store settles after an outage, entries
 // run out because their servers could not write them: such servers are kept until
 // the list is whole, as in ReplaceAfterOutage. One that has said that it leaves is not.
-func (d *Directory) Withdraw(id string, now time.Time) bool {
+func (d *Directory) Withdraw(id string, now time.Time) (forgotten string, known bool) {
 	if d.keepUnlisted(id, now) {
-		return false
+		return "", false
 	}
-	d.Remove(id)
-	return true
+	return d.Remove(id)
 }
 
 // keepUnlisted marks the server as missing if it may only have run out of the list.
@@ -124,18 +121,16 @@
 }
 
 // DropUnlisted forgets the servers that have been missing for too long: a server that
-// is not back once the list is whole is gone. It returns their ids.
+// is not back once the list is whole is gone. It returns their incarnations.
 func (d *Directory) DropUnlisted(now time.Time) []string {
-	var missing []string
 	d.mutex.Lock()
-	for id, endpoint := range d.byID {
+	defer d.mutex.Unlock()
+	var missing []string
+	for _, endpoint := range d.byID {
 		if endpoint.missed(now) {
-			missing = append(missing, id)
+			d.remove(endpoint)
+			missing = append(missing, endpoint.incarnation)
 		}
 	}
-	d.mutex.Unlock()
-	for _, id := range missing {
-		d.Remove(id)
-	}
 	return missing
 }
--- a/internal/endpoints/settling_test.go
+++ b/internal/endpoints/settling_test.go
@@ -40,10 +40,10 @@
 	all := someServers(3)
 	directory := directoryOf(all...)
 	work := NewEstimate(20 * time.Millisecond)
-	is.True(directory.Withdraw("i-0", epoch)) // no outage
+	is.True(withdrawn(directory, "i-0", epoch)) // no outage
 	directory.ReplaceAfterOutage(all[1:], epoch)
-	is.True(!directory.Withdraw("i-1", epoch))
-	is.True(!directory.Withdraw("i-2", epoch))
+	is.True(!withdrawn(directory, "i-1", epoch))
+	is.True(!withdrawn(directory, "i-2", epoch))
 	is.Equal(directory.Count(), 2)
 	choose(t, directory, demand(work), epoch.Add(time.Second))
 	directory.Put(all[1], epoch.Add(time.Second)) // it is back
@@ -61,10 +61,10 @@
 	is := is.New(t)
 	directory := directoryOf(someServers(2)...)
 	directory.Resume(epoch)
-	is.True(!directory.Withdraw("i-0", epoch))
+	is.True(!withdrawn(directory, "i-0", epoch))
 	again := epoch.Add(settleTime / 2)
 	directory.Resume(again)
-	is.True(!directory.Withdraw("i-0", again))
+	is.True(!withdrawn(directory, "i-0", again))
 	is.Equal(directory.DropUnlisted(epoch.Add(settleTime)), []string{"i-0"})
 }
 
@@ -76,7 +76,7 @@
 	leaving := all[0]
 	leaving.Draining = true
 	directory.Put(leaving, epoch)
-	is.True(directory.Withdraw("i-0", epoch))
+	is.True(withdrawn(directory, "i-0", epoch))
 	is.Equal(directory.Count(), 1)
 }
 
@@ -168,3 +168,9 @@
 	directory.Put(all[11], now.Add(settleTime))
 	is.True(!directory.Growing([]string{"s"}, now.Add(settleTime)))
 }
+
+// withdrawn withdraws the server and reports whether it is forgotten.
+func withdrawn(directory *Directory, id string, now time.Time) bool {
+	forgotten, known := directory.Withdraw(id, now)
+	return known && forgotten == id
+}
--- a/internal/endpoints/share.go
+++ b/internal/endpoints/share.go
@@ -25,7 +25,7 @@
 // Connections tells what connections to servers this node has.
 type Connections interface {
 	// HasIdle reports whether a request to the server needs no new connection.
-	HasIdle(serverID string) bool
+	HasIdle(incarnation string) bool
 }
 
 // connectWork is what servers take to accept a connection, besides the round trip.
@@ -34,7 +34,7 @@
 // connecting returns what a new connection to the endpoint adds; zero if there is
 // an idle one.
 func (d *Directory) connecting(endpoint *Endpoint) time.Duration {
-	if d.connections == nil || d.connections.HasIdle(endpoint.ID) {
+	if d.connections == nil || d.connections.HasIdle(endpoint.incarnation) {
 		return 0
 	}
 	return d.topology.RoundTrip(endpoint.Zone) + connectWork
--- a/internal/endpoints/versions.go
+++ b/internal/endpoints/versions.go
@@ -8,7 +8,7 @@
 
 // candidate is the server as roll-outs see it.
 func (e *Endpoint) candidate() rollout.Candidate {
-	return rollout.Candidate{ID: rollout.ServerID(e.ID), Version: e.Version, Created: e.Created}
+	return rollout.Candidate{ID: rollout.ServerID(e.incarnation), Version: e.Version, Created: e.Created}
 }
 
 func (c Choice) candidate() rollout.Candidate { return c.Endpoint.candidate() }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -41,14 +41,14 @@
 	}
 }
 
-// Forget closes the idle connections of the server.
-func (c *Client) Forget(serverID string) { c.pool.forget(serverID) }
+// Forget closes the idle connections to the server's process.
+func (c *Client) Forget(incarnation string) { c.pool.forget(incarnation) }
 
 // Idle returns the number of idle connections to servers.
 func (c *Client) Idle() int { return c.pool.count() }
 
-// HasIdle reports whether there is an idle connection to the server.
-func (c *Client) HasIdle(serverID string) bool { return c.pool.has(serverID) }
+// HasIdle reports whether there is an idle connection to the server's process.
+func (c *Client) HasIdle(incarnation string) bool { return c.pool.has(incarnation) }
 
 // Sweep closes connections that have rested too long.
 func (c *Client) Sweep(now time.Time) { c.pool.sweep(now) }
@@ -66,7 +66,7 @@
 		_ = conn.Close()
 		return reply
 	}
-	c.pool.put(call.ServerID, conn, call.IdleLimit)
+	c.pool.put(call.process(), conn, call.IdleLimit)
 	return reply
 }
 
@@ -93,7 +93,7 @@
 
 func (c *Client) connect(ctx context.Context, call Call) (*connection, error) {
 	now := time.Now()
-	if conn := c.pool.take(call.ServerID, now); conn != nil {
+	if conn := c.pool.take(call.process(), now); conn != nil {
 		return conn, conn.SetDeadline(call.Deadline)
 	}
 	dialContext, cancel := context.WithDeadline(ctx, call.Deadline)
--- a/internal/upstream/doc.go
+++ b/internal/upstream/doc.go
@@ -50,9 +50,12 @@
 // Call is one attempt of a request.
 type Call struct {
 	Request *Request
-	// ServerID is the incarnation that is meant, Address its IP:port.
+	// ServerID is the id of the server that is meant, Address its IP:port.
 	ServerID string
 	Address  string
+	// Incarnation names the server's process, to which connections are kept; empty if the
+	// id does.
+	Incarnation string
 	// Deadline is when the caller of the request stops waiting.
 	Deadline time.Time
 	// BodyOnly leaves out the headers of the answer.
@@ -64,6 +67,14 @@
 	IdleLimit int
 }
 
+// process names the server's process.
+func (c Call) process() string {
+	if c.Incarnation == "" {
+		return c.ServerID
+	}
+	return c.Incarnation
+}
+
 // Kind tells how an attempt ended.
 type Kind uint8
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -13,7 +13,7 @@
 	idleMargin = 700 * time.Millisecond
 )
 
-// pool keeps the idle connections of all servers, the latest used first.
+// pool keeps the idle connections of all servers by incarnation, the latest used first.
 type pool struct {
 	mutex sync.Mutex
 	idle  map[string][]*connection
@@ -24,9 +24,9 @@
 }
 
 // take returns an idle connection to the server that still looks sound, or nil.
-func (p *pool) take(serverID string, now time.Time) *connection {
+func (p *pool) take(incarnation string, now time.Time) *connection {
 	for {
-		conn := p.pop(serverID)
+		conn := p.pop(incarnation)
 		if conn == nil {
 			return nil
 		}
@@ -37,42 +37,42 @@
 	}
 }
 
-func (p *pool) pop(serverID string) *connection {
+func (p *pool) pop(incarnation string) *connection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	idle := p.idle[serverID]
+	idle := p.idle[incarnation]
 	if len(idle) == 0 {
 		return nil
 	}
 	last := len(idle) - 1
 	conn := idle[last]
-	p.idle[serverID] = idle[:last]
+	p.idle[incarnation] = idle[:last]
 	return conn
 }
 
 // put keeps an idle connection, or closes it if there are enough; a negative
 // limit is none.
-func (p *pool) put(serverID string, conn *connection, limit int) {
-	if !p.keep(serverID, conn, limit) {
+func (p *pool) put(incarnation string, conn *connection, limit int) {
+	if !p.keep(incarnation, conn, limit) {
 		_ = conn.Close()
 	}
 }
 
-func (p *pool) keep(serverID string, conn *connection, limit int) bool {
+func (p *pool) keep(incarnation string, conn *connection, limit int) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	idle := p.idle[serverID]
+	idle := p.idle[incarnation]
 	if limit >= 0 && len(idle) >= limit {
 		return false
 	}
-	p.idle[serverID] = append(idle, conn)
+	p.idle[incarnation] = append(idle, conn)
 	return true
 }
 
-func (p *pool) has(serverID string) bool {
+func (p *pool) has(incarnation string) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return len(p.idle[serverID]) > 0
+	return len(p.idle[incarnation]) > 0
 }
 
 func (p *pool) count() int {
@@ -86,10 +86,10 @@
 }
 
 // forget closes the idle connections of the server.
-func (p *pool) forget(serverID string) {
+func (p *pool) forget(incarnation string) {
 	p.mutex.Lock()
-	idle := p.idle[serverID]
-	delete(p.idle, serverID)
+	idle := p.idle[incarnation]
+	delete(p.idle, incarnation)
 	p.mutex.Unlock()
 	for _, conn := range idle {
 		_ = conn.Close()
@@ -100,7 +100,7 @@
 func (p *pool) sweep(now time.Time) {
 	p.mutex.Lock()
 	var expired []*connection
-	for serverID, idle := range p.idle {
+	for incarnation, idle := range p.idle {
 		kept := idle[:0]
 		for _, conn := range idle {
 			if now.Before(conn.expires) {
@@ -109,9 +109,9 @@
 				expired = append(expired, conn)
 			}
 		}
-		p.idle[serverID] = kept
+		p.idle[incarnation] = kept
 		if len(kept) == 0 {
-			delete(p.idle, serverID)
+			delete(p.idle, incarnation)
 		}
 	}
 	p.mutex.Unlock()
