An entry of another writer does not keep the others from being read

Cause: the store's pages were decoded as a whole. One entry with a field of another type made the list and each watch fail, so that a node never served, or stayed on what it knew; an entry with an unknown state counted as ready. An object that was sound and is spoilt counts as removed, but not as a server that ended; it is back when it is mended. A log line for each object and cause, at most 256 objects, a counter, driftctl unreadable.

--- a/cmd/driftctl/main.go
+++ b/cmd/driftctl/main.go
@@ -115,6 +115,7 @@
 			application.nodesCommand(),
 			application.rolloutsCommand(),
 			application.quarantineCommand(),
+			application.unreadableCommand(),
 			application.explainCommand(),
 		},
 	}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -15,12 +15,24 @@
 type Change[T any] struct {
 	Name    string
 	Removed bool
-	Value   T
+	// Unreadable is set, together with Removed, if the object is still there but can't be
+	// understood any more.
+	Unreadable bool
+	Value      T
+}
+
+// Flaw is an object of a feed that can't be understood: another writer may have made it.
+type Flaw struct {
+	// Name is empty where not even that can be read.
+	Name  string
+	Cause string
 }
 
 // Page is a part of the state of a kind of objects.
 type Page[T any] struct {
 	Items []T
+	// Flaws are the objects that can't be understood; Items lacks them.
+	Flaws []Flaw
 	// Revision is the state of the store when the page was read.
 	Revision Revision
 	// Next is the name after which the state goes on; empty at its end.
@@ -29,7 +41,9 @@
 
 // Changes are what happened to a kind of objects up to a revision.
 type Changes[T any] struct {
-	Changes  []Change[T]
+	Changes []Change[T]
+	// Flaws are the objects among the changes that can't be understood.
+	Flaws    []Flaw
 	Revision Revision
 	// Whole means that Changes are all objects of the kind, without names: the node that
 	// tells no longer knows what happened since the revision that was asked for.
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -40,6 +40,8 @@
 type Observer interface {
 	// StoreCalled is told the end of each call for the feed.
 	StoreCalled(feed string, err error)
+	// ObjectUnreadable is told each object of the feed that can't be understood.
+	ObjectUnreadable(feed string, flaw Flaw)
 }
 
 // Follower keeps a sink current from a feed. It lists once, then watches. After a call
@@ -197,6 +199,7 @@
 	for index, change := range whole.Changes {
 		items[index] = change.Value
 	}
+	f.tell(whole.Flaws)
 	f.sink.Replace(items, f.outage)
 	f.outage = false
 	f.revision = whole.Revision
@@ -215,7 +218,15 @@
 	f.freshAt = time.Time{}
 }
 
+// tell tells the observer of objects that can't be understood.
+func (f *Follower[T]) tell(flaws []Flaw) {
+	for _, flaw := range flaws {
+		f.observer.ObjectUnreadable(f.name, flaw)
+	}
+}
+
 func (f *Follower[T]) apply(changes Changes[T]) {
+	f.tell(changes.Flaws)
 	for _, change := range changes.Changes {
 		f.sink.Apply(change)
 	}
--- a/internal/catalog/follower_test.go
+++ b/internal/catalog/follower_test.go
@@ -209,6 +209,8 @@
 // uncounted is an observer that counts nothing.
 type uncounted struct{}
 
+func (uncounted) ObjectUnreadable(string, Flaw) {}
+
 func (uncounted) StoreCalled(string, error) {}
 
 func follow(t *testing.T, test func(is *is.I, feed *memoryFeed, sink *memorySink)) {
--- a/internal/catalog/list.go
+++ b/internal/catalog/list.go
@@ -25,6 +25,7 @@
 	if read.Revision < f.revision {
 		return errors.New("the list is older than what is known")
 	}
+	f.tell(read.Flaws)
 	f.sink.Replace(read.Items, f.outage)
 	f.outage = false
 	f.revision, f.listed, f.listedAt = read.Revision, true, begun
@@ -41,6 +42,7 @@
 		var page Page[T]
 		page, err = f.readPage(ctx, whole.Next)
 		whole.Items = append(whole.Items, page.Items...)
+		whole.Flaws = append(whole.Flaws, page.Flaws...)
 		whole.Next = page.Next
 	}
 	return whole, err
--- a/internal/catalog/relay_test.go
+++ b/internal/catalog/relay_test.go
@@ -102,6 +102,8 @@
 	good  int
 }
 
+func (*counted) ObjectUnreadable(string, Flaw) {}
+
 func (c *counted) StoreCalled(_ string, err error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- /dev/null
+++ b/internal/catalog/unreadable_test.go
@@ -0,0 +1,34 @@
+package catalog
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestUnreadableObjectIsNewsOnceForEachCause(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	var unreadable Unreadable
+	is.True(unreadable.Note("servers", Flaw{Name: "a", Cause: "one"}, now))
+	is.True(!unreadable.Note("servers", Flaw{Name: "a", Cause: "one"}, now.Add(time.Second)))
+	is.True(unreadable.Note("servers", Flaw{Name: "a", Cause: "two"}, now.Add(2*time.Second)))
+	is.Equal(unreadable.Describe(now.Add(5*time.Second)), []UnreadableObject{
+		{Feed: "servers", Name: "a", Cause: "two", Seen: 3, SecondsAgo: 3},
+	})
+}
+
+func TestUnreadableObjectsAreBounded(t *testing.T) {
+	is := is.New(t)
+	var unreadable Unreadable
+	for number := range 2 * mostUnreadable {
+		news := unreadable.Note("servers", Flaw{Name: fmt.Sprint(number), Cause: strings.Repeat("x", 10*longestCause)}, time.Unix(1, 0))
+		is.Equal(news, number < mostUnreadable)
+	}
+	described := unreadable.Describe(time.Unix(1, 0))
+	is.Equal(len(described), mostUnreadable)
+	is.Equal(len(described[0].Cause), longestCause)
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -193,12 +193,26 @@
 
 // newFollower returns a follower that spares the store together with the node's others.
 func newFollower[T any](n *Node, name string, feed catalog.Feed[T], sink catalog.Sink[T], link *peers.Link[T]) *catalog.Follower[T] {
-	follower := catalog.NewFollower(name, feed, sink, n.metrics)
+	follower := catalog.NewFollower(name, feed, sink, storeObserver{n.metrics, &n.state.unreadable})
 	follower.Share(link)
 	follower.ShareBackoff(&n.storeBackoff)
 	return follower
 }
 
+// storeObserver counts calls to the store, and keeps and logs what can't be understood there.
+type storeObserver struct {
+	*metrics
+	unreadable *catalog.Unreadable
+}
+
+// ObjectUnreadable implements catalog.Observer.
+func (o storeObserver) ObjectUnreadable(feed string, flaw catalog.Flaw) {
+	o.metrics.ObjectUnreadable(feed, flaw)
+	if o.unreadable.Note(feed, flaw, time.Now()) {
+		klog.InfoS("object of the store can't be understood", "feed", feed, "name", flaw.Name, "cause", flaw.Cause)
+	}
+}
+
 // servePeers tells other nodes what this one knows, if it has an address for that.
 func (n *Node) servePeers(failed chan<- error) error {
 	if n.settings.PeerAddress == "" {
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/valyala/fasthttp"
 
+	"github.com/driftstage/driftstage/internal/catalog"
 	"github.com/driftstage/driftstage/internal/endpoints"
 	"github.com/driftstage/driftstage/internal/exchange"
 	"github.com/driftstage/driftstage/internal/quarantine"
@@ -33,8 +34,10 @@
 	held     *prometheus.CounterVec
 	deferred *prometheus.CounterVec
 	calls    *prometheus.CounterVec
-	lost     *prometheus.CounterVec
-	rollouts rolloutCounters
+	// unreadable counts objects of the store that can't be understood.
+	unreadable *prometheus.CounterVec
+	lost       *prometheus.CounterVec
+	rollouts   rolloutCounters
 	// quarantine counts what becomes of requests under which servers end.
 	quarantine quarantineCounters
 
@@ -48,21 +51,22 @@
 		return &metrics{}
 	}
 	counters := &metrics{
-		registry: telemetry.NewRegistry(),
-		contact:  make(map[string]time.Time),
-		finished: counterVector("request", "finished_total", "Requests by their end.", "gather", "status", "cause"),
-		missing:  counter("request", "missing_shards_total", "Shards left out of answers."),
-		attempts: counterVector("attempt", "ended_total", "Attempts at servers by reason and result.", "reason", "result"),
-		held:     counterVector("request", "held_total", "Requests that waited before anything was sent, by cause.", "cause"),
-		deferred: counterVector("attempt", "deferred_total", "Sends that had to wait, by cause.", "cause"),
-		calls:    counterVector("store", "calls_total", "Calls to the store by feed and result.", "feed", "result"),
-		lost:     counterVector("attempt", "lost_with_server_total", "Attempts that were lost because their server ended, by service.", "service"),
+		registry:   telemetry.NewRegistry(),
+		contact:    make(map[string]time.Time),
+		finished:   counterVector("request", "finished_total", "Requests by their end.", "gather", "status", "cause"),
+		missing:    counter("request", "missing_shards_total", "Shards left out of answers."),
+		attempts:   counterVector("attempt", "ended_total", "Attempts at servers by reason and result.", "reason", "result"),
+		held:       counterVector("request", "held_total", "Requests that waited before anything was sent, by cause.", "cause"),
+		deferred:   counterVector("attempt", "deferred_total", "Sends that had to wait, by cause.", "cause"),
+		calls:      counterVector("store", "calls_total", "Calls to the store by feed and result.", "feed", "result"),
+		unreadable: counterVector("store", "unreadable_objects_total", "Objects read from the store that could not be understood, by feed.", "feed"),
+		lost:       counterVector("attempt", "lost_with_server_total", "Attempts that were lost because their server ended, by service.", "service"),
 		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Subsystem: "request", Name: "duration_seconds",
 			Help: "Time from the arrival of a request to its final answer.", Buckets: requestBuckets,
 		}, []string{"gather"}),
 	}
-	counters.registry.MustRegister(counters.finished, counters.missing, counters.attempts, counters.held, counters.deferred, counters.calls, counters.lost, counters.duration)
+	counters.registry.MustRegister(counters.finished, counters.missing, counters.attempts, counters.held, counters.deferred, counters.calls, counters.unreadable, counters.lost, counters.duration)
 	counters.quarantine = newQuarantineCounters(counters.registry)
 	if node.versions != nil {
 		counters.rollouts = newRolloutCounters(counters.registry)
@@ -178,6 +182,13 @@
 	}
 }
 
+// ObjectUnreadable implements catalog.Observer.
+func (m *metrics) ObjectUnreadable(feed string, _ catalog.Flaw) {
+	if m.enabled() {
+		m.unreadable.WithLabelValues(feed).Inc()
+	}
+}
+
 // age returns the seconds since the feed was last read; -1 if it never was.
 func (m *metrics) age(feed string) float64 {
 	m.mutex.Lock()
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -45,6 +45,8 @@
 	// knows is closed once the configuration and the servers are known.
 	knows     chan struct{}
 	knowsOnce sync.Once
+	// unreadable are objects of the store that can't be understood.
+	unreadable catalog.Unreadable
 	// replacing keeps a peer's list from taking the place of the store's.
 	replacing sync.Mutex
 }
@@ -106,6 +108,8 @@
 	Rollouts    []rolloutDescription `json:",omitempty"`
 	// Quarantine are the requests under which servers ended.
 	Quarantine []quarantine.Description `json:",omitempty"`
+	// Unreadable are the objects of the store that the node could not understand.
+	Unreadable []catalog.UnreadableObject `json:",omitempty"`
 }
 
 func (s *state) describe() description {
@@ -115,6 +119,7 @@
 		NotReadyFor: s.reason(),
 		Rollouts:    describeRollouts(s.versions, s.directory),
 		Quarantine:  s.keeper.Describe(),
+		Unreadable:  s.unreadable.Describe(time.Now()),
 	}
 }
 
@@ -253,6 +258,11 @@
 func (s serverSink) Apply(change catalog.Change[endpoints.Server]) {
 	directory := s.state.directory
 	switch {
+	case change.Unreadable:
+		// The server may well be alive: that its entry is of no use says nothing of its end.
+		if incarnation, known := directory.Remove(change.Name); known {
+			s.state.client.Forget(incarnation)
+		}
 	case change.Removed:
 		if incarnation, known := directory.Withdraw(change.Name, time.Now()); known {
 			s.state.forget([]string{incarnation})
--- a/internal/edge/state_test.go
+++ b/internal/edge/state_test.go
@@ -61,6 +61,22 @@
 	is.True(state.ready())
 }
 
+// An entry that can't be understood any more is of no use, and back once it is mended; that its
+// server has ended is not concluded from it.
+func TestSpoiltEntryNamesNoServer(t *testing.T) {
+	is := is.New(t)
+	state := &state{directory: endpoints.New(endpoints.Topology{}, nil), client: upstream.NewClient(upstream.Headers{}), load: busyFor(0), knows: make(chan struct{})}
+	sink := serverSink{state}
+	sound := catalog.Change[endpoints.Server]{Name: "i-1", Value: endpoints.Server{ID: "i-1", Service: "s", Address: "127.0.0.1:1", Zone: "z"}}
+	sink.Replace(nil, true) // entries that go while the list settles may only have run out
+	sink.Apply(sound)
+	is.True(state.directory.Listed("s", nil))
+	sink.Apply(catalog.Change[endpoints.Server]{Name: "i-1", Removed: true, Unreadable: true})
+	is.True(!state.directory.Listed("s", nil))
+	sink.Apply(sound)
+	is.True(state.directory.Listed("s", nil))
+}
+
 // What is asked of a server that has started again under its id ends as after a crash: the
 // connections to the earlier process are closed.
 func TestServerBornAnewGetsNoOldConnections(t *testing.T) {
--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -49,9 +49,10 @@
 
 // change is one change on the wire.
 type change struct {
-	Name    string
-	Removed bool            `json:",omitempty"`
-	Value   json.RawMessage `json:",omitempty"`
+	Name       string
+	Removed    bool            `json:",omitempty"`
+	Unreadable bool            `json:",omitempty"`
+	Value      json.RawMessage `json:",omitempty"`
 }
 
 // Names of the headers of an answer; its body lists the changes.
@@ -216,7 +217,7 @@
 func (l *Link[T]) encode(found catalog.Changes[T]) ([]byte, error) {
 	entries := make([]change, 0, len(found.Changes))
 	for _, item := range found.Changes {
-		entry := change{Name: item.Name, Removed: item.Removed}
+		entry := change{Name: item.Name, Removed: item.Removed, Unreadable: item.Unreadable}
 		if !item.Removed {
 			value, err := l.codec.Encode(item.Value)
 			if err != nil {
@@ -243,17 +244,27 @@
 		return catalog.Changes[T]{}, err
 	}
 	for _, entry := range entries {
-		item := catalog.Change[T]{Name: entry.Name, Removed: entry.Removed}
-		if !entry.Removed {
-			value, err := l.codec.Decode(entry.Value)
-			if err != nil {
-				return catalog.Changes[T]{}, errors.Wrap(err, entry.Name)
+		l.add(&found, entry)
+	}
+	return found, nil
+}
+
+// add adds a change. One that can't be understood does not keep the others from being read.
+func (l *Link[T]) add(found *catalog.Changes[T], entry change) {
+	item := catalog.Change[T]{Name: entry.Name, Removed: entry.Removed, Unreadable: entry.Unreadable}
+	if !entry.Removed {
+		value, err := l.codec.Decode(entry.Value)
+		if err != nil {
+			found.Flaws = append(found.Flaws, catalog.Flaw{Name: entry.Name, Cause: err.Error()})
+			if found.Whole {
+				return
 			}
+			item.Removed, item.Unreadable = true, true
+		} else {
 			item.Value = value
 		}
-		found.Changes = append(found.Changes, item)
 	}
-	return found, nil
+	found.Changes = append(found.Changes, item)
 }
 
 func decodeHeaders[T any](header *fasthttp.ResponseHeader) (catalog.Changes[T], error) {
--- a/internal/peers/recovery_test.go
+++ b/internal/peers/recovery_test.go
@@ -290,6 +290,8 @@
 
 type unobserved struct{}
 
+func (unobserved) ObjectUnreadable(string, catalog.Flaw) {}
+
 func (unobserved) StoreCalled(string, error) {}
 
 // behind returns the nodes that do not know the latest revision of all kinds.
