No caller waits for the log lines of its request

Cause: the lines of a request (up to 356 of a gather with hedges) were made and encoded before its answer went out, on nodes of a fifth of a core. Change: a trace is written after the answer, when no request is under way, at the latest a second later; what waits is bounded (8,192 steps) and what is left out is counted, now in a metric (driftstage_log_left_out_requests_count; TakeLeftOut was called by tests only and is LeftOut). Attempts are kept as records and made into lines only when written. The only attempt of a shard that went well shares one line ("attempts answered", with the slowest by name) with the others of its gather; every other attempt has its lines as before. The tests of the recorder flush it; what they check is unchanged. Ruled out: a fixed pause (it writes beside other requests); a separate thread (one core).

--- a/internal/dispatch/record.go
+++ b/internal/dispatch/record.go
@@ -53,41 +53,6 @@
 	r.trace.Add(trace.EventHeld, time.Now(), slog.String("cause", hold.String()))
 }
 
-func (r *run) recordSent(send exchange.Send) {
-	r.trace.Add(trace.EventSent, time.Now(),
-		slog.String("service", r.plan.Services[send.ID.Shard]),
-		slog.Int("attempt", send.ID.Number),
-		slog.String("reason", send.Reason.String()),
-		slog.String("server", send.Choice.Server.ID),
-		slog.String("zone", send.Choice.Server.Zone),
-		slog.Int("under_way", send.Choice.UnderWay),
-		slog.Float64("expected_ms", trace.Milliseconds(send.Choice.Expected)),
-		slog.Float64("late_after_ms", trace.Milliseconds(send.Choice.LateAfter)),
-		slog.Float64("budget", send.Choice.BudgetLeft))
-}
-
-func (r *run) recordEnded(end ended) {
-	r.dispatcher.observer.AttemptEnded(end.reason, end.reply.Kind)
-	attrs := []slog.Attr{
-		slog.String("service", r.plan.Services[end.id.Shard]),
-		slog.Int("attempt", end.id.Number),
-		slog.String("result", end.reply.Kind.String()),
-		slog.String("verdict", end.reply.Verdict.String()),
-		slog.Int("status", end.reply.Status),
-		slog.Float64("pace", end.reply.Load.Pace),
-	}
-	if end.reply.Err != nil {
-		attrs = append(attrs, slog.String("cause", end.reply.Err.Error()))
-	}
-	r.trace.Add(trace.EventEnded, time.Now(), attrs...)
-}
-
-func (r *run) recordCanceled(id exchange.AttemptID) {
-	r.trace.Add(trace.EventCanceled, time.Now(),
-		slog.String("service", r.plan.Services[id.Shard]),
-		slog.Int("attempt", id.Number))
-}
-
 func (r *run) recordFinished(outcome *exchange.Outcome) {
 	now := time.Now()
 	r.dispatcher.observer.RequestFinished(r.plan.Gather, outcome, now.Sub(r.request.Arrived))
@@ -100,6 +65,7 @@
 		attrs = append(attrs, slog.String("unlisted", strings.Join(outcome.Unlisted, ",")))
 	}
 	r.trace.Add(trace.EventFinished, now, attrs...)
+	r.addAttempts()
 	late := now.Sub(r.request.Arrived) > r.plan.Target
 	extra := r.core.Sends() > len(r.plan.Services)
 	r.trace.End(outcome.Status != exchange.StatusAnswered || outcome.Missing > 0 || late || extra)
@@ -110,5 +76,6 @@
 	r.trace.Add(trace.EventFinished, time.Now(),
 		slog.String("status", "abandoned"),
 		slog.String("cause", context.Cause(r.context).Error()))
+	r.addAttempts()
 	r.trace.End(true)
 }
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -30,9 +30,10 @@
 	core       *exchange.Core
 	context    context.Context
 	replies    chan ended
-	cancels    map[exchange.AttemptID]context.CancelFunc
-	deadline   time.Time
-	trace      *trace.Trace
+	// attempts are those of each shard.
+	attempts [][]*attempt
+	deadline time.Time
+	trace    *trace.Trace
 	// deferred is why a send of each service was put off last; it is recorded
 	// once, not at each look.
 	deferred map[string]endpoints.Availability
@@ -53,7 +54,7 @@
 		estimate:   dispatcher.estimate(request.Route),
 		context:    ctx,
 		replies:    make(chan ended, repliesAhead),
-		cancels:    make(map[exchange.AttemptID]context.CancelFunc, len(plan.Services)),
+		attempts:   make([][]*attempt, len(plan.Services)),
 		deadline:   request.Arrived.Add(plan.Deadline),
 		trace:      dispatcher.recorder.Begin(request.Message.ID, request.Arrived),
 		plan:       plan,
@@ -159,7 +160,7 @@
 		timer.Reset(max(batch.Wake-r.since(), 0))
 		select {
 		case end := <-r.replies:
-			r.recordEnded(end)
+			r.noteEnded(end)
 			batch = r.core.Reply(end.id, end.reply, r.since())
 		case <-timer.C:
 			batch = r.core.Tick(r.since())
@@ -176,13 +177,11 @@
 		r.recordHold(batch.Hold)
 	}
 	for _, id := range batch.Cancels {
-		r.cancels[id]()
-		r.recordCanceled(id)
+		r.cancel(id)
 	}
 	for _, send := range batch.Sends {
 		ctx, cancel := context.WithCancel(r.context)
-		r.cancels[send.ID] = cancel
-		r.recordSent(send)
+		r.noteSent(send, cancel)
 		go r.attempt(ctx, send)
 	}
 }
--- a/internal/dispatch/run_test.go
+++ b/internal/dispatch/run_test.go
@@ -34,5 +34,6 @@
 		Arrived: time.Now(),
 	})
 	is.True(outcome != nil)
+	recorder.Flush()
 	is.Equal(strings.Count(output.String(), string(trace.EventDeferred)), 1)
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -115,6 +115,14 @@
 	Dropped func() uint64
 }
 
+// leftOut returns how many requests the recorder left out.
+func (l Logs) leftOut() float64 {
+	if l.Recorder == nil {
+		return 0
+	}
+	return float64(l.Recorder.LeftOut())
+}
+
 func (l Logs) dropped() float64 {
 	if l.Dropped == nil {
 		return 0
