Shards of a gather are hedged as the last ones, not all at once

Cause: a node that is late itself reads no answer in time and takes all shards for late. Change: a late shard is hedged while at most a quarter of the shards, or 8, are open; else at the last moment at which a hedge can be in time (target less the time that an answer is expected to take). Ruled out: the load of the node by its meter (it counts from 60 ms on, a gather has 120).

--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -170,6 +170,8 @@
 		shard.lost = true
 	case underWay == 0:
 		c.send(index, ReasonRetry, now, batch)
+	case c.mayHedge(shard, now) && shard.late(now) && !c.straggles(shard, now):
+		shard.nextAt = min(c.lastHedge(shard), now+retryPause)
 	case c.mayHedge(shard, now) && shard.late(now):
 		c.send(index, ReasonHedge, now, batch)
 	case shard.late(now) && c.cutOff(shard):
@@ -206,6 +208,29 @@
 	return c.plan.Repeatable && c.mayAttempt(shard, now)
 }
 
+const (
+	// stragglingShare is the part of a gather's shards, fewestStraggling the number, up to
+	// which those that are open count as behind the others.
+	stragglingShare  = 0.25
+	fewestStraggling = 8
+)
+
+// straggles reports whether a shard that is late may be hedged. While most shards are open
+// they are late together, because this node or its link is busy: hedges to all of them would
+// double the work where it is too much already. At the last moment at which a hedge can be in
+// time there is nothing more to wait for.
+func (c *Core) straggles(shard *shard, now time.Duration) bool {
+	open := len(c.shards) - c.answered() - c.lost()
+	few := max(int(stragglingShare*float64(len(c.shards))), fewestStraggling)
+	return open <= few || now >= c.lastHedge(shard)
+}
+
+// lastHedge returns when a hedge has to be sent at the latest to be in time.
+func (c *Core) lastHedge(shard *shard) time.Duration {
+	newest := shard.attempts[len(shard.attempts)-1]
+	return c.plan.Target - newest.choice.Expected
+}
+
 func (c *Core) nextLook(shard *shard, now time.Duration) time.Duration {
 	if c.mayHedge(shard, now) {
 		return max(shard.lateAt(), now)
--- /dev/null
+++ b/internal/exchange/hedge_test.go
@@ -0,0 +1,80 @@
+package exchange
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/driftstage/driftstage/internal/upstream"
+	"github.com/driftstage/driftstage/internal/verdict"
+)
+
+// manyShards returns a plan over so many shards, and a fleet with three servers for each.
+func manyShards(count int) (Plan, *fleet) {
+	plan := Plan{Gather: true, Repeatable: true, MaximumAttempts: 2, LeastShards: count, Target: testTarget, Deadline: testDeadline}
+	servers := &fleet{servers: make(map[string]int), budget: 10 * count}
+	for index := range count {
+		name := fmt.Sprint("s-", index)
+		plan.Services = append(plan.Services, name)
+		servers.servers[name] = 3
+	}
+	return plan, servers
+}
+
+func success() upstream.Reply {
+	return upstream.Reply{Kind: upstream.Answered, Verdict: verdict.Ran, Status: 200, Seal: "seal"}
+}
+
+// A node that is late itself reads no answer in time: all shards of a gather are late together,
+// and a hedge to each would double its work.
+func TestGatherThatIsLateAsAWholeIsNotHedgedAtOnce(t *testing.T) {
+	is := is.New(t)
+	plan, servers := manyShards(90)
+	core := New(plan, servers)
+	is.Equal(len(core.Start(0).Sends), 90)
+	for now := testLateAfter; now < testTarget-testExpected; now += 5 * time.Millisecond {
+		is.Equal(len(core.Tick(now).Sends), 0)
+	}
+	// Now it is the last moment for a hedge to be in time.
+	is.Equal(len(core.Tick(testTarget-testExpected).Sends), 90)
+}
+
+// The last shards of a gather are hedged as soon as they are late.
+func TestLastShardsAreHedgedAtOnce(t *testing.T) {
+	is := is.New(t)
+	plan, servers := manyShards(90)
+	core := New(plan, servers)
+	core.Start(0)
+	hedged := 0
+	for shard := range 70 {
+		hedged += len(core.Reply(AttemptID{Shard: shard}, success(), 40*time.Millisecond).Sends)
+	}
+	is.Equal(hedged, 0)
+	batch := core.Tick(testLateAfter)
+	is.Equal(len(batch.Sends), 20)
+	is.Equal(batch.Sends[0].Reason, ReasonHedge)
+}
+
+// Shards that waited for the others are looked at soon after those have answered.
+func TestShardsThatWereLateTogetherAreHedgedOnceFewAreLeft(t *testing.T) {
+	is := is.New(t)
+	plan, servers := manyShards(90)
+	core := New(plan, servers)
+	core.Start(0)
+	core.Tick(testLateAfter)
+	for shard := range 80 {
+		core.Reply(AttemptID{Shard: shard}, success(), testLateAfter+time.Millisecond)
+	}
+	is.Equal(len(core.Tick(testLateAfter+retryPause).Sends), 10)
+}
+
+// A gather of few shards is no burden: each is hedged when it is late.
+func TestFewShardsAreHedgedTogether(t *testing.T) {
+	is := is.New(t)
+	plan, servers := manyShards(fewestStraggling)
+	core := New(plan, servers)
+	core.Start(0)
+	is.Equal(len(core.Tick(testLateAfter).Sends), fewestStraggling)
+}
