A gather costs the node half of the processor time

Cause, by a profile of BenchmarkGather with 90 shards of 42 servers: Choose walked all servers of a shard four times and computed what does not change (place, distance, rank) each time; the clock of suspensions, a system call, was read five times an attempt; each dial made two contexts with timers; the list of sends grew by copies.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -151,19 +151,22 @@
 	batch := r.core.Start(r.since())
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
+	slept := r.slept()
 	for {
-		r.apply(batch)
+		r.apply(batch, slept)
 		if batch.Outcome != nil {
 			r.recordFinished(batch.Outcome)
 			return batch.Outcome
 		}
-		timer.Reset(max(batch.Wake-r.since(), 0))
+		timer.Reset(max(batch.Wake-time.Since(r.request.Arrived)-slept, 0))
 		select {
 		case end := <-r.replies:
 			r.noteEnded(end)
-			batch = r.core.Reply(end.id, end.reply, r.since())
+			slept = r.slept()
+			batch = r.core.Reply(end.id, end.reply, time.Since(r.request.Arrived)+slept)
 		case <-timer.C:
-			batch = r.core.Tick(r.since())
+			slept = r.slept()
+			batch = r.core.Tick(time.Since(r.request.Arrived) + slept)
 		case <-r.context.Done():
 			r.recordGivenUp()
 			return nil
@@ -171,7 +174,8 @@
 	}
 }
 
-func (r *run) apply(batch exchange.Batch) {
+// apply carries out a batch. The machine had been suspended for slept since the run began.
+func (r *run) apply(batch exchange.Batch, slept time.Duration) {
 	if batch.Hold != r.hold {
 		r.hold = batch.Hold
 		r.recordHold(batch.Hold)
@@ -182,23 +186,24 @@
 	for _, send := range batch.Sends {
 		ctx, cancel := context.WithCancel(r.context)
 		r.noteSent(send, cancel)
-		go r.attempt(ctx, send)
+		go r.attempt(ctx, send, slept)
 	}
 }
 
-// attempt makes one attempt and reports its end.
-func (r *run) attempt(ctx context.Context, send exchange.Send) {
-	choice, begun := send.Choice, r.dispatcher.suspended()
+// attempt makes one attempt and reports its end. The attempt is withheld if the machine is
+// suspended before it is sent.
+func (r *run) attempt(ctx context.Context, send exchange.Send, slept time.Duration) {
+	choice := send.Choice
 	reply := r.dispatcher.client.Do(ctx, upstream.Call{
 		Request:     r.request.Message,
 		ServerID:    send.Choice.Server.ID,
 		Incarnation: send.Choice.Incarnation,
 		Address:     send.Choice.Server.Address,
-		Deadline:    r.deadline.Add(-r.slept()),
+		Deadline:    r.deadline.Add(-slept),
 		IdleLimit:   r.dispatcher.directory.IdleLimit(send.Choice.Server),
 		BodyOnly:    r.plan.Gather,
 		Permitted: func() bool {
-			awake := r.dispatcher.suspended()-begun < shortestSuspension
+			awake := r.slept()-slept < shortestSuspension
 			return awake && r.dispatcher.directory.Open(choice.Endpoint) && r.admission.Permits()
 		},
 	})
--- a/internal/edge/bench_test.go
+++ b/internal/edge/bench_test.go
@@ -9,17 +9,44 @@
 	"github.com/driftstage/driftstage/platform/standin"
 )
 
-// BenchmarkGather measures a request to 15 shards over kept connections, the
-// stand-ins of the servers included.
+// BenchmarkGather measures a request to many shards, the stand-ins of the servers included:
+// over kept connections, and with new ones for most attempts.
 func BenchmarkGather(b *testing.B) {
-	const shards = 15
+	for _, test := range []struct {
+		name           string
+		shards, others int
+		// connections is the most connections of a server; 0 for no bound.
+		connections int
+	}{
+		{"15 shards of 1 server", 15, 0, 0},
+		{"90 shards of 42 servers", 90, 41, 0},
+		{"90 shards of 42 servers, few kept connections", 90, 41, 1},
+	} {
+		b.Run(test.name, func(b *testing.B) { benchmarkGather(b, test.shards, test.others, test.connections) })
+	}
+}
+
+// benchmarkGather asks shards with a stand-in each, and other servers farther away that are
+// only listed.
+func benchmarkGather(b *testing.B, shards, others, connections int) {
 	names := make([]string, shards)
 	for index := range names {
 		names[index] = fmt.Sprint("s", index)
 	}
-	world := newWorld(b, configuration(1, gatherRoute("/all/", names...)))
+	config := configuration(1, gatherRoute("/all/", names...))
+	for _, name := range names {
+		config.Services = append(config.Services, standin.Service{Name: name, MaxConnections: connections})
+	}
+	world := newWorld(b, config)
 	for index, name := range names {
-		world.serve(standin.ServerOptions{ID: fmt.Sprint("i-", index), Service: name, Body: []byte(record("1"))})
+		server := world.serve(standin.ServerOptions{ID: fmt.Sprint("i-", index), Service: name, Body: []byte(record("1"))})
+		for number := range others {
+			spec := server.Spec()
+			spec.Zone, spec.Address = "zone-2", fmt.Sprint("127.0.0.1:", number+1)
+			if err := world.store.Put("servers", fmt.Sprint("j-", index, "-", number), spec); err != nil {
+				b.Fatal(err)
+			}
+		}
 	}
 	world.startReady()
 	conn, err := net.Dial("tcp4", world.loaded.ListenAddress)
@@ -28,9 +55,10 @@
 	}
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
+	request := fmt.Sprintf("GET /all/x HTTP/1.1\r\nHost: %s\r\nX-Attempt-Identifier: id\r\nX-Request-Deadline: 2000\r\n\r\n", testHost)
 	b.ReportAllocs()
 	for b.Loop() {
-		fmt.Fprintf(conn, "GET /all/x HTTP/1.1\r\nHost: %s\r\nX-Attempt-Identifier: id\r\nX-Request-Deadline: 2000\r\n\r\n", testHost)
+		fmt.Fprint(conn, request)
 		if got := readAnswer(reader); got.status != 200 {
 			b.Fatal(got.status)
 		}
--- a/internal/endpoints/choose.go
+++ b/internal/endpoints/choose.go
@@ -115,7 +115,7 @@
 // travel returns the time of the round trip to the endpoint, a new connection
 // included where there is no idle one.
 func (d *Directory) travel(endpoint *Endpoint) time.Duration {
-	return d.topology.RoundTrip(endpoint.Zone) + d.connecting(endpoint)
+	return endpoint.site.roundTrip + d.connecting(endpoint)
 }
 
 // best returns the server with the least cost, or why there is none.
@@ -124,7 +124,8 @@
 	var bestCost time.Duration
 	availability := NoServer
 	for _, endpoint := range d.admitted(demand.Service, admission) {
-		if !d.takes(endpoint, demand, now) {
+		// The farCost of servers of other regions is more than that of any good near one.
+		if best != nil && bestCost < farCost && !endpoint.site.near || !d.takes(endpoint, demand, now) {
 			continue
 		}
 		if !d.mayWarm(endpoint, now) {
@@ -167,8 +168,9 @@
 )
 
 func (d *Directory) cost(endpoint *Endpoint, demand Demand, now time.Time) time.Duration {
-	cost := d.expected(endpoint, demand, now) + endpoint.failures.cost(demand.Left, now)
-	if !d.preferred(endpoint, demand, now) {
+	expected := d.expected(endpoint, demand, now)
+	cost := expected + endpoint.failures.cost(demand.Left, now)
+	if !preferred(endpoint, expected, demand.Left, now) {
 		cost += farCost
 	}
 	if endpoint.backsOff(now) {
@@ -177,15 +179,17 @@
 	return cost
 }
 
-// preferred reports whether the server is near and fast enough to leave time for
-// another attempt.
-func (d *Directory) preferred(endpoint *Endpoint, demand Demand, now time.Time) bool {
+// preferred reports whether the server is near and, by its expected time, fast enough to
+// leave time for another attempt.
+func preferred(endpoint *Endpoint, expected, left time.Duration, now time.Time) bool {
+	if !endpoint.site.near || endpoint.failures.current(now) >= unreliableShare {
+		return false
+	}
 	share := nearShare
 	if endpoint.currentSlowness(now) >= slowRatio {
 		share = slowNearShare
 	}
-	return d.topology.Near(endpoint.Zone) && endpoint.failures.current(now) < unreliableShare &&
-		d.expected(endpoint, demand, now) <= time.Duration(share*float64(demand.Left))
+	return expected <= time.Duration(share*float64(left))
 }
 
 func (d *Directory) reserve(endpoint *Endpoint, demand Demand, now time.Time) Choice {
@@ -253,7 +257,7 @@
 	if result.heard() {
 		d.reach(endpoint.Zone).hear(now)
 	}
-	elapsed := now.Sub(choice.Reserved) - d.topology.RoundTrip(endpoint.Zone) - choice.Connecting - waitingSteps*choice.Delay
+	elapsed := now.Sub(choice.Reserved) - endpoint.site.roundTrip - choice.Connecting - waitingSteps*choice.Delay
 	d.observe(choice, estimate, result, elapsed, now)
 	// What the told pace explains is neither work nor slowness.
 	elapsed = time.Duration(float64(elapsed) / endpoint.pace.current(now))
--- a/internal/endpoints/directory.go
+++ b/internal/endpoints/directory.go
@@ -100,12 +100,14 @@
 		ended, restarted = known.incarnation, true
 	default:
 		known.update(server, now)
+		d.locate(known)
 		return "", false
 	}
 	if d.knownSince.IsZero() {
 		d.knownSince = now
 	}
 	endpoint := newEndpoint(server, now)
+	d.locate(endpoint)
 	d.byID[server.ID] = endpoint
 	d.supersede(endpoint)
 	owner := d.service(server.Service)
@@ -115,6 +117,20 @@
 	return ended, restarted
 }
 
+// locate notes where the server stands.
+func (d *Directory) locate(endpoint *Endpoint) {
+	if endpoint.site.way != nil && endpoint.site.zone == endpoint.Zone {
+		return
+	}
+	endpoint.site = site{
+		zone:      endpoint.Zone,
+		near:      d.topology.Near(endpoint.Zone),
+		roundTrip: d.topology.RoundTrip(endpoint.Zone),
+		way:       d.reach(endpoint.Zone),
+		rank:      d.rank(endpoint.Server),
+	}
+}
+
 // supersede takes the servers out of use that had the address of a newer one before: they
 // have ended, though their entries have yet to run out. What is sent there reaches the newer
 // one, which refuses it.
--- a/internal/endpoints/endpoint.go
+++ b/internal/endpoints/endpoint.go
@@ -42,6 +42,9 @@
 	Server
 	// incarnation is the name of the server's process.
 	incarnation string
+	// site is where the server stands as seen from this node, kept because each request
+	// asks it of each server.
+	site site
 	// limit bounds the requests under way; 0 for unbounded.
 	limit float64
 	// ceiling is the limit while the server resets no new connections.
@@ -110,6 +113,9 @@
 
 // learnedSlowness returns the learned slowness, forgotten in part.
 func (e *Endpoint) learnedSlowness(now time.Time) float64 {
+	if e.slowness == 1 {
+		return 1
+	}
 	age := now.Sub(e.slownessAt)
 	kept := math.Exp2(-float64(age) / float64(e.halfLife))
 	return 1 + (e.slowness-1)*kept
--- a/internal/endpoints/hedge.go
+++ b/internal/endpoints/hedge.go
@@ -46,7 +46,11 @@
 		if other == except || !d.takes(other, demand, now) {
 			continue
 		}
-		if travel := d.travel(other); least == 0 || travel < least {
+		travel := d.travel(other)
+		if travel <= otherRegionRoundTrip {
+			return otherRegionRoundTrip
+		}
+		if least == 0 || travel < least {
 			least = travel
 		}
 	}
@@ -57,8 +61,8 @@
 // those tried.
 func (d *Directory) hasNear(demand Demand, except *Endpoint, now time.Time) bool {
 	return slices.ContainsFunc(d.service(demand.Service).endpoints, func(other *Endpoint) bool {
-		return other != except && d.takes(other, demand, now) && !other.backsOff(now) &&
-			d.preferred(other, demand, now)
+		return other != except && other.site.near && d.takes(other, demand, now) && !other.backsOff(now) &&
+			preferred(other, d.expected(other, demand, now), demand.Left, now)
 	})
 }
 
--- a/internal/endpoints/places.go
+++ b/internal/endpoints/places.go
@@ -22,7 +22,7 @@
 // allowed reports whether requests of the route may be sent to where the server
 // stands, and whether there is a way. A zone whose region is not known is in none of a route's regions.
 func (d *Directory) allowed(endpoint *Endpoint, route *routing.Route) bool {
-	if d.evacuated[endpoint.Zone] || d.reach(endpoint.Zone).silent() {
+	if len(d.evacuated) > 0 && d.evacuated[endpoint.Zone] || endpoint.site.way.silent() {
 		return false
 	}
 	if route == nil || len(route.Regions) == 0 {
--- a/internal/endpoints/server.go
+++ b/internal/endpoints/server.go
@@ -83,6 +83,18 @@
 	}
 }
 
+// site is where a server stands as seen from a node.
+type site struct {
+	// zone is the one for which the rest holds.
+	zone      string
+	near      bool
+	roundTrip time.Duration
+	// way is what is known of the way to the zone.
+	way *reach
+	// rank is the server's place in the node's own order.
+	rank uint64
+}
+
 // Near reports whether the zone is in this node's region.
 func (t Topology) Near(zone string) bool {
 	return t.Regions[zone] == t.Own.Region
--- a/internal/endpoints/share.go
+++ b/internal/endpoints/share.go
@@ -37,7 +37,7 @@
 	if d.connections == nil || d.connections.HasIdle(endpoint.incarnation) {
 		return 0
 	}
-	return d.topology.RoundTrip(endpoint.Zone) + connectWork
+	return endpoint.site.roundTrip + connectWork
 }
 
 // ceiling returns how many requests the node may have at a server; 0 for no bound.
@@ -112,11 +112,11 @@
 	near := d.topology.Near(server.Zone)
 	peers, before := 0, 0
 	for _, other := range d.service(server.Service).endpoints {
-		if d.topology.Near(other.Zone) != near {
+		if other.site.near != near {
 			continue
 		}
 		peers++
-		if d.rank(other.Server) > own {
+		if other.site.rank > own {
 			before++
 		}
 	}
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -138,6 +138,9 @@
 	if !c.admitted && !c.admit(now, &batch) {
 		return batch
 	}
+	if c.Sends() == 0 {
+		batch.Sends = make([]Send, 0, len(c.shards))
+	}
 	for index := range c.shards {
 		if !c.stopped() {
 			c.stepShard(index, now, &batch)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -96,9 +96,9 @@
 	if conn := c.pool.take(call.process(), now); conn != nil {
 		return conn, conn.SetDeadline(call.Deadline)
 	}
-	dialContext, cancel := context.WithDeadline(ctx, call.Deadline)
-	defer cancel()
-	opened, err := c.dialer.DialContext(dialContext, "tcp4", call.Address)
+	dialer := c.dialer
+	dialer.Deadline = call.Deadline
+	opened, err := dialer.DialContext(ctx, "tcp4", call.Address)
 	if err != nil {
 		return nil, err
 	}
