Members are read page by page, each in its own time

Cause: all pages of the list of members were read within one time-out of a second. Change: a page has a second of its own and is asked for up to four times. Figures: a registry that refuses one call in three, 41 pages: known after 12 s; before, never (TestManyPagesAreReadFromABusyRegistry).

--- a/internal/members/announcer.go
+++ b/internal/members/announcer.go
@@ -25,6 +25,10 @@
 	startInterval = 4 * time.Second
 	// callTimeout bounds one call to the registry.
 	callTimeout = time.Second
+	// pageRetries is how often the read of a page is repeated after it has failed, pagePause
+	// the pause before that; it doubles each time.
+	pageRetries = 3
+	pagePause   = 100 * time.Millisecond
 	// retryInterval is the pause after a call that failed, startRetryInterval as long
 	// as the node has not read who else is there.
 	retryInterval      = 5 * time.Second
@@ -140,7 +144,7 @@
 }
 
 func (a *Announcer) read(now time.Time) {
-	all, err := a.registry.Members(now.Add(callTimeout))
+	all, err := a.readPages()
 	if err != nil {
 		a.readAt = now.Add(a.retryInterval())
 		return
@@ -162,6 +166,28 @@
 	}
 }
 
+// readPages reads all announcements. Each page has its own time, and is asked for once more
+// where it fails: a busy registry must not make a node with many others begin anew.
+func (a *Announcer) readPages() ([]Member, error) {
+	var all []Member
+	failures := 0
+	for after := ""; ; {
+		page, err := a.registry.Members(after, time.Now().Add(callTimeout))
+		if err != nil {
+			if failures++; failures > pageRetries {
+				return nil, err
+			}
+			time.Sleep(jittered(pagePause << failures))
+			continue
+		}
+		failures = 0
+		all = append(all, page.Members...)
+		if after = page.Next; after == "" {
+			return all, nil
+		}
+	}
+}
+
 func (a *Announcer) retryInterval() time.Duration {
 	if !a.count.Settled {
 		return startRetryInterval
--- a/internal/members/announcer_test.go
+++ b/internal/members/announcer_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -18,6 +20,10 @@
 	members map[string]Member
 	writes  int
 	down    bool
+	// pageSize is the most announcements of a page; 0 for no bound.
+	pageSize int
+	// refuses decides for each read whether it fails; nil for never.
+	refuses func() bool
 }
 
 var errDown = errors.New("down")
@@ -33,17 +39,29 @@
 	return nil
 }
 
-func (r *registry) Members(time.Time) ([]Member, error) {
+func (r *registry) Members(after string, _ time.Time) (Page, error) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.down {
-		return nil, errDown
+	if r.down || r.refuses != nil && r.refuses() {
+		return Page{}, errDown
+	}
+	names := slices.Sorted(maps.Keys(r.members))
+	first, found := slices.BinarySearch(names, after)
+	if found {
+		first++
+	}
+	last := len(names)
+	if r.pageSize > 0 {
+		last = min(first+r.pageSize, last)
+	}
+	var page Page
+	for _, name := range names[first:last] {
+		page.Members = append(page.Members, r.members[name])
 	}
-	var all []Member
-	for _, member := range r.members {
-		all = append(all, member)
+	if last < len(names) {
+		page.Next = names[last-1]
 	}
-	return all, nil
+	return page, nil
 }
 
 func (r *registry) setDown(down bool) {
@@ -164,3 +182,27 @@
 		shared.mutex.Unlock()
 	})
 }
+
+// A node reads its fellows page by page. A registry that refuses one call in three must not
+// make it begin anew each time: with many pages it would never know the others.
+func TestManyPagesAreReadFromABusyRegistry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		calls := 0
+		shared := &registry{members: make(map[string]Member), pageSize: 10}
+		shared.refuses = func() bool {
+			calls++
+			return calls%3 == 0
+		}
+		for number := range 400 {
+			name := fmt.Sprintf("other-%03d", number)
+			shared.members[name] = Member{Name: name}
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var told counter
+		go NewAnnouncer(shared, Member{Name: "own"}, everywhere, &told).Run(ctx)
+		time.Sleep(3 * startInterval)
+		is.Equal(told.get(), 401)
+	})
+}
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -19,8 +19,16 @@
 type Registry interface {
 	// Announce writes or replaces the node's announcement.
 	Announce(member Member, deadline time.Time) error
-	// Members returns all announcements; the list may be seconds old.
-	Members(deadline time.Time) ([]Member, error)
+	// Members returns the announcements after a name, or the first ones without a name; they
+	// may be seconds old.
+	Members(after string, deadline time.Time) (Page, error)
+}
+
+// Page is a part of the list of announcements.
+type Page struct {
+	Members []Member
+	// Next is the name after which the list goes on; empty at its end.
+	Next string
 }
 
 // sighting is when an announcement was last seen to change.
