Long lists are handed over from node to node at a start

Change: a node that has just started reads four pages; if the list goes on, another node hands it the whole, with the revision from which it reads on. The seeds read on.

--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -63,6 +63,8 @@
 	freshAt time.Time
 	// relay may be nil: then the store alone is asked.
 	relay Relay[T]
+	// handed may be nil: then the store alone is listed.
+	handed *Handed[T]
 	// settle is the pause after changes, in which more of them gather.
 	settle time.Duration
 	// backoff spaces the calls to a store that fails.
@@ -77,6 +79,9 @@
 // Share lets the follower and those of other nodes spare the store.
 func (f *Follower[T]) Share(relay Relay[T]) { f.relay = relay }
 
+// Bootstrap lets the follower take a long list from another node when it has just started.
+func (f *Follower[T]) Bootstrap(handed *Handed[T]) { f.handed = handed }
+
 // ShareBackoff lets the followers of a node's feeds space their calls together.
 func (f *Follower[T]) ShareBackoff(backoff *Backoff) { f.backoff = backoff }
 
--- a/internal/catalog/list.go
+++ b/internal/catalog/list.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
+
+	"k8s.io/klog/v2"
 )
 
 const (
@@ -13,12 +16,22 @@
 	// again beside a call that hangs, firstListCalls the most reads at a time.
 	firstListInterval = 300 * time.Millisecond
 	firstListCalls    = 4
+	// ownPages is how many pages a node that has just started reads of a long list before
+	// it waits for another node to hand over all of it: what all nodes together read of the
+	// store must not grow as their number times the objects.
+	ownPages = 4
+	// handedPatience, and a random part of handedSpread, is how long it waits: where nobody
+	// can hand over the list, few nodes read it at first. oldestHanded is how old the state may
+	// be: the store still has to know what happened since.
+	handedPatience = 3 * time.Second
+	handedSpread   = 9 * time.Second
+	oldestHanded   = 10 * time.Second
 )
 
 // list reads the whole state and hands it to the sink.
 func (f *Follower[T]) list(ctx context.Context) error {
 	begun := time.Now()
-	read, err := f.readPages(ctx)
+	read, told, err := f.readPages(ctx)
 	if err != nil {
 		return err
 	}
@@ -29,23 +42,46 @@
 	f.sink.Replace(read.Items, f.outage)
 	f.outage = false
 	f.revision, f.listed, f.listedAt = read.Revision, true, begun
-	f.freshAt = begun
+	f.freshAt = told
 	f.noteReached(begun)
 	return nil
 }
 
 // readPages returns all objects with the revision of the first page: what changes
-// while the others are read is seen again by the watch from there.
-func (f *Follower[T]) readPages(ctx context.Context) (Page[T], error) {
-	whole, err := f.firstPage(ctx)
-	for err == nil && whole.Next != "" {
+// while the others are read is seen again by the watch from there. The store told them at the
+// given time at the latest.
+func (f *Follower[T]) readPages(ctx context.Context) (whole Page[T], told time.Time, err error) {
+	told = time.Now()
+	whole, err = f.firstPage(ctx)
+	for pages := 1; err == nil && whole.Next != ""; pages++ {
+		if pages == ownPages {
+			if handed, told, found := f.awaitHanded(ctx); found {
+				return handed, told, nil
+			}
+		}
 		var page Page[T]
 		page, err = f.readPage(ctx, whole.Next)
 		whole.Items = append(whole.Items, page.Items...)
 		whole.Flaws = append(whole.Flaws, page.Flaws...)
 		whole.Next = page.Next
 	}
-	return whole, err
+	return whole, told, err
+}
+
+// awaitHanded waits for the state that another node hands over. A node that knows something
+// already keeps to the store.
+func (f *Follower[T]) awaitHanded(ctx context.Context) (page Page[T], told time.Time, found bool) {
+	if f.handed == nil || f.revision > 0 {
+		return page, told, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, handedPatience+rand.N(handedSpread))
+	defer cancel()
+	page, told, found = f.handed.Take(ctx)
+	if !found || time.Since(told) > oldestHanded {
+		return page, told, false
+	}
+	klog.InfoS("state handed over by another node", "feed", f.name, "objects", len(page.Items), "revision", page.Revision)
+	return page, told, true
 }
 
 // firstPage reads the first page. Callers wait for what a node reads that has just
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -172,6 +173,9 @@
 	tables := newFollower(n, feedTables, n.store.Tables(), tableSink{n.state}, n.tableLink)
 	servers := newFollower(n, feedServers, n.store.Servers(), serverSink{n.state}, n.serverLink)
 	servers.Settle(serversSettle)
+	if n.mayBeHanded() {
+		servers.Bootstrap(&n.state.handed)
+	}
 	tasks.Go(func() { tables.Run(ctx) })
 	tasks.Go(func() { servers.Run(ctx) })
 	if n.settings.Evacuations {
@@ -189,7 +193,13 @@
 	}
 	announcer := members.NewAnnouncer(n.store, n.member, n.topology.Near, memberObserver{n})
 	tasks.Go(func() { announcer.Run(ctx) })
-	starter := peers.Starter{Addresses: func() []string { return n.live.Load().Seeds }, Known: n.state.complete, Adopt: n.state.adoptSnapshot}
+	starter := peers.Starter{
+		Own:        n.asker(),
+		Addresses:  func() []string { return n.live.Load().Seeds },
+		Known:      n.state.complete,
+		Adopt:      n.state.adoptSnapshot,
+		Unanswered: n.state.handed.Abandon,
+	}
 	tasks.Go(func() { starter.Run(ctx) })
 	search := peers.Search{Selector: n.selector, Lost: n.storeBackoff.Lost, Found: n.storeBackoff.Wake}
 	tasks.Go(func() { search.Run(ctx) })
@@ -199,6 +209,18 @@
 	tasks.Go(func() { n.load.Run(ctx) })
 }
 
+// mayBeHanded reports whether other nodes may hand over what this one has to know. Those that
+// all others ask first read the store for themselves.
+func (n *Node) mayBeHanded() bool {
+	seeds := n.live.Load().Seeds
+	return len(seeds) > 0 && !slices.Contains(seeds, n.settings.PeerAddress)
+}
+
+// asker is the node as it shows itself to others.
+func (n *Node) asker() peers.Asker {
+	return peers.Asker{Address: n.settings.PeerAddress, Zone: n.settings.Zone, Region: n.settings.Region}
+}
+
 // newFollower returns a follower that spares the store together with the node's others.
 func newFollower[T any](n *Node, name string, feed catalog.Feed[T], sink catalog.Sink[T], link *peers.Link[T]) *catalog.Follower[T] {
 	follower := catalog.NewFollower(name, feed, sink, storeObserver{n.metrics, &n.state.unreadable})
@@ -231,7 +253,7 @@
 		return errors.Wrap(err, "listen for peers")
 	}
 	contact := peers.Contact{InTouch: func() bool { return n.storeBackoff.InTouch(time.Now()) }}
-	server := peers.NewServer(n.state.snapshot, n.tableLink, n.serverLink, n.evacuationLink, n.rolloutLink, n.quarantineLink, n.reportServer(), peers.NoticeServer{Hear: n.keeper.Hear}, contact)
+	server := peers.NewServer(n.asker(), n.state.snapshot, n.tableLink, n.serverLink, n.evacuationLink, n.rolloutLink, n.quarantineLink, n.reportServer(), peers.NoticeServer{Hear: n.keeper.Hear}, contact)
 	go func() { failed <- server.Serve(listener) }()
 	return nil
 }
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -45,12 +45,21 @@
 	// knows is closed once the configuration and the servers are known.
 	knows     chan struct{}
 	knowsOnce sync.Once
+	// handed is the list of servers from another node, serversReached how current the own one is.
+	handed         catalog.Handed[endpoints.Server]
+	serversReached atomic.Pointer[reached]
 	// unreadable are objects of the store that can't be understood.
 	unreadable catalog.Unreadable
 	// replacing keeps a peer's list from taking the place of the store's.
 	replacing sync.Mutex
 }
 
+// reached is how current a list is: it holds what the store told of it at a time.
+type reached struct {
+	revision catalog.Revision
+	told     time.Time
+}
+
 // Table returns the configuration in force; nil if none is known yet.
 func (s *state) Table() *routing.Table { return s.table.Load() }
 
@@ -149,13 +158,18 @@
 		return peers.Snapshot{}, false
 	}
 	orders, reached := s.versions.Orders()
-	return peers.Snapshot{
+	snapshot := peers.Snapshot{
 		Table:     s.table.Load().Document(),
-		Servers:   s.directory.Servers(),
 		Evacuated: s.directory.Evacuated(),
 		Orders:    orders,
 		Reached:   reached,
-	}, true
+	}
+	if latest := s.serversReached.Load(); latest != nil && s.serversListed.Load() {
+		snapshot.ServersReached, snapshot.ServersAge = latest.revision, time.Since(latest.told)
+	}
+	// Servers that have come since are told once more to whoever reads on from the revision.
+	snapshot.Servers, snapshot.Unlisted = s.directory.Servers()
+	return snapshot, true
 }
 
 // adoptSnapshot takes over what a peer knows, as far as the store has not told.
@@ -174,6 +188,12 @@
 	if !s.serversListed.Load() {
 		s.replaceServers(snapshot.Servers)
 	}
+	if snapshot.ServersReached == 0 {
+		s.handed.Abandon()
+	} else {
+		page := catalog.Page[endpoints.Server]{Items: snapshot.Listed(), Revision: snapshot.ServersReached}
+		s.handed.Put(page, time.Now().Add(-snapshot.ServersAge))
+	}
 	s.noteKnown()
 	return nil
 }
@@ -216,6 +236,11 @@
 	klog.V(1).InfoS("servers listed", "count", len(servers), "after_outage", afterOutage)
 }
 
+// Reached implements catalog.RevisionSink.
+func (s serverSink) Reached(revision catalog.Revision, told time.Time) {
+	s.state.serversReached.Store(&reached{revision: revision, told: told})
+}
+
 // Resumed implements catalog.Sink.
 func (s serverSink) Resumed() { s.state.directory.Resume(time.Now()) }
 
--- a/internal/endpoints/directory.go
+++ b/internal/endpoints/directory.go
@@ -269,15 +269,19 @@
 	return len(d.byID)
 }
 
-// Servers returns all servers as they were listed.
-func (d *Directory) Servers() []Server {
+// Servers returns all servers as they were listed, and the ids of those that were missing in
+// the latest list and are kept only until it is whole.
+func (d *Directory) Servers() (servers []Server, unlisted []string) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	servers := make([]Server, 0, len(d.byID))
-	for _, endpoint := range d.byID {
+	servers = make([]Server, 0, len(d.byID))
+	for id, endpoint := range d.byID {
 		servers = append(servers, endpoint.Server)
+		if !endpoint.goneAt.IsZero() {
+			unlisted = append(unlisted, id)
+		}
 	}
-	return servers
+	return servers, unlisted
 }
 
 // RefundRetry gives back what an extra send has taken off the retry budget: it has
--- a/internal/peers/link_test.go
+++ b/internal/peers/link_test.go
@@ -77,7 +77,7 @@
 	reader = NewLink("kind", codec, NewSelector(members.Member{Name: "reader"}, inRegion))
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.New(t).NoErr(err)
-	server := NewServer(func() (Snapshot, bool) { return Snapshot{}, false }, reader)
+	server := NewServer(Asker{}, func() (Snapshot, bool) { return Snapshot{}, false }, reader)
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { listener.Close() })
 	selector = NewSelector(members.Member{Name: "own"}, inRegion)
--- a/internal/peers/reports_test.go
+++ b/internal/peers/reports_test.go
@@ -19,7 +19,7 @@
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	t.Cleanup(func() { _ = listener.Close() })
-	server := NewServer(func() (Snapshot, bool) { return Snapshot{}, false }, ReportServer{Take: take})
+	server := NewServer(Asker{}, func() (Snapshot, bool) { return Snapshot{}, false }, ReportServer{Take: take})
 	go func() { _ = server.Serve(listener) }()
 	return listener.Addr().String()
 }
--- a/internal/peers/search_test.go
+++ b/internal/peers/search_test.go
@@ -181,7 +181,7 @@
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.NoErr(err)
 	defer listener.Close()
-	server := NewServer(func() (Snapshot, bool) { return Snapshot{}, false }, link, contact)
+	server := NewServer(Asker{}, func() (Snapshot, bool) { return Snapshot{}, false }, link, contact)
 	go func() { _ = server.Serve(listener) }()
 	got, err := askContact(listener.Addr().String())
 	is.NoErr(err)
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -1,7 +1,6 @@
 package peers
 
 import (
-	"encoding/json"
 	"net"
 	"time"
 
@@ -30,11 +29,12 @@
 	Route(routes *router.Router)
 }
 
-// NewServer returns a server of the snapshot, which is false while nothing is
+// NewServer returns a server of the node's snapshot, which is false while nothing is
 // known, and of further paths.
-func NewServer(snapshot func() (Snapshot, bool), further ...Routed) *Server {
+func NewServer(own Asker, snapshot func() (Snapshot, bool), further ...Routed) *Server {
 	routes := router.New()
-	routes.GET(snapshotPath, func(ctx *fasthttp.RequestCtx) { answer(ctx, snapshot) })
+	handing := &handOver{own: own, snapshot: snapshot}
+	routes.GET(snapshotPath, handing.serve)
 	for _, routed := range further {
 		routed.Route(routes)
 	}
@@ -52,17 +52,3 @@
 
 // Serve answers on the listener until it is closed.
 func (s *Server) Serve(listener net.Listener) error { return s.http.Serve(listener) }
-
-func answer(ctx *fasthttp.RequestCtx, snapshot func() (Snapshot, bool)) {
-	known, found := snapshot()
-	if !found {
-		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
-		return
-	}
-	encoded, err := json.Marshal(known)
-	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
-		return
-	}
-	writeBody(ctx, compress(encoded))
-}
