While the store fails, nodes do not all follow the same one

Cause: a node whose calls to the store fail followed the first live member of its region in the order that all compute alike: 330 nodes asked one of a fifth of a core. Change: the readers of the region come first, each node begins with another one.

--- a/internal/peers/selector.go
+++ b/internal/peers/selector.go
@@ -92,7 +92,7 @@
 // reader returns the reader of the region that this node follows; false if it is
 // one itself.
 func (s *Selector) reader(now time.Time) (members.Member, bool) {
-	count := 1 + len(s.region)/readerNodes
+	count := readerCount(len(s.region))
 	readers := make([]members.Member, 0, count)
 	for _, member := range s.region {
 		if member.Name == s.own.Name {
@@ -108,10 +108,19 @@
 	return members.Member{}, false
 }
 
-// anyone returns a node to follow while the store does not answer this one.
+// readerCount returns how many of so many nodes read the store.
+func readerCount(nodes int) int { return 1 + nodes/readerNodes }
+
+// anyone returns a node to follow while the store does not answer this one: one of those that
+// read it, each node another first, so that all of them together do not turn to the same one.
 func (s *Selector) anyone(now time.Time) (members.Member, bool) {
 	for _, group := range [][]members.Member{s.region, s.others} {
-		for _, member := range group {
+		if len(group) == 0 {
+			continue
+		}
+		readers := readerCount(len(group))
+		first := int(xxhash.Sum64String(s.own.Name) % uint64(readers))
+		for _, member := range slices.Concat(group[first:readers], group[:first], group[readers:]) {
 			if member.Name != s.own.Name && !s.avoids(member, now) {
 				return member, true
 			}
--- a/internal/peers/selector_test.go
+++ b/internal/peers/selector_test.go
@@ -150,3 +150,27 @@
 	}
 	is.Equal(len(readers(picks(all, nil, epoch))), len(all))
 }
+
+// While the store fails for all, the nodes of a region must not all follow the same one.
+func TestFollowersSpreadWhileTheStoreFails(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	for _, nodes := range []int{60, 330, 1200} {
+		var live []members.Member
+		for index := range nodes {
+			live = append(live, members.Member{Name: fmt.Sprint("node-", index), Zone: "z", Address: "127.0.0.1:1"})
+		}
+		followers := make(map[string]int)
+		for _, own := range live {
+			selector := NewSelector(own, func(string) bool { return true })
+			selector.SetMembers(live)
+			selector.StoreFailed(now)
+			picked, found := selector.Pick(now)
+			is.True(found)
+			followers[picked.Name]++
+		}
+		for _, count := range followers {
+			is.True(count <= 2*readerNodes)
+		}
+	}
+}
