A burst of changes does not make every follower take the whole state

Cause: a reader keeps 512 changes. A crash of 14 in 100 servers is 1,365 at once at 9,751: every follower then fetched all entries. Change: changes are kept for 5 s, however many they are; beyond that 512 as before. The time that followers need is bounded by their pauses, not by the number of servers. Figures: 25,600 changes within 5 s are still told (TestBurstOfChangesIsKeptForFollowers).

--- a/internal/catalog/log_test.go
+++ b/internal/catalog/log_test.go
@@ -4,12 +4,15 @@
 	"errors"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
 
-// batch is changes that lead to a revision.
-func batch(revision Revision, names ...string) Changes[string] {
+var epoch = time.Unix(1000, 0)
+
+// changesTo is changes that lead to a revision.
+func changesTo(revision Revision, names ...string) Changes[string] {
 	changes := Changes[string]{Revision: revision}
 	for _, name := range names {
 		changes.Changes = append(changes.Changes, Change[string]{Name: name})
@@ -27,9 +30,9 @@
 
 func TestLogSince(t *testing.T) {
 	var log Log[string]
-	log.Append(10, batch(12, "a", "b"))
-	log.Append(12, batch(15, "c"))
-	log.Append(15, batch(20)) // nothing happened up to 20
+	log.Append(10, changesTo(12, "a", "b"), epoch)
+	log.Append(12, changesTo(15, "c"), epoch)
+	log.Append(15, changesTo(20), epoch) // nothing happened up to 20
 	for _, test := range []struct {
 		after Revision
 		want  []string
@@ -54,8 +57,8 @@
 func TestLogWithAGapForgets(t *testing.T) {
 	is := is.New(t)
 	var log Log[string]
-	log.Append(10, batch(12, "a"))
-	log.Append(14, batch(16, "c")) // what lies between 12 and 14 is not known
+	log.Append(10, changesTo(12, "a"), epoch)
+	log.Append(14, changesTo(16, "c"), epoch) // what lies between 12 and 14 is not known
 	_, err := log.Since(12)
 	is.True(errors.Is(err, ErrHistoryGone))
 	got, err := log.Since(14)
@@ -67,7 +70,8 @@
 	is := is.New(t)
 	var log Log[string]
 	for number := range 10 * maxLogged {
-		log.Append(Revision(number), batch(Revision(number+1), fmt.Sprint(number)))
+		at := epoch.Add(time.Duration(number) * logAge)
+		log.Append(Revision(number), changesTo(Revision(number+1), fmt.Sprint(number)), at)
 	}
 	is.True(log.size <= maxLogged)
 	is.Equal(len(log.batches), maxLogged)
@@ -77,3 +81,23 @@
 	is.NoErr(err)
 	is.Equal(len(got.Changes), 1)
 }
+
+// Many servers end at once, in a fleet of thousands: those who follow get the changes, as long as
+// they ask in time.
+func TestBurstOfChangesIsKeptForFollowers(t *testing.T) {
+	is := is.New(t)
+	var log Log[string]
+	const bursts, each = 5, 10 * maxLogged
+	for number := range bursts {
+		names := make([]string, each)
+		for index := range names {
+			names[index] = fmt.Sprint(number, "-", index)
+		}
+		log.Append(Revision(number), changesTo(Revision(number+1), names...), epoch.Add(time.Duration(number)*time.Second))
+	}
+	got, err := log.Since(0)
+	is.NoErr(err)
+	is.Equal(len(got.Changes), bursts*each)
+	log.Append(bursts, changesTo(bursts+1, "one"), epoch.Add(time.Minute))
+	is.Equal(log.size, 1) // nobody who still follows has not asked since
+}
--- a/internal/peers/publisher.go
+++ b/internal/peers/publisher.go
@@ -39,8 +39,8 @@
 func (p *Publisher[T]) Publish(after catalog.Revision, changes catalog.Changes[T], fresh bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.log.Append(after, changes)
 	p.toldAt = p.now()
+	p.log.Append(after, changes, p.toldAt)
 	if fresh {
 		p.freshAt = p.toldAt
 	}
