Retry budget that nodes can't divide is kept in pools

Cause: a node's part of the slack is slack / nodes, 1.05 sends a service and window at 985 nodes. With more nodes than slack, the least part of one send each was even more than is allowed. Property test of the sum over pools that end and come; mutants (no wait for a window, window without the life of a grant, grants without end) fail.

--- a/internal/edge/assemble.go
+++ b/internal/edge/assemble.go
@@ -147,6 +147,7 @@
 		versions:       parts.Versions,
 		rolloutLink:    parts.RolloutLink,
 		quarantineLink: parts.QuarantineLink,
+		poolChanged:    make(chan struct{}, 1),
 	}
 	node.live.Store(&node.settings.Reloadable)
 	for _, link := range []interface{ CountSuspensions(func() time.Duration) }{
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/driftstage/driftstage/internal/boottime"
 	"github.com/driftstage/driftstage/internal/catalog"
 	"github.com/driftstage/driftstage/internal/endpoints"
 	"github.com/driftstage/driftstage/internal/ingress"
@@ -104,6 +105,11 @@
 	// keeper finds the requests under which servers end.
 	keeper  *quarantine.Keeper
 	notices peers.ReportClient
+	// retryPool is shared by the nodes that follow this one, if it keeps one. pooling is set
+	// while retries are pooled, poolChanged has an element when that or its size has changed.
+	retryPool   retrybudget.Pool
+	pooling     atomic.Bool
+	poolChanged chan struct{}
 	// storeBackoff spaces the calls of all feeds to a store that fails.
 	storeBackoff catalog.Backoff
 }
@@ -204,6 +210,7 @@
 	search := peers.Search{Selector: n.selector, Lost: n.storeBackoff.Lost, Found: n.storeBackoff.Wake}
 	tasks.Go(func() { search.Run(ctx) })
 	tasks.Go(func() { n.sweep(ctx) })
+	tasks.Go(func() { n.askForRetries(ctx) })
 	tasks.Go(func() { n.probe(ctx) })
 	tasks.Go(func() { n.keeper.Run(ctx) })
 	tasks.Go(func() { n.load.Run(ctx) })
@@ -253,7 +260,8 @@
 		return errors.Wrap(err, "listen for peers")
 	}
 	contact := peers.Contact{InTouch: func() bool { return n.storeBackoff.InTouch(time.Now()) }}
-	server := peers.NewServer(n.asker(), n.state.snapshot, n.tableLink, n.serverLink, n.evacuationLink, n.rolloutLink, n.quarantineLink, n.reportServer(), peers.NoticeServer{Hear: n.keeper.Hear}, contact)
+	server := peers.NewServer(n.asker(), n.state.snapshot, n.tableLink, n.serverLink, n.evacuationLink, n.rolloutLink, n.quarantineLink, n.reportServer(), peers.NoticeServer{Hear: n.keeper.Hear}, contact,
+		peers.RetryServer{Pool: &n.retryPool, Now: boottime.Time})
 	go func() { failed <- server.Serve(listener) }()
 	return nil
 }
@@ -267,19 +275,36 @@
 		count = count.AtLeast(presumedCount)
 	}
 	live := n.live.Load()
+	shares := shareRetries(live.RetrySlack, count, n.regionCount())
+	window := time.Duration(windowReserve * float64(live.RetryWindow))
+	n.retryPool.SetLimits(shares.pool, window)
 	budget := retrybudget.Limits{
 		Ratio:    max(live.RetryRatio-retryReserve, 0),
-		Capacity: max(live.RetrySlack/float64(count.All+spareNodes), 1),
-		Window:   time.Duration(windowReserve * float64(live.RetryWindow)),
+		Capacity: shares.own,
+		Window:   window,
 		Started:  n.started,
 	}
-	n.directory.Share(budget, endpoints.Sharers{
+	n.pooling.Store(shares.pooled)
+	select {
+	case n.poolChanged <- struct{}{}:
+	default:
+	}
+	n.directory.Share(budget, shares.pooled, endpoints.Sharers{
 		Near:    count.Region + spareNodes/2,
 		Far:     count.All - count.Region + spareNodes/2,
 		Settled: count.Settled,
 	}, time.Now())
 }
 
+// regionCount returns the number of regions.
+func (n *Node) regionCount() int {
+	regions := make(map[string]bool)
+	for _, region := range n.settings.Regions {
+		regions[region] = true
+	}
+	return max(len(regions), 1)
+}
+
 // Reload takes over the settings that may change while the node runs; the others
 // take effect with its next start.
 func (n *Node) Reload(newer settings.Router) {
--- a/internal/endpoints/choose.go
+++ b/internal/endpoints/choose.go
@@ -96,6 +96,7 @@
 		return Choice{}, availability
 	case demand.Extra && !d.service(demand.Service).extra.Take(d.budget, now):
 		d.versions.Refund(admission)
+		d.want(demand.Service, now)
 		return Choice{}, NoBudget
 	}
 	choice := d.reserve(best, demand, now)
--- a/internal/endpoints/cold_test.go
+++ b/internal/endpoints/cold_test.go
@@ -34,7 +34,7 @@
 	topology.Node = name
 	directory := New(topology, nil)
 	directory.Configure(coldService(t, rate), epoch)
-	directory.Share(retrybudget.Limits{}, Sharers{Near: count, Settled: true}, epoch)
+	directory.Share(retrybudget.Limits{}, false, Sharers{Near: count, Settled: true}, epoch)
 	for _, server := range servers {
 		directory.Put(server, epoch)
 	}
@@ -112,7 +112,7 @@
 func TestNodeThatHasNotCountedTheOthersSparesColdServers(t *testing.T) {
 	is := is.New(t)
 	directory := nodeAmong(t, "a", 1, 12, coldServer("cold"))
-	directory.Share(retrybudget.Limits{}, Sharers{Near: 1}, epoch)
+	directory.Share(retrybudget.Limits{}, false, Sharers{Near: 1}, epoch)
 	_, found := directory.Choose(demand(NewEstimate(20*time.Millisecond)), epoch)
 	is.Equal(found, Cold)
 }
--- a/internal/endpoints/directory.go
+++ b/internal/endpoints/directory.go
@@ -40,8 +40,12 @@
 	// firstList is set if that list was the first one of this node.
 	firstList bool
 	budget    retrybudget.Limits
-	sharers   Sharers
-	byID      map[string]*Endpoint
+	// pooled is set while the nodes are too many to divide the retry budget among them; wants
+	// is what services lack then.
+	pooled  bool
+	wants   wants
+	sharers Sharers
+	byID    map[string]*Endpoint
 	// evacuated are the zones whose servers get nothing new.
 	evacuated map[string]bool
 	// reaches are the ways to the zones.
@@ -72,6 +76,7 @@
 		evacuated:   make(map[string]bool),
 		reaches:     make(map[string]*reach),
 		services:    make(map[string]*service),
+		wants:       newWants(),
 	}
 }
 
@@ -215,12 +220,12 @@
 	}
 }
 
-// Share sets the retry budget of each service and the nodes that share the
-// connections of a server.
-func (d *Directory) Share(budget retrybudget.Limits, sharers Sharers, now time.Time) {
+// Share sets the retry budget of each service, whether there is a pool for what it lacks, and
+// the nodes that share the connections of a server.
+func (d *Directory) Share(budget retrybudget.Limits, pooled bool, sharers Sharers, now time.Time) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.budget = budget
+	d.budget, d.pooled = budget, pooled
 	d.sharers = sharers
 	for _, owner := range d.services {
 		d.setCeilings(owner, now)
--- a/internal/endpoints/places_test.go
+++ b/internal/endpoints/places_test.go
@@ -102,7 +102,7 @@
 	regions := []string{"near", "far", "elsewhere"}
 	rapid.Check(t, func(t *rapid.T) {
 		directory := New(testTopology(), nil)
-		directory.Share(retrybudget.Limits{Ratio: 1, Capacity: 100}, Sharers{Near: 1, Far: 1}, epoch)
+		directory.Share(retrybudget.Limits{Ratio: 1, Capacity: 100}, false, Sharers{Near: 1, Far: 1}, epoch)
 		now := epoch
 		var tried []*Endpoint
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
--- a/internal/endpoints/share_test.go
+++ b/internal/endpoints/share_test.go
@@ -26,7 +26,7 @@
 	table, err := routing.NewTable(1, routing.Limits{}, []routing.Service{{Name: "s", MaximumConnections: connections}}, nil)
 	is.New(t).NoErr(err)
 	directory.Configure(table, epoch)
-	directory.Share(retrybudget.Limits{}, sharers, epoch)
+	directory.Share(retrybudget.Limits{}, false, sharers, epoch)
 	for _, server := range servers {
 		directory.Put(server, epoch)
 	}
@@ -69,7 +69,7 @@
 func TestServersWithAnIdleConnectionComeFirst(t *testing.T) {
 	is := is.New(t)
 	directory := New(testTopology(), idle{"b": true})
-	directory.Share(retrybudget.Limits{Ratio: 1, Capacity: 10}, Sharers{Near: 1, Far: 1}, epoch)
+	directory.Share(retrybudget.Limits{Ratio: 1, Capacity: 10}, false, Sharers{Near: 1, Far: 1}, epoch)
 	for _, id := range []string{"a", "b", "c"} {
 		directory.Put(server(id, "far-1"), epoch)
 	}
--- a/internal/endpoints/versions_test.go
+++ b/internal/endpoints/versions_test.go
@@ -40,7 +40,7 @@
 		estimate:  NewEstimate(10 * time.Millisecond),
 	}
 	world.directory.FollowRollouts(world.tracker)
-	world.directory.Share(retrybudget.Limits{Ratio: 1, Capacity: 1000}, Sharers{Near: 1, Far: 1, Settled: true}, world.now)
+	world.directory.Share(retrybudget.Limits{Ratio: 1, Capacity: 1000}, false, Sharers{Near: 1, Far: 1, Settled: true}, world.now)
 	for index := range 2 {
 		world.put(fmt.Sprintf("old-%d", index), oldVersion, oldCreated)
 	}
--- /dev/null
+++ b/internal/peers/retries.go
@@ -0,0 +1,45 @@
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/fasthttp/router"
+	"github.com/valyala/fasthttp"
+
+	"github.com/driftstage/driftstage/internal/retrybudget"
+)
+
+const retriesPath = "/v1/retries"
+
+// RetryServer grants extra sends to the nodes that share this one's pool.
+type RetryServer struct {
+	Pool *retrybudget.Pool
+	// Now is the clock by which grants run out; it goes on while the machine is suspended.
+	Now func() time.Time
+}
+
+// Route implements Routed.
+func (s RetryServer) Route(routes *router.Router) { routes.POST(retriesPath, s.serve) }
+
+func (s RetryServer) serve(ctx *fasthttp.RequestCtx) {
+	var wants retrybudget.Wants
+	if err := decodeMessage(&ctx.Request, &wants); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	encoded, err := json.Marshal(s.Pool.Grant(wants, s.Now()))
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	writeBody(ctx, compress(encoded))
+}
+
+// AskRetries asks the node at the address (IP:port) for extra sends.
+func (c *ReportClient) AskRetries(ctx context.Context, address string, wants retrybudget.Wants) (retrybudget.Wants, error) {
+	var granted retrybudget.Wants
+	err := c.post(ctx, address, retriesPath, wants, &granted)
+	return granted, err
+}
--- a/internal/peers/selector.go
+++ b/internal/peers/selector.go
@@ -111,6 +111,14 @@
 // readerCount returns how many of so many nodes read the store.
 func readerCount(nodes int) int { return 1 + nodes/readerNodes }
 
+// Holder returns the node that keeps the pool of retries of this one; false if that is this
+// node itself.
+func (s *Selector) Holder(now time.Time) (members.Member, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.reader(now)
+}
+
 // anyone returns a node to follow while the store does not answer this one: one of those that
 // read it, each node another first, so that all of them together do not turn to the same one.
 func (s *Selector) anyone(now time.Time) (members.Member, bool) {
--- /dev/null
+++ b/internal/retrybudget/pool_test.go
@@ -0,0 +1,98 @@
+package retrybudget
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var poolEpoch = time.Unix(1000, 0)
+
+// openPool returns a pool that was opened a window ago.
+func openPool(capacity float64) *Pool {
+	pool := &Pool{}
+	pool.SetLimits(capacity, defaultWindow)
+	pool.Grant(nil, poolEpoch.Add(-defaultWindow-GrantLife))
+	return pool
+}
+
+func TestPoolGrantsItsCapacityToWhoeverNeedsIt(t *testing.T) {
+	is := is.New(t)
+	pool := openPool(5)
+	is.Equal(pool.Grant(Wants{"s": 3}, poolEpoch), Wants{"s": 3})
+	is.Equal(pool.Grant(Wants{"s": 3, "t": 1}, poolEpoch), Wants{"s": 2, "t": 1})
+	is.Equal(pool.Grant(Wants{"s": 1}, poolEpoch.Add(defaultWindow)), Wants{})
+	is.Equal(pool.Grant(Wants{"s": 9}, poolEpoch.Add(defaultWindow+2*GrantLife)), Wants{"s": 5})
+}
+
+// A pool that takes the place of another one does not grant what that one may have granted.
+func TestNewPoolGrantsNothingForAWindow(t *testing.T) {
+	is := is.New(t)
+	pool := &Pool{}
+	pool.SetLimits(5, defaultWindow)
+	is.Equal(pool.Grant(Wants{"s": 3}, poolEpoch), Wants{})
+	is.Equal(pool.Grant(Wants{"s": 3}, poolEpoch.Add(defaultWindow)), Wants{})
+	is.Equal(pool.Grant(Wants{"s": 3}, poolEpoch.Add(defaultWindow+GrantLife)), Wants{"s": 3})
+}
+
+func TestGrantsAreUsedInTime(t *testing.T) {
+	is := is.New(t)
+	limits := Limits{}
+	var budget Budget
+	is.True(!budget.Take(limits, poolEpoch))
+	budget.Grant(3, poolEpoch)
+	is.Equal(budget.Left(limits, poolEpoch), 3.0)
+	is.True(budget.Take(limits, poolEpoch.Add(GrantLife/2)))
+	budget.Grant(1, poolEpoch.Add(GrantLife/2)) // makes the earlier ones last no longer
+	is.True(budget.Take(limits, poolEpoch.Add(GrantLife-1)))
+	is.True(!budget.Take(limits, poolEpoch.Add(GrantLife)))
+	budget.Grant(1, poolEpoch.Add(2*GrantLife))
+	is.True(budget.Take(limits, poolEpoch.Add(2*GrantLife)))
+	is.True(!budget.Take(limits, poolEpoch.Add(2*GrantLife)))
+}
+
+// Whatever nodes ask of their pools, and however late they use it, all extra sends in any
+// window are at most what the pools have together; pools that end are replaced by new ones.
+func TestPoolsTogetherAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const capacity = 7
+		nodes := rapid.IntRange(1, 40).Draw(t, "nodes")
+		pools := make([]*Pool, rapid.IntRange(1, 4).Draw(t, "pools"))
+		for index := range pools {
+			pools[index] = openPool(capacity)
+		}
+		budgets := make([]Budget, nodes)
+		var sent []time.Time
+		now := poolEpoch
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "pause")) * time.Millisecond)
+			node := rapid.IntRange(0, nodes-1).Draw(t, "node")
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0:
+				pool := &Pool{}
+				pool.SetLimits(capacity, defaultWindow)
+				pools[node%len(pools)] = pool
+			case 1, 2:
+				granted := pools[node%len(pools)].Grant(Wants{"s": rapid.IntRange(1, 5).Draw(t, "wanted")}, now)
+				budgets[node].Grant(granted["s"], now)
+			default:
+				if budgets[node].Take(Limits{}, now) {
+					sent = append(sent, now)
+				}
+			}
+		}
+		for first, begin := range sent {
+			count := 0
+			for _, at := range sent[first:] {
+				if at.Sub(begin) < defaultWindow {
+					count++
+				}
+			}
+			if count > capacity*len(pools) {
+				t.Fatalf("%d extra sends in a window, %d allowed", count, capacity*len(pools))
+			}
+		}
+	})
+}
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -8,6 +8,10 @@
 // requests a second to a service had one extra send for each five of them in the
 // trouble for which the slack is meant.
 //
+// Where there are more nodes than slack, a node's part of it is less than one send, and what one
+// of them needs lies idle at all others. Then the slack is kept in pools (Pool), each shared by
+// a part of the nodes, and a node asks its pool for what it needs.
+//
 // A budget starts without its capacity, so that a restarted node does not spend it a
 // second time; it gets it once the process is older than the window.
 package retrybudget
@@ -73,6 +77,33 @@
 	slots [slotCount]slot
 	// latest is the number of the newest slot.
 	latest int64
+	// granted are sends that a pool has granted, until grantedUntil.
+	granted      int
+	grantedUntil time.Time
+}
+
+// GrantLife is how long a grant of a pool may be used.
+const GrantLife = 2 * time.Second
+
+// Grant adds sends that a pool has granted by an answer to what was asked at the given time.
+func (b *Budget) Grant(count int, asked time.Time) {
+	until := asked.Add(GrantLife)
+	if asked.After(b.grantedUntil) {
+		b.granted = 0
+	} else if b.grantedUntil.Before(until) {
+		// Earlier grants do not last longer for a later one.
+		until = b.grantedUntil
+	}
+	b.granted += count
+	b.grantedUntil = until
+}
+
+// grantsLeft returns how many granted sends are left.
+func (b *Budget) grantsLeft(now time.Time) int {
+	if !now.Before(b.grantedUntil) {
+		return 0
+	}
+	return b.granted
 }
 
 // advance drops what is older than the window. Where other limits have other slots,
@@ -80,7 +111,7 @@
 func (b *Budget) advance(limits Limits, now time.Time) {
 	current := limits.slot(now)
 	if current-b.latest >= slotCount || current < b.latest {
-		*b = Budget{latest: current}
+		*b = Budget{latest: current, granted: b.granted, grantedUntil: b.grantedUntil}
 		return
 	}
 	for b.latest < current {
@@ -102,10 +133,16 @@
 
 // Take spends one extra send and reports whether there was one left.
 func (b *Budget) Take(limits Limits, now time.Time) bool {
-	if b.Left(limits, now) < 1 {
+	b.advance(limits, now)
+	allowed, spent := b.sum(limits, now)
+	switch {
+	case allowed-spent >= 1:
+		b.at(0).extra++
+	case b.grantsLeft(now) > 0:
+		b.granted--
+	default:
 		return false
 	}
-	b.at(0).extra++
 	return true
 }
 
@@ -125,7 +162,7 @@
 func (b *Budget) Left(limits Limits, now time.Time) float64 {
 	b.advance(limits, now)
 	allowed, spent := b.sum(limits, now)
-	return allowed - spent
+	return allowed - spent + float64(b.grantsLeft(now))
 }
 
 // Fullness returns the part of the allowance that is left, 0 to 1.
