--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -115,6 +115,13 @@
 	Apply(change Change[T])
 }
 
+// Differ is a sink that can tell what a list changes, so that followers of this node need not
+// take over the whole state when it has to list once more.
+type Differ[T any] interface {
+	// Differences returns the changes that lead from what the sink holds to the list.
+	Differences(items []T) []Change[T]
+}
+
 // RevisionSink is a sink that wants to know how current it is.
 type RevisionSink interface {
 	// Reached is told, after the changes themselves, that the sink holds all of them up
--- a/internal/catalog/list.go
+++ b/internal/catalog/list.go
@@ -39,7 +39,9 @@
 		return errors.New("the list is older than what is known")
 	}
 	f.tell(read.Flaws)
+	publish := f.differences(read)
 	f.sink.Replace(read.Items, f.outage)
+	publish()
 	f.outage = false
 	f.revision, f.listed, f.listedAt = read.Revision, true, begun
 	f.freshAt = told
@@ -47,6 +49,19 @@
 	return nil
 }
 
+// differences returns a function that publishes what the list changes, once the sink holds it.
+// After an outage it publishes nothing: objects may only have run out, which those that take
+// over the whole state find out for themselves.
+func (f *Follower[T]) differences(read Page[T]) (publish func()) {
+	differ, able := f.sink.(Differ[T])
+	if !able || f.relay == nil || f.revision == 0 || f.outage {
+		return func() {}
+	}
+	changes := Changes[T]{Changes: differ.Differences(read.Items), Revision: read.Revision}
+	after := f.revision
+	return func() { f.relay.Publish(after, changes, true) }
+}
+
 // readPages returns all objects with the revision of the first page: what changes
 // while the others are read is seen again by the watch from there. The store told them at the
 // given time at the latest.
--- a/internal/catalog/relay_test.go
+++ b/internal/catalog/relay_test.go
@@ -181,3 +181,48 @@
 		feed.configure(func() { is.True(feed.stale+feed.fresh <= 8) })
 	})
 }
+
+// differingSink tells as many changes as the list has objects more.
+type differingSink struct{ memorySink }
+
+func (d *differingSink) Differences(items []string) []Change[string] {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	var changes []Change[string]
+	for _, item := range items[min(d.size, len(items)):] {
+		changes = append(changes, Change[string]{Name: item, Value: item})
+	}
+	return changes
+}
+
+// A store that forgets its history makes the nodes that read it list anew. Those that follow them
+// get what has changed, and need not take over the whole state.
+func TestFollowersGetWhatANewListChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store, relay := newMemoryFeed(), &memoryRelay{}
+		store.set("a", "one")
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		follower := NewFollower("test", store, &differingSink{}, uncounted{})
+		follower.Share(relay)
+		go follower.Run(ctx)
+		time.Sleep(500 * time.Millisecond)
+		relay.mutex.Lock()
+		relay.published = nil
+		relay.mutex.Unlock()
+		store.configure(func() { store.delay = 10 * time.Millisecond })
+		store.set("b", "two")
+		store.forget()
+		time.Sleep(10 * time.Second)
+		relay.mutex.Lock()
+		defer relay.mutex.Unlock()
+		var told []string
+		for _, changes := range relay.published {
+			for _, change := range changes.Changes {
+				told = append(told, change.Name)
+			}
+		}
+		is.Equal(told[len(told)-1], "two")
+	})
+}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -236,6 +236,11 @@
 	klog.V(1).InfoS("servers listed", "count", len(servers), "after_outage", afterOutage)
 }
 
+// Differences implements catalog.Differ.
+func (s serverSink) Differences(servers []endpoints.Server) []catalog.Change[endpoints.Server] {
+	return s.state.directory.Differences(servers)
+}
+
 // Reached implements catalog.RevisionSink.
 func (s serverSink) Reached(revision catalog.Revision, told time.Time) {
 	s.state.serversReached.Store(&reached{revision: revision, told: told})
--- a/internal/endpoints/listed.go
+++ b/internal/endpoints/listed.go
@@ -1,5 +1,27 @@
 package endpoints
 
+import "github.com/driftstage/driftstage/internal/catalog"
+
+// Differences returns the changes that lead from the servers that are listed to others.
+func (d *Directory) Differences(servers []Server) []catalog.Change[Server] {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	var changes []catalog.Change[Server]
+	listed := make(map[string]bool, len(servers))
+	for _, server := range servers {
+		listed[server.ID] = true
+		if known, found := d.byID[server.ID]; !found || !known.goneAt.IsZero() || known.Server != server {
+			changes = append(changes, catalog.Change[Server]{Name: server.ID, Value: server})
+		}
+	}
+	for id := range d.byID {
+		if !listed[id] {
+			changes = append(changes, catalog.Change[Server]{Name: id, Removed: true})
+		}
+	}
+	return changes
+}
+
 // ListedServers returns the servers that the list holds: those that were missing in the latest
 // one, and are kept only until it is whole, are left out.
 func (d *Directory) ListedServers() []Server {
--- a/internal/endpoints/listed_test.go
+++ b/internal/endpoints/listed_test.go
@@ -1,6 +1,8 @@
 package endpoints
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -20,3 +22,30 @@
 	directory.Put(all[2], epoch.Add(time.Second))
 	is.Equal(len(directory.ListedServers()), 3)
 }
+
+// What a list changes leads from the servers that are known to those of the list.
+func TestDifferencesLeadToTheList(t *testing.T) {
+	is := is.New(t)
+	directory, follower := New(testTopology(), nil), New(testTopology(), nil)
+	all := make([]Server, 1000)
+	for index := range all {
+		all[index] = Server{ID: fmt.Sprint("i-", index), Service: "s", Address: fmt.Sprint("127.0.0.1:", index+1), Zone: "near-1"}
+	}
+	for _, known := range []*Directory{directory, follower} {
+		known.Replace(all[:900], epoch)
+	}
+	list := slices.Clone(all[100:])
+	list[0].Draining = true
+	changes := directory.Differences(list)
+	is.Equal(len(changes), 100+100+1) // gone, new and changed
+	for _, change := range changes {
+		if change.Removed {
+			follower.Remove(change.Name)
+			continue
+		}
+		follower.Put(change.Value, epoch)
+	}
+	directory.Replace(list, epoch)
+	is.Equal(len(directory.Differences(list)), 0)
+	is.Equal(len(follower.Differences(list)), 0)
+}
