Bursts of changes at a start are left to the nodes that read for others

Cause: servers register at 320 a second while 985 nodes start, and each node watched them at the store: 95 MB/s of a link of 125, so that all calls timed out, members' pages among them. The herd kept itself going until the traffic began. Change: a node that has seen 64 changes or more in one answer waits until 6.5 to 8 s after its start, when it has counted the members and follows a reader. Readers know that they are (Selector.Reads) and go on at once; they read as often as followers need from then on.

--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -65,8 +65,10 @@
 	relay Relay[T]
 	// handed may be nil: then the store alone is listed.
 	handed *Handed[T]
-	// settle is the pause after changes, in which more of them gather.
-	settle time.Duration
+	// settle returns the pause after so many changes, in which more of them gather; nil for none.
+	settle func(changes int) time.Duration
+	// settled ends such a pause.
+	settled <-chan struct{}
 	// backoff spaces the calls to a store that fails.
 	backoff *Backoff
 }
@@ -85,9 +87,11 @@
 // ShareBackoff lets the followers of a node's feeds space their calls together.
 func (f *Follower[T]) ShareBackoff(backoff *Backoff) { f.backoff = backoff }
 
-// Settle sets a pause after changes, in which more of them gather: a call for all
-// of them costs as much as one for each.
-func (f *Follower[T]) Settle(pause time.Duration) { f.settle = pause }
+// Settle sets the pause after so many changes, in which more of them gather: a call for all
+// of them costs as much as one for each. The pause ends early once ended is closed.
+func (f *Follower[T]) Settle(pause func(changes int) time.Duration, ended <-chan struct{}) {
+	f.settle, f.settled = pause, ended
+}
 
 // Run follows the feed until ctx ends.
 func (f *Follower[T]) Run(ctx context.Context) {
@@ -267,8 +271,8 @@
 	if f.relay != nil {
 		f.relay.Publish(request.After, changes, !request.Stale)
 	}
-	if len(changes.Changes) > 0 {
-		sleep(ctx, f.settle)
+	if len(changes.Changes) > 0 && f.settle != nil {
+		rest(ctx, f.settle(len(changes.Changes)), f.settled)
 	}
 	return nil
 }
--- a/internal/catalog/relay_test.go
+++ b/internal/catalog/relay_test.go
@@ -168,7 +168,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		follower := NewFollower("test", feed, sink, uncounted{})
-		follower.Settle(250 * time.Millisecond)
+		follower.Settle(func(int) time.Duration { return 250 * time.Millisecond }, nil)
 		go follower.Run(ctx)
 		synctest.Wait()
 		for range 100 { // a change every 10 ms
--- a/internal/edge/assemble.go
+++ b/internal/edge/assemble.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/dig"
@@ -148,6 +149,8 @@
 		rolloutLink:    parts.RolloutLink,
 		quarantineLink: parts.QuarantineLink,
 		poolChanged:    make(chan struct{}, 1),
+		reads:          make(chan struct{}),
+		startHold:      startHold + rand.N(startHoldSpread),
 	}
 	node.live.Store(&node.settings.Reloadable)
 	for _, link := range []interface{ CountSuspensions(func() time.Duration) }{
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -63,6 +63,13 @@
 	sweepInterval = time.Second
 	// serversSettle is how long changes of servers gather before they are read.
 	serversSettle = 250 * time.Millisecond
+	// startHold, and a random part of startHoldSpread, is until when after its start a node
+	// leaves a burst of changes, of manyChanges at a time, to those that read the store for
+	// others: by then it has counted them, and they have caught up. Many nodes that start
+	// together with their servers would each read all changes.
+	startHold       = 6500 * time.Millisecond
+	startHoldSpread = 1500 * time.Millisecond
+	manyChanges     = 64
 )
 
 // GCPercent trades processor time for memory, which is dearer.
@@ -110,6 +117,11 @@
 	retryPool   retrybudget.Pool
 	pooling     atomic.Bool
 	poolChanged chan struct{}
+	// reads is closed once the node knows that it reads the store for others; until startHold
+	// after its start it waits for them else.
+	reads     chan struct{}
+	readsOnce sync.Once
+	startHold time.Duration
 	// announcer tells the others that this node is there, and counts them.
 	announcer *members.Announcer
 	// storeBackoff spaces the calls of all feeds to a store that fails.
@@ -180,7 +192,7 @@
 func (n *Node) follow(ctx context.Context, tasks *sync.WaitGroup) {
 	tables := newFollower(n, feedTables, n.store.Tables(), tableSink{n.state}, n.tableLink)
 	servers := newFollower(n, feedServers, n.store.Servers(), serverSink{n.state}, n.serverLink)
-	servers.Settle(serversSettle)
+	servers.Settle(n.serversPause, n.reads)
 	if n.mayBeHanded() {
 		servers.Bootstrap(&n.state.handed)
 	}
@@ -224,6 +236,33 @@
 	return len(seeds) > 0 && !slices.Contains(seeds, n.settings.PeerAddress)
 }
 
+// serversPause returns the pause after so many changes of servers.
+func (n *Node) serversPause(changes int) time.Duration {
+	if n.reading() {
+		return serversSettle
+	}
+	return pauseAfterChanges(changes, time.Since(n.started), n.startHold, n.mayBeHanded())
+}
+
+// pauseAfterChanges returns the pause of a node of the given age, which holds until another; other
+// nodes may tell it what it has to know, or not.
+func pauseAfterChanges(changes int, age, hold time.Duration, told bool) time.Duration {
+	if told && changes >= manyChanges && age < hold {
+		return max(hold-age, serversSettle)
+	}
+	return serversSettle
+}
+
+// reading reports whether the node has learned that it reads the store for others.
+func (n *Node) reading() bool {
+	select {
+	case <-n.reads:
+		return true
+	default:
+		return false
+	}
+}
+
 // newAnnouncer returns what keeps the node announced. Those that all others ask read the
 // announcements for themselves.
 func (n *Node) newAnnouncer() *members.Announcer {
@@ -335,6 +374,9 @@
 // MembersRead implements members.Observer.
 func (m memberObserver) MembersRead(live []members.Member) {
 	m.node.selector.SetMembers(live)
+	if m.node.selector.Reads() {
+		m.node.readsOnce.Do(func() { close(m.node.reads) })
+	}
 	m.node.shareVersions(live)
 }
 
--- a/internal/edge/retries_test.go
+++ b/internal/edge/retries_test.go
@@ -92,3 +92,25 @@
 	is.True(divided < 0.05)
 	is.True(pooled > 0.9)
 }
+
+// Many servers and nodes start together: a node that others will tell leaves the burst of changes
+// to them until it has counted them, and no longer.
+func TestBurstOfChangesAtTheStartIsLeftToReaders(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		changes int
+		age     time.Duration
+		told    bool
+		want    time.Duration
+	}{
+		{"a few changes", manyChanges - 1, time.Second, true, serversSettle},
+		{"a burst", manyChanges, time.Second, true, startHold - time.Second},
+		{"a burst just before the end", manyChanges, startHold - time.Millisecond, true, serversSettle},
+		{"a burst later on", manyChanges, startHold, true, serversSettle},
+		{"a node that the others ask", manyChanges, time.Second, false, serversSettle},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is.New(t).Equal(pauseAfterChanges(test.changes, test.age, startHold, test.told), test.want)
+		})
+	}
+}
--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -107,8 +107,9 @@
 // StoreFailed implements catalog.Relay.
 func (l *Link[T]) StoreFailed() { l.selector.StoreFailed(time.Now()) }
 
-// Followed implements catalog.Relay.
-func (l *Link[T]) Followed() bool { return l.publisher.Followed() }
+// Followed implements catalog.Relay. A node that others are about to follow has to know as much as
+// they will ask for.
+func (l *Link[T]) Followed() bool { return l.publisher.Followed() || l.selector.Reads() }
 
 // Source implements catalog.Relay.
 func (l *Link[T]) Source() catalog.Watcher[T] {
--- a/internal/peers/selector.go
+++ b/internal/peers/selector.go
@@ -111,6 +111,17 @@
 // readerCount returns how many of so many nodes read the store.
 func readerCount(nodes int) int { return 1 + nodes/readerNodes }
 
+// Reads reports whether this node reads the store for others.
+func (s *Selector) Reads() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if len(s.region) < relayNodes {
+		return false
+	}
+	first := s.region[:readerCount(len(s.region))]
+	return slices.ContainsFunc(first, func(member members.Member) bool { return member.Name == s.own.Name })
+}
+
 // Holder returns the node that keeps the pool of retries of this one; false if that is this
 // node itself.
 func (s *Selector) Holder(now time.Time) (members.Member, bool) {
--- a/internal/peers/selector_test.go
+++ b/internal/peers/selector_test.go
@@ -174,3 +174,23 @@
 		}
 	}
 }
+
+// Exactly the nodes that the others follow know that they read the store for them.
+func TestReadersKnowThatTheyAre(t *testing.T) {
+	is := is.New(t)
+	for _, count := range []int{relayNodes - 1, relayNodes, 200, 985} {
+		all := nodes("near", count)
+		followed, readers := make(map[string]bool), make(map[string]bool)
+		for _, own := range all {
+			selector := NewSelector(own, inRegion)
+			selector.SetMembers(all)
+			if picked, found := selector.Pick(epoch); found {
+				followed[picked.Name] = true
+			}
+			if selector.Reads() {
+				readers[own.Name] = true
+			}
+		}
+		is.Equal(readers, followed)
+	}
+}
