A list that is due anew is left to the nodes that are followed

Change: a follower waits for those that it follows for 2 to 6 s, and lists itself where they do not answer. Test: TestLongListThatIsDueIsLeftToOthers, both ways.

--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -31,6 +32,10 @@
 	// probesBeforeList is after how many failed calls the state is listed once more, in
 	// case that the store answers but cannot go on from the known revision.
 	probesBeforeList = 12
+	// relistPatience, and a random part of relistSpread, is how long a long list that is due is
+	// left to other nodes.
+	relistPatience = 2 * time.Second
+	relistSpread   = 4 * time.Second
 	// relistInterval is the least time between two lists that are not called failures: a
 	// store that forgets what it has just listed is left alone for a while.
 	relistInterval = time.Second
@@ -54,9 +59,9 @@
 	observer Observer
 	revision Revision
 	listed   bool
-	// listedAt is when the store was listed last.
-	listedAt time.Time
-	failures int
+	// listedAt is when the store was listed last, relistAt when it is listed anew at the latest.
+	listedAt, relistAt time.Time
+	failures           int
 	// outage is set while the store has not answered since the latest list.
 	outage bool
 	// freshAt is when the state was last known not to lag.
@@ -106,6 +111,10 @@
 		return
 	}
 	woken := f.backoff.Woken()
+	if f.leavesList() {
+		rest(ctx, longestSleep, woken)
+		return
+	}
 	if wait := f.wait(); wait > 0 {
 		rest(ctx, min(wait, longestSleep), woken)
 		return
@@ -122,6 +131,20 @@
 	f.judge(ctx, err)
 }
 
+// leavesList reports whether a state that has to be listed anew is left to the nodes that this
+// one follows: a store that forgets its history must not be listed by all nodes at once. They
+// have listed soon, and tell what has changed.
+func (f *Follower[T]) leavesList() bool {
+	if f.listed || f.handed == nil || f.revision == 0 || f.relay == nil {
+		f.relistAt = time.Time{}
+		return false
+	}
+	if f.relistAt.IsZero() {
+		f.relistAt = time.Now().Add(relistPatience + rand.N(relistSpread))
+	}
+	return time.Now().Before(f.relistAt) && f.relay.Source() != nil
+}
+
 // wait returns how long the next call to the store has to wait.
 func (f *Follower[T]) wait() time.Duration {
 	if f.revision == 0 {
--- a/internal/catalog/relay_test.go
+++ b/internal/catalog/relay_test.go
@@ -226,3 +226,56 @@
 		is.Equal(told[len(told)-1], "two")
 	})
 }
+
+// Nodes that follow others leave a list that is due, because the store has forgotten its history,
+// to them; where those do not answer, they list for themselves.
+func TestLongListThatIsDueIsLeftToOthers(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		silent  bool
+		further int
+	}{
+		{"the other node answers", false, 0},
+		{"the other node is silent", true, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store, relay := newMemoryFeed(), &memoryRelay{}
+				store.set("a", "one")
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				sink := &memorySink{}
+				var handed Handed[string]
+				handed.Abandon()
+				follower := NewFollower("test", store, sink, uncounted{})
+				follower.Bootstrap(&handed)
+				follower.Share(relay)
+				go follower.Run(ctx)
+				time.Sleep(time.Second)
+				is.Equal(store.lists, 1)
+				other := newMemoryFeed()
+				other.set("a", "one")
+				other.set("b", "two")
+				other.configure(func() { other.fail = true })
+				relay.mutex.Lock()
+				relay.source = other
+				relay.mutex.Unlock()
+				store.set("b", "two")
+				store.forget()
+				time.Sleep(relistPatience / 2)
+				is.Equal(store.lists, 1)
+				if !test.silent {
+					other.configure(func() { other.fail = false })
+				}
+				time.Sleep(relistSpread + 2*relistPatience)
+				is.Equal(store.lists, 1+test.further)
+				if test.silent {
+					is.Equal(sink.size, 2)
+				} else {
+					is.Equal(sink.last, "two")
+				}
+			})
+		})
+	}
+}
--- a/internal/peers/compress.go
+++ b/internal/peers/compress.go
@@ -27,7 +27,8 @@
 	if bytes.HasPrefix(body, gzipMagic) {
 		ctx.Response.Header.SetContentEncoding("gzip")
 	}
-	ctx.SetBody(body)
+	// The body is shared by all answers, and never changed.
+	ctx.Response.SetBodyRaw(body)
 }
 
 // setBody sends JSON that compress has returned.
