A seed encodes its list of members once for all that ask

When all nodes start, 330 ask a seed for the members within a second, and each answer was encoded and compressed by itself, with buffers of its own.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -311,7 +311,7 @@
 	}
 	contact := peers.Contact{InTouch: func() bool { return n.storeBackoff.InTouch(time.Now()) }}
 	server := peers.NewServer(n.asker(), n.state.snapshot, n.tableLink, n.serverLink, n.evacuationLink, n.rolloutLink, n.quarantineLink, n.reportServer(), peers.NoticeServer{Hear: n.keeper.Hear}, contact,
-		peers.MemberServer{Latest: n.announcer.Latest}, peers.RetryServer{Pool: &n.retryPool, Now: boottime.Time})
+		&peers.MemberServer{Latest: n.announcer.Latest}, peers.RetryServer{Pool: &n.retryPool, Now: boottime.Time})
 	go func() { failed <- server.Serve(listener) }()
 	return nil
 }
--- a/internal/peers/members.go
+++ b/internal/peers/members.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"math/rand/v2"
+	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fasthttp/router"
@@ -13,27 +15,53 @@
 
 const membersPath = "/v1/members"
 
+// membersReuse is how long encoded announcements are told: where many nodes start together, all
+// ask for the same at once.
+const membersReuse = time.Second
+
 // MemberServer tells other nodes the announcements that this one has read.
 type MemberServer struct {
 	// Latest returns them; false if there are none of use.
 	Latest func() ([]members.Member, bool)
+
+	mutex     sync.Mutex
+	body      []byte
+	encodedAt time.Time
 }
 
 // Route implements Routed.
-func (s MemberServer) Route(routes *router.Router) { routes.GET(membersPath, s.serve) }
+func (s *MemberServer) Route(routes *router.Router) { routes.GET(membersPath, s.serve) }
 
-func (s MemberServer) serve(ctx *fasthttp.RequestCtx) {
+func (s *MemberServer) serve(ctx *fasthttp.RequestCtx) {
+	body, err := s.encoded(time.Now())
+	switch {
+	case err != nil:
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+	case body == nil:
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	default:
+		writeBody(ctx, body)
+	}
+}
+
+// encoded returns the announcements as they are told; nil if there are none of use. One caller at
+// a time encodes them: hundreds at once would take hundreds of megabytes.
+func (s *MemberServer) encoded(now time.Time) ([]byte, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.body != nil && now.Sub(s.encodedAt) < membersReuse {
+		return s.body, nil
+	}
 	latest, found := s.Latest()
 	if !found {
-		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
-		return
+		return nil, nil
 	}
-	encoded, err := json.Marshal(latest)
+	plain, err := json.Marshal(latest)
 	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
-		return
+		return nil, err
 	}
-	writeBody(ctx, compress(encoded))
+	s.body, s.encodedAt = compress(plain), now
+	return s.body, nil
 }
 
 // errNobodyToAsk means that there is no other node whose address is known.
