Log the server that crashed under a trial

The log of a trial that has failed did not name the server, so that the log could not tell whether several trials failed in the same crash. Two hypotheses on TestCrashingRequests/one_shard_of_ten need that: the crashing request takes one server down under the trials of several digests (the same server in the lines of several digests), or harmless requests meet crashes of their own (each line another server).

--- a/internal/quarantine/manager.go
+++ b/internal/quarantine/manager.go
@@ -189,7 +189,7 @@
 	m.locked(func(now boottime.Instant) {
 		m.losses.RequestAnswered(digest, variant, service)
 		if t := m.trials[trialKey{digest, variant}]; t.concerns(service) {
-			m.finish(digest, t, TrialAnswered)
+			m.finish(digest, t, TrialAnswered, "")
 			return
 		}
 		if m.records.RequestAnswered(digest, variant, service, now) {
@@ -216,7 +216,7 @@
 			m.records.AddLoss(loss, now)
 		}
 		if t := m.trials[trialKey{loss.Digest, loss.Variant}]; t.concerns(loss.Service) {
-			m.finish(loss.Digest, t, TrialFailed)
+			m.finish(loss.Digest, t, TrialFailed, loss.Server)
 		}
 	}
 	m.Observer.AttemptsLost(losses[0].Service, len(losses))
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -263,7 +263,7 @@
 		if !pending || m.Now().Sub(began) > resolveTimeout {
 			m.locked(func(boottime.Instant) {
 				if current := m.trials[trialKey{digest, t.Variant}]; current != nil && current.Trial == t {
-					m.finish(digest, current, TrialUnknown)
+					m.finish(digest, current, TrialUnknown, "")
 				}
 			})
 			return
@@ -290,11 +290,12 @@
 	return *current.loss, m.losses.Pending(*current.loss)
 }
 
-// finish ends a trial and publishes its result to all nodes. The lock is held.
-func (m *Manager) finish(digest Digest, t *trial, result TrialResult) {
+// finish ends a trial and publishes its result to all nodes. server is the one that crashed, empty
+// unless the trial failed. The lock is held.
+func (m *Manager) finish(digest Digest, t *trial, result TrialResult, server ServerID) {
 	delete(m.trials, trialKey{digest, t.Variant})
 	m.Observer.TrialEnded(result)
-	klog.InfoS("request trial ended", "digest", digest, "variant", t.Variant, "result", result.String())
+	klog.InfoS("request trial ended", "digest", digest, "variant", t.Variant, "result", result.String(), "server", server)
 	if result == TrialAnswered {
 		m.records.TrialAnswered(digest, t.Variant, m.Now())
 	}
