A crash counts against one of the requests in flight, not against all of them

Cause: a failed trial counted against its request whoever else was in flight on the server. The permission for a trial excludes trials of the same digest only; after all servers of a service had crashed, trials of several digests went to the first one that was back, the crashing request took it down under all of them, and a second later the next one.

Ruled out: crashes of the harmless requests' own (each would name another server), and colliding digests.

Change: a crash under a trial is attributed to the request in flight there under which most servers crashed, and to none while another has as many. The one that crashes servers is in each crash, so that no harmless one has more; an answered one contests nothing. So that two which are always in flight together are told apart, trials of requests of which one has failed take the lock of their service first, a record in the store. Without the store, nodes tell each other, and the lowest drawn number holds it.

Same fault elsewhere: two variants of a digest in one crash; first attempts of nodes that do not know the record; trials without the store; a failed trial of a ninth variant, which was not listed at all (before: still tried after 6 crashes); retries without a trial of a node's own request after a trial had failed.

Tried and dropped: counting a shared crash for none (the request hides among others), or for the trial that holds the lock (harmless requests were refused for a second or two); one trial under the lock at a time (60 digests on one server: up to 6 refused). Cost: half a second until a crash is attributed; 3 writes in place of 2 for a trial under the lock.

--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -43,11 +43,15 @@
 	if e == nil || !e.record.covers(variant) {
 		return Decision{}
 	}
+	against := r.evidenceOf(&e.record)
 	decision := Decision{Action: Try, Changed: e.changed}
-	termLeft, delay := e.releaseAt(r.term).Sub(now), e.trialDelay(variant, now)
+	termLeft, delay := e.releaseAt(r.term, against).Sub(now), e.trialDelay(variant, against, now)
+	unsettled := e.unsettledFor(now)
 	blocker := e.record.blockingTrial(variant, now)
 	switch {
-	case e.record.quarantines(variant) && termLeft > 0:
+	case against.quarantines(variant) && unsettled > 0:
+		decision.Action, decision.Until = Await, unsettled
+	case against.quarantines(variant) && termLeft > 0:
 		decision.Action, decision.RetryAfter = Refuse, termLeft
 	case delay > 0:
 		decision.Action, decision.Until = Await, delay
@@ -67,10 +71,10 @@
 	case !trial.isZero():
 		current := e.record.findTrial(trial)
 		return current != nil && current.active(now)
-	case e.record.quarantines(variant) || !e.record.blockingTrial(variant, now).isZero():
+	case !e.record.blockingTrial(variant, now).isZero():
 		return false
 	}
-	return e.crashedLocally && e.trialDelay(variant, now) == 0
+	return e.crashedLocally && !e.record.needsLock(variant)
 }
 
 // BeginTrial adds a trial of this node to the record; the node then requests the permission by
@@ -103,6 +107,15 @@
 	return e.record.clone(), true
 }
 
+// TrialFailed lists a failed trial of this node.
+func (r *recordTable) TrialFailed(digest Digest, variant Variant, failure TrialFailure, now boottime.Instant) {
+	if e := r.entries[digest]; e != nil && e.record.addFailure(variant, failure) {
+		e.lastFailure = now
+		// The caller writes the record immediately; this is the retry if that fails.
+		e.publishAt = now.Add(publishRetryDelay)
+	}
+}
+
 // EndTrial removes this node's trial. failed is the number of failed trials of the variant including
 // this one; zero if this one did not crash a server. EndTrial is idempotent. It returns the record to
 // be written.
--- a/internal/quarantine/describe.go
+++ b/internal/quarantine/describe.go
@@ -46,13 +46,15 @@
 	defer m.mutex.Unlock()
 	now := m.Now()
 	for _, e := range m.records.entries {
-		described = append(described, e.describe(m.Term, now))
+		if !e.record.isLock() {
+			described = append(described, e.describe(m.Term, m.records.evidenceOf(&e.record), now))
+		}
 	}
 	slices.SortFunc(described, func(a, b Description) int { return cmp.Compare(a.Digest.String(), b.Digest.String()) })
 	return described
 }
 
-func (e *entry) describe(term time.Duration, now boottime.Instant) Description {
+func (e *entry) describe(term time.Duration, against evidence, now boottime.Instant) Description {
 	description := Description{
 		Digest:       e.record.Digest,
 		State:        StateSuspected,
@@ -62,10 +64,10 @@
 		FailedTrials: e.record.FailedTrials(),
 		Shared:       e.record.Revision > 0,
 	}
-	switch left := e.releaseAt(term).Sub(now); {
-	case e.record.Quarantined() && left > 0:
+	switch left := e.releaseAt(term, against).Sub(now); {
+	case against.quarantined() && left > 0:
 		description.State, description.SecondsLeft = StateRefused, left.Seconds()
-	case e.record.Quarantined():
+	case against.quarantined():
 		description.State = StateProbation
 	}
 	return description
--- a/internal/quarantine/entry.go
+++ b/internal/quarantine/entry.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/driftstage/driftstage/internal/boottime"
@@ -17,13 +18,24 @@
 	publishAt boottime.Instant
 	// writtenAt is when this node last wrote the record; zero for never.
 	writtenAt boottime.Instant
+	// quarantineLogged is set if the log says that the request is quarantined.
+	quarantineLogged bool
 	// changed is closed when the record changes.
 	changed chan struct{}
 }
 
 // releaseAt returns when the term of a quarantined variant is over.
-func (e *entry) releaseAt(term time.Duration) boottime.Instant {
-	return e.lastFailure.Add(doubledTerm(term, e.record.FailedTrials()-minFailedTrials))
+func (e *entry) releaseAt(term time.Duration, against evidence) boottime.Instant {
+	return e.lastFailure.Add(doubledTerm(term, against.trials()-minFailedTrials))
+}
+
+// unsettledFor returns how long other requests that were in flight in the latest crash may still be
+// unknown to this node.
+func (e *entry) unsettledFor(now boottime.Instant) time.Duration {
+	if !slices.ContainsFunc(e.record.SuspectedVariants, func(s SuspectedVariant) bool { return len(s.Failures) > 0 }) {
+		return 0
+	}
+	return max(e.lastFailure.Add(settleDelay).Sub(now), 0)
 }
 
 // doubledTerm returns the first term doubled the given number of times, up to maxTerm.
@@ -39,13 +51,14 @@
 }
 
 // trialDelay returns how long no trial of the variant may start because another one has just crashed
-// a server. Once some variant was answered, only failed trials of the variant itself count.
-func (e *entry) trialDelay(variant Variant, now boottime.Instant) time.Duration {
-	failed := e.record.FailedTrials()
+// a server. Failed trials that are not attributed to the request cause no delay. Once some variant was
+// answered, only trials of the variant itself count.
+func (e *entry) trialDelay(variant Variant, against evidence, now boottime.Instant) time.Duration {
+	failed := against.trials()
 	if e.record.SomeAnswered {
-		failed = e.record.failedTrials(variant)
+		failed = against.variantTrials(variant)
 	}
-	if failed == 0 || e.record.Quarantined() {
+	if failed == 0 || against.quarantined() {
 		return 0
 	}
 	return max(e.lastFailure.Add(trialPause).Sub(now), 0)
@@ -71,9 +84,9 @@
 }
 
 // retention returns how long the record is kept without changes.
-func (e *entry) retention(term time.Duration) time.Duration {
-	if e.record.Quarantined() {
-		return doubledTerm(term, e.record.FailedTrials()-minFailedTrials) + quarantineRetention
+func (e *entry) retention(term time.Duration, against evidence) time.Duration {
+	if against.quarantined() {
+		return doubledTerm(term, against.trials()-minFailedTrials) + quarantineRetention
 	}
 	return suspectRetention
 }
--- a/internal/quarantine/manager.go
+++ b/internal/quarantine/manager.go
@@ -109,6 +109,8 @@
 	records               recordTable
 	// trials are the active trials of this node.
 	trials map[trialKey]*trial
+	// locks are those that this node holds, by service.
+	locks map[string]*heldLock
 	// storeFailedAt is when a write to the store last failed; zero after a successful one.
 	storeFailedAt boottime.Instant
 }
@@ -121,6 +123,7 @@
 		writes:  rate.NewLimiter(writesPerSecond, writeBurst),
 		records: newRecordTable(options.Term),
 		trials:  make(map[trialKey]*trial),
+		locks:   make(map[string]*heldLock),
 	}
 	manager.context, manager.cancel = context.WithCancel(context.Background())
 	return manager
@@ -139,6 +142,7 @@
 		case now := <-ticker.C:
 			m.checkServers(now)
 			m.publish()
+			m.logQuarantined()
 			if m.Now() >= expireAt {
 				expireAt = m.Now().Add(expiryInterval)
 				m.expire()
--- a/internal/quarantine/publish.go
+++ b/internal/quarantine/publish.go
@@ -137,7 +137,6 @@
 			}
 		})
 		if err == nil {
-			logQuarantined(written)
 			return
 		}
 	}
@@ -153,12 +152,19 @@
 	m.records.ApplyStored(record, now)
 }
 
-// logQuarantined logs that a request is refused from now on.
-func logQuarantined(record Record) {
-	if record.Quarantined() {
+// logQuarantined logs which requests are refused from now on, and which no longer because their
+// crashes are explained by other requests.
+func (m *Manager) logQuarantined() {
+	var quarantined, admitted []Record
+	m.locked(func(now boottime.Instant) { quarantined, admitted = m.records.QuarantineChanges(now) })
+	for _, record := range quarantined {
 		klog.InfoS("request quarantined", "digest", record.Digest, "services", record.ServiceNames(),
 			"servers", record.CrashedServers(), "failed_trials", record.FailedTrials())
 	}
+	for _, record := range admitted {
+		klog.InfoS("request no longer quarantined", "digest", record.Digest, "services", record.ServiceNames(),
+			"servers", record.CrashedServers(), "failed_trials", record.FailedTrials())
+	}
 }
 
 // expire removes the records that have not changed for their retention.
@@ -203,7 +209,6 @@
 func (m *Manager) Apply(change catalog.Change[Record]) {
 	if !change.Removed {
 		m.locked(func(now boottime.Instant) { m.records.ApplyStored(change.Value, now) })
-		logQuarantined(change.Value)
 		return
 	}
 	digest, err := ParseDigest(change.Name)
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -31,8 +31,10 @@
 // SuspectedVariant is a variant of a request under which servers crashed.
 type SuspectedVariant struct {
 	Variant Variant `json:"variant"`
-	// Failed is the number of its trials that crashed a server.
+	// Failed is the number of its trials during which a server crashed.
 	Failed int `json:"failed,omitempty"`
+	// Failures are the latest of these trials.
+	Failures []TrialFailure `json:"failures,omitempty"`
 }
 
 // Trial is a send of a suspected request to a single server, like the trial call of a
@@ -93,32 +95,6 @@
 	return count
 }
 
-// Quarantined reports whether some variant of the request is known to crash servers.
-func (r Record) Quarantined() bool {
-	return r.CrashedServers() >= minCrashedServers && (r.coversAllVariants() || slices.ContainsFunc(r.SuspectedVariants, SuspectedVariant.confirmed))
-}
-
-// confirmed reports whether enough trials of the variant have failed to quarantine it.
-func (s SuspectedVariant) confirmed() bool { return s.Failed >= minFailedTrials }
-
-// coversAllVariants reports whether trials of several variants have crashed servers while no
-// variant was answered: then all variants are quarantined.
-func (r Record) coversAllVariants() bool {
-	count := 0
-	for _, suspect := range r.SuspectedVariants {
-		if suspect.Failed > 0 {
-			count++
-		}
-	}
-	return !r.SomeAnswered && count >= minFailedTrials
-}
-
-// quarantines reports whether the variant is known to crash servers.
-func (r Record) quarantines(variant Variant) bool {
-	suspect := r.findSuspect(variant)
-	return r.CrashedServers() >= minCrashedServers && (r.coversAllVariants() || suspect != nil && suspect.confirmed())
-}
-
 // IsSuspected reports whether the variant is listed: servers crashed under it.
 func (r Record) IsSuspected(variant Variant) bool { return r.findSuspect(variant) != nil }
 
@@ -133,6 +109,15 @@
 	return 0
 }
 
+// needsLock reports whether a trial of the variant needs the lock of its service, because an earlier
+// one has failed. Once some variant was answered, only failed trials of the variant itself count.
+func (r Record) needsLock(variant Variant) bool {
+	if r.SomeAnswered {
+		return r.failedTrials(variant) > 0
+	}
+	return r.FailedTrials() > 0
+}
+
 // findSuspect returns the listed variant; nil if it is not listed.
 func (r Record) findSuspect(variant Variant) *SuspectedVariant {
 	index := slices.IndexFunc(r.SuspectedVariants, func(s SuspectedVariant) bool { return s.Variant == variant })
@@ -184,6 +169,9 @@
 // clone returns a deep copy of the record.
 func (r Record) clone() Record {
 	r.SuspectedVariants = slices.Clone(r.SuspectedVariants)
+	for index := range r.SuspectedVariants {
+		r.SuspectedVariants[index].Failures = slices.Clone(r.SuspectedVariants[index].Failures)
+	}
 	r.Trials = slices.Clone(r.Trials)
 	r.SuspectedServices = slices.Clone(r.SuspectedServices)
 	for index := range r.SuspectedServices {
@@ -208,6 +196,45 @@
 	return true
 }
 
+// listsServer reports whether the server crashed under the request, as far as the record lists that.
+func (r Record) listsServer(server ServerID) bool {
+	for _, suspected := range r.SuspectedServices {
+		if slices.Contains(suspected.Servers, server) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(r.SuspectedVariants, func(s SuspectedVariant) bool { return s.failedAt(server) })
+}
+
+// addFailure lists a failed trial of a variant; it reports whether the record changed.
+func (r *Record) addFailure(variant Variant, failure TrialFailure) bool {
+	r.makeRoomFor(variant)
+	changed := r.addVariant(variant, failure.Number)
+	suspect := r.findSuspect(variant)
+	if suspect == nil {
+		return changed
+	}
+	if suspect.failedAt(failure.Server) {
+		return changed
+	}
+	suspect.Failures = append(suspect.Failures, failure)
+	if excess := len(suspect.Failures) - maxFailures; excess > 0 {
+		suspect.Failures = slices.Delete(suspect.Failures, 0, excess)
+	}
+	return true
+}
+
+// makeRoomFor drops a variant without failed trials if a further one has to be listed.
+func (r *Record) makeRoomFor(variant Variant) {
+	if len(r.SuspectedVariants) < maxVariants || r.IsSuspected(variant) {
+		return
+	}
+	index := slices.IndexFunc(r.SuspectedVariants, func(s SuspectedVariant) bool { return s.Failed == 0 })
+	if index >= 0 {
+		r.SuspectedVariants = slices.Delete(slices.Clone(r.SuspectedVariants), index, index+1)
+	}
+}
+
 // addVariant lists a variant under which servers crashed, with at least the given number of
 // failed trials; it reports whether the record changed.
 func (r *Record) addVariant(variant Variant, failed int) bool {
@@ -235,6 +262,9 @@
 	}
 	for _, suspect := range other.SuspectedVariants {
 		changed = r.addVariant(suspect.Variant, suspect.Failed) || changed
+		for _, failure := range suspect.Failures {
+			changed = r.addFailure(suspect.Variant, failure) || changed
+		}
 	}
 	if other.SomeAnswered && !r.SomeAnswered {
 		r.SomeAnswered, changed = true, true
--- a/internal/quarantine/record_table.go
+++ b/internal/quarantine/record_table.go
@@ -17,6 +17,9 @@
 	// trialPause is the minimum time between a trial that crashed a server and the next one:
 	// servers that crash together for another reason do so within about a second.
 	trialPause = time.Second
+	// settleDelay is how long after a failed trial it is not yet attributed to its request: the
+	// records of others that were in flight on the server arrive within that time.
+	settleDelay = 500 * time.Millisecond
 	// publishDelay is how long a suspicion stays local: a request that was lost when its
 	// server crashed is usually answered by the next server within that time.
 	publishDelay = 100 * time.Millisecond
@@ -214,6 +217,25 @@
 	}
 }
 
+// QuarantineChanges returns the records of requests that are quarantined, and of those that no longer are,
+// since the last call.
+func (r *recordTable) QuarantineChanges(at boottime.Instant) (quarantined, admitted []Record) {
+	for _, e := range r.entries {
+		if e.record.FailedTrials() == 0 && !e.quarantineLogged {
+			continue
+		}
+		now := r.evidenceOf(&e.record).quarantined() && (e.quarantineLogged || e.unsettledFor(at) == 0)
+		switch {
+		case now && !e.quarantineLogged:
+			quarantined = append(quarantined, e.record.clone())
+		case !now && e.quarantineLogged:
+			admitted = append(admitted, e.record.clone())
+		}
+		e.quarantineLogged = now
+	}
+	return quarantined, admitted
+}
+
 // Due returns the records that have to be written to the store now.
 func (r *recordTable) Due(now boottime.Instant) []Record {
 	var due []Record
@@ -243,7 +265,7 @@
 		}
 	}
 	for digest, e := range r.entries {
-		age, retention := now.Sub(e.lastChange), e.retention(r.term)
+		age, retention := now.Sub(e.lastChange), e.retention(r.term, r.evidenceOf(&e.record))
 		ownRecord := e.writtenAt > 0 || e.record.Revision == 0
 		if age < retention || !ownRecord && age < 2*retention+rand.N(retention) {
 			continue
--- a/internal/quarantine/restored.go
+++ b/internal/quarantine/restored.go
@@ -44,7 +44,11 @@
 		}
 	}
 	for digest, e := range r.entries {
-		if !listed[digest] && e.record.Revision > 0 {
+		switch {
+		case listed[digest] || e.record.Revision == 0:
+		case e.record.isLock():
+			r.remove(digest)
+		default:
 			e.record.Revision, e.record.Trials = 0, nil
 			e.publishAt = e.rewriteAt(now)
 		}
--- /dev/null
+++ b/internal/quarantine/service_lock.go
@@ -0,0 +1,261 @@
+package quarantine
+
+import (
+	"context"
+	"crypto/sha256"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/driftstage/driftstage/internal/boottime"
+)
+
+// The lock of a service excludes trials of other nodes there, of all requests of which a trial has
+// failed before: a crash during the trial is then not caused by one of them. It is a record without
+// services and variants, of which the holder is the only trial.
+//
+// The node that holds it makes its next trials, too. Requests of which a single trial has failed, in a
+// crash that is attributed to another request, are tried together: most of them are harmless, and
+// there may be many of them. All others are tried alone.
+
+const (
+	// lockLease is how long a trial holds the lock of its service at most. It is not renewed: the
+	// server of a trial may be silent, and the node may have died.
+	lockLease = 1500 * time.Millisecond
+	// lockNoticeDelay is how long a node that cannot write the lock to the store waits for notices of
+	// others that take it at the same time.
+	lockNoticeDelay = 150 * time.Millisecond
+	// maxLockReuse bounds how long after taking a lock a node uses it for further trials, and
+	// lockReuseDelay how long it waits for the next one before it releases the lock.
+	maxLockReuse   = time.Second
+	lockReuseDelay = 5 * time.Millisecond
+	// maxLockBackoff bounds the random wait between the release of a lock and the next attempt to take
+	// it, so that not all nodes write at once.
+	maxLockBackoff = 40 * time.Millisecond
+)
+
+// lockDigest returns the name of the record that is the lock of a service.
+func lockDigest(service string) Digest {
+	hash := sha256.Sum256([]byte("lock of service " + service))
+	return Digest(hash[:len(Digest{})])
+}
+
+// isLock reports whether the record is the lock of a service.
+func (r Record) isLock() bool { return len(r.SuspectedServices) == 0 && len(r.SuspectedVariants) == 0 }
+
+// lockHolder returns the trial that holds the lock; the zero value if it is free. If several
+// nodes took it without the store, that is the one with the lowest number, which is random.
+func (r Record) lockHolder(now boottime.Instant) Trial {
+	var holder Trial
+	for _, t := range r.Trials {
+		if now.Sub(t.seenAt) < lockLease && (holder.isZero() || t.Number < holder.Number) {
+			holder = t
+		}
+	}
+	return holder
+}
+
+// lockBackoff returns the wait before the next attempt to take a lock.
+func lockBackoff() time.Duration { return 1 + rand.N(maxLockBackoff) }
+
+// LockDecision returns whether the lock of the service may be taken: Try, or Await while it is held. Until
+// is set in both cases, for an attempt that fails.
+func (r *recordTable) LockDecision(service string, now boottime.Instant) Decision {
+	decision := Decision{Action: Try, Until: lockBackoff()}
+	e := r.entries[lockDigest(service)]
+	if e == nil {
+		return decision
+	}
+	if holder := e.record.lockHolder(now); !holder.isZero() {
+		decision.Action, decision.Changed, decision.Until = Await, e.changed, holder.seenAt.Add(lockLease).Sub(now)
+	}
+	return decision
+}
+
+// TakeLock makes the trial the holder of the service's lock on this node. It returns the record to
+// be written; false if the lock is held.
+func (r *recordTable) TakeLock(service string, trial Trial, now boottime.Instant) (Record, bool) {
+	digest := lockDigest(service)
+	e := r.entries[digest]
+	if e == nil {
+		if !r.makeRoom() {
+			return Record{}, false
+		}
+		e = r.put(Record{Digest: digest})
+	}
+	if !e.record.lockHolder(now).isZero() {
+		return Record{}, false
+	}
+	trial.seenAt = now
+	e.record.Trials = []Trial{trial}
+	e.lastChange = now
+	e.notify()
+	return e.record.clone(), true
+}
+
+// HoldsLock reports whether the trial holds the lock of the service.
+func (r *recordTable) HoldsLock(service string, trial Trial, now boottime.Instant) bool {
+	e := r.entries[lockDigest(service)]
+	return e != nil && e.record.lockHolder(now).sameAs(trial)
+}
+
+// NotifyLock wakes up the requests that wait for the lock of the service.
+func (r *recordTable) NotifyLock(service string) {
+	if e := r.entries[lockDigest(service)]; e != nil {
+		e.notify()
+	}
+}
+
+// neededLock is the lock that a trial needs; the zero value is none.
+type neededLock struct {
+	service string
+	// alone is set if no other trial may use the lock at the same time.
+	alone bool
+}
+
+// heldLock is a lock that this node holds. It is guarded by the manager's lock.
+type heldLock struct {
+	neededLock
+	// holder is the trial by which the other nodes know that the lock is held.
+	holder  Trial
+	takenAt boottime.Instant
+	// granted is set once the store has granted the lock, or no other node has taken it without the store.
+	granted bool
+	// users is the number of trials that use the lock.
+	users int
+	// announced is set if other nodes learned of the holder from a notice.
+	announced bool
+}
+
+// lockDecision returns whether a trial may take the lock now.
+func (m *Manager) lockDecision(needed neededLock) Decision {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	now := m.Now()
+	decision := m.records.LockDecision(needed.service, now)
+	if held := m.locks[needed.service]; held.usableFor(needed, now) {
+		decision.Action, decision.Until = Try, lockBackoff()
+	}
+	return decision
+}
+
+// usableFor reports whether another trial of this node may use the lock. A nil lock is not held.
+func (l *heldLock) usableFor(needed neededLock, now boottime.Instant) bool {
+	if l == nil || !l.granted || now.Sub(l.takenAt) >= maxLockReuse {
+		return false
+	}
+	return l.users == 0 || !l.alone && !needed.alone
+}
+
+// acquireLock takes the lock for a trial. It returns ErrConflict if another trial holds it, or if this
+// node makes a trial of the same request.
+func (m *Manager) acquireLock(ctx context.Context, needed neededLock, digest Digest, t Trial) (*heldLock, error) {
+	held, record, free := m.reserveLock(needed, digest, t)
+	if !free {
+		return nil, ErrConflict
+	}
+	if record.Digest == (Digest{}) {
+		return held, nil
+	}
+	written, err := m.writeUnlessDown(ctx, record)
+	switch {
+	case err == nil:
+		m.locked(func(now boottime.Instant) {
+			held.granted = true
+			m.records.Written(written, now)
+		})
+		return held, nil
+	case errors.Is(err, ErrConflict), errors.Is(err, errRateLimited):
+		m.locked(func(now boottime.Instant) {
+			delete(m.locks, needed.service)
+			m.records.EndTrial(record.Digest, t, 0, now)
+			if errors.Is(err, ErrConflict) {
+				m.applyConflict(record.Digest, written, now)
+			}
+		})
+		return nil, err
+	}
+	return m.awaitNotices(ctx, held)
+}
+
+// reserveLock takes the lock on this node. The record has to be written; it is zero if this node holds
+// the lock already.
+func (m *Manager) reserveLock(needed neededLock, digest Digest, t Trial) (held *heldLock, record Record, free bool) {
+	m.locked(func(now boottime.Instant) {
+		held = m.locks[needed.service]
+		switch {
+		case m.trials[trialKey{digest, t.Variant}] != nil:
+		case held.usableFor(needed, now) && m.records.HoldsLock(needed.service, held.holder, now):
+			held.users++
+			held.alone, free = needed.alone, true
+		default:
+			if record, free = m.records.TakeLock(needed.service, t, now); free {
+				held = &heldLock{neededLock: needed, holder: t, takenAt: now, users: 1}
+				m.locks[needed.service] = held
+			}
+		}
+	})
+	return held, record, free
+}
+
+// awaitNotices waits until other nodes that have taken the lock without the store are known. It returns
+// ErrConflict if one of them holds it.
+func (m *Manager) awaitNotices(ctx context.Context, held *heldLock) (*heldLock, error) {
+	select {
+	case <-time.After(lockNoticeDelay):
+	case <-ctx.Done():
+	}
+	m.locked(func(now boottime.Instant) {
+		held.announced = true
+		held.granted = m.records.HoldsLock(held.service, held.holder, now)
+		if !held.granted {
+			m.releaseLock(held)
+		}
+	})
+	if !held.granted {
+		return nil, ErrConflict
+	}
+	return held, nil
+}
+
+// releaseLock ends the use of a lock by a trial; nil is no lock. Unless another trial of this node uses
+// the lock at once, it is released for the other nodes. The manager's lock is held.
+func (m *Manager) releaseLock(held *heldLock) {
+	if held == nil {
+		return
+	}
+	held.users--
+	m.records.NotifyLock(held.service)
+	m.spawn(func(ctx context.Context) {
+		select {
+		case <-time.After(lockReuseDelay):
+		case <-ctx.Done():
+		}
+		idle := false
+		m.locked(func(boottime.Instant) {
+			idle = held.users == 0 && m.locks[held.service] == held
+			if idle {
+				delete(m.locks, held.service)
+			}
+		})
+		if idle {
+			m.publishRelease(ctx, held)
+		}
+	})
+}
+
+// publishRelease tells the other nodes that the lock is free.
+func (m *Manager) publishRelease(ctx context.Context, held *heldLock) {
+	digest := lockDigest(held.service)
+	m.update(ctx, digest, func(now boottime.Instant) (Record, bool) {
+		record, found := m.records.Record(digest)
+		if !found || record.findTrial(held.holder) == nil {
+			return Record{}, false
+		}
+		return m.records.EndTrial(digest, held.holder, 0, now)
+	})
+	if held.announced {
+		m.broadcast(Notice{Record: Record{Digest: digest}})
+	}
+}
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -48,6 +48,8 @@
 	Trial
 	// services are those that were suspected at the start; only events at these decide the result.
 	services []string
+	// lock is the lock of the service that the trial goes to; nil if it needs none.
+	lock *heldLock
 	// failed is the number of failed trials of the variant at the start. Concurrent trials of
 	// nodes that could not reach the store count as one: servers that crash together for another
 	// reason would fail all of them.
@@ -79,6 +81,7 @@
 	manager  *Manager
 	identity *Identity
 	trial    Trial
+	lock     *heldLock
 }
 
 // Admit decides on a request before anything of it is sent. If a trial of an identical request
@@ -103,7 +106,13 @@
 				admission.Action, admission.NoServer = Refuse, true
 				return admission
 			}
-			err := m.begin(ctx, &admission)
+			lock := m.neededLock(record, identity.Variant(), usable)
+			if lock.service != "" {
+				if decision = m.lockDecision(lock); decision.Action == Await {
+					break
+				}
+			}
+			err := m.begin(ctx, &admission, lock)
 			if err == nil {
 				m.Observer.RequestDecided(Try)
 				return admission
@@ -118,6 +127,32 @@
 	}
 }
 
+// neededLock returns the lock that a trial needs: that of the first suspected service with a server that
+// can be tried, which is the same on all nodes that reach the same servers.
+func (m *Manager) neededLock(record Record, variant Variant, usable func(services []string) bool) neededLock {
+	if !record.needsLock(variant) {
+		return neededLock{}
+	}
+	for _, service := range record.ServiceNames() {
+		if usable([]string{service}) {
+			return neededLock{service: service, alone: m.triedAlone(record, variant)}
+		}
+	}
+	return neededLock{}
+}
+
+// triedAlone reports whether no other trial may use the lock at the same time: more than one trial has
+// failed, or one that is attributed to the request.
+func (m *Manager) triedAlone(record Record, variant Variant) bool {
+	failed := record.FailedTrials()
+	if record.SomeAnswered {
+		failed = record.failedTrials(variant)
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return failed > 1 || m.records.evidenceOf(&record).trials() > 0
+}
+
 // await waits until a decision may have changed. It returns false on timeout.
 func await(ctx context.Context, decision Decision, expired <-chan time.Time) bool {
 	var until <-chan time.Time
@@ -162,16 +197,36 @@
 // begin requests the permission for a trial from the store, which grants it to one node at a
 // time. A node that cannot reach the store makes one trial at a time on its own. ErrConflict
 // means that another node was first and its version of the record was applied.
-func (m *Manager) begin(ctx context.Context, admission *Admission) error {
-	digest := admission.identity.Digest()
+//
+// The trial goes to the service whose lock it needs, if any.
+func (m *Manager) begin(ctx context.Context, admission *Admission, lock neededLock) (err error) {
 	t := &trial{Trial: Trial{Node: m.Node, Number: rand.Uint64() >> 12, Variant: admission.identity.Variant()}}
+	if lock.service == "" {
+		return m.beginTrial(ctx, admission, t)
+	}
+	t.lock, err = m.acquireLock(ctx, lock, admission.identity.Digest(), t.Trial)
+	if err != nil {
+		return err
+	}
+	err = m.beginTrial(ctx, admission, t)
+	if err != nil {
+		m.locked(func(boottime.Instant) { m.releaseLock(t.lock) })
+	}
+	return err
+}
+
+// beginTrial requests the permission for the trial of a request, see begin.
+func (m *Manager) beginTrial(ctx context.Context, admission *Admission, t *trial) error {
+	digest := admission.identity.Digest()
 	record, free := m.reserve(digest, t)
 	if !free {
 		return ErrConflict
 	}
 	begun := m.Now()
 	written, err := m.writeUnlessDown(ctx, record)
-	m.locked(func(now boottime.Instant) { t.announced = err != nil || now.Sub(begun) >= broadcastDelay })
+	m.locked(func(now boottime.Instant) {
+		t.announced = err != nil || now.Sub(begun) >= broadcastDelay
+	})
 	if errors.Is(err, ErrConflict) || errors.Is(err, errRateLimited) {
 		m.locked(func(now boottime.Instant) {
 			delete(m.trials, trialKey{digest, t.Variant})
@@ -185,9 +240,9 @@
 	if err == nil {
 		m.locked(func(now boottime.Instant) { m.records.Written(written, now) })
 	}
-	admission.trial, admission.SuspectedServices = t.Trial, t.services
+	admission.trial, admission.lock, admission.SuspectedServices = t.Trial, t.lock, t.services
 	m.spawn(func(ctx context.Context) { m.renew(ctx, digest, t.Trial) })
-	klog.InfoS("request trial", "digest", digest, "variant", t.Variant, "services", record.ServiceNames(), "failed", record.FailedTrials(), "asked_store", err == nil)
+	klog.InfoS("request trial", "digest", digest, "variant", t.Variant, "services", record.ServiceNames(), "failed", record.FailedTrials(), "asked_store", err == nil, "exclusive", t.lock != nil)
 	return nil
 }
 
@@ -226,6 +281,9 @@
 		}
 		record, free = m.records.Record(digest)
 		t.failed, t.services = record.failedTrials(t.Variant), record.ServiceNames()
+		if t.lock != nil {
+			t.services = []string{t.lock.service}
+		}
 		m.trials[key] = t
 	})
 	return record, free
@@ -240,6 +298,9 @@
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	if a.lock != nil && !m.records.HoldsLock(a.lock.service, a.lock.holder, m.Now()) {
+		return false
+	}
 	return m.records.MaySend(a.identity.Digest(), a.identity.Variant(), a.trial, m.Now())
 }
 
@@ -294,6 +355,7 @@
 // unless the trial failed. The lock is held.
 func (m *Manager) finish(digest Digest, t *trial, result TrialResult, server ServerID) {
 	delete(m.trials, trialKey{digest, t.Variant})
+	m.releaseLock(t.lock)
 	m.Observer.TrialEnded(result)
 	klog.InfoS("request trial ended", "digest", digest, "variant", t.Variant, "result", result.String(), "server", server)
 	if result == TrialAnswered {
@@ -304,11 +366,15 @@
 		m.spawn(func(ctx context.Context) { m.logWriteError(digest, m.remove(ctx, digest)) })
 		return
 	}
-	failed := 0
+	end := func(now boottime.Instant) (Record, bool) { return m.records.EndTrial(digest, t.Trial, 0, now) }
 	if result == TrialFailed {
-		failed = t.failed + 1
+		failure := TrialFailure{Number: t.failed + 1, Server: server}
+		end = func(now boottime.Instant) (Record, bool) {
+			m.records.TrialFailed(digest, t.Variant, failure, now)
+			return m.records.EndTrial(digest, t.Trial, failure.Number, now)
+		}
 	}
-	if record, found := m.records.EndTrial(digest, t.Trial, failed, m.Now()); found {
+	if record, found := end(m.Now()); found {
 		m.broadcastEnd(t, Notice{Record: record})
 	}
 	m.spawn(func(ctx context.Context) {
@@ -316,7 +382,7 @@
 			if result == TrialAnswered {
 				m.records.TrialAnswered(digest, t.Variant, now)
 			}
-			return m.records.EndTrial(digest, t.Trial, failed, now)
+			return end(now)
 		})
 	})
 }
