spec: a model of the quarantine

One digest that crashes servers and two harmless ones, on one server that runs several at a time; two mishaps (a send by a node that does not know the record, a node that dies).

With the rule of before (SHARED_CRASH_COUNTS) a harmless request is quarantined. The other mutants show that first attempts have to contest a crash, that as many crashes do and fewer do not, and that the lock is needed for the bound.

Found: CRASH_IS_LOST, a node that dies before it has told of a crash under its trial.

--- a/internal/quarantine/shared_server_test.go
+++ b/internal/quarantine/shared_server_test.go
@@ -195,20 +195,9 @@
 			service := newSharedService("a", r.servers)
 			service.work = r.work
 			answered, refused := r.play(c, service)
-			digest := request("bad").Digest()
-			crashes, late := len(c.crashes[digest]), c.lateSends(digest, detectionTime)
-			t.Logf("seed %d: harmless: %d answered, %d refused; %d servers crashed, %d late sends", r.seed, answered, refused, crashes, late)
-			if refused > 0 {
-				t.Errorf("seed %d: %d harmless requests were refused", r.seed, refused)
-			}
-			if late > maxLateSends {
-				t.Errorf("seed %d: %d sends after the bound", r.seed, late)
-			}
-			for _, node := range c.nodes {
-				if !node.executeShared(request("bad"), newSharedService("b", 1), false).refused {
-					t.Errorf("seed %d: %s admits the request after %d crashes", r.seed, node.name, crashes)
-				}
-			}
+			t.Logf("seed %d: harmless: %d answered, %d refused; %d servers crashed", r.seed, answered, refused, len(c.crashes[request("bad").Digest()]))
+			r.checkHarmlessNeverRefused(t, refused)
+			r.checkCrashesAreBounded(t, c)
 			c.reconnect()
 		})
 	}
@@ -254,6 +243,27 @@
 	}
 }
 
+func (r sharedRun) checkHarmlessNeverRefused(t *testing.T, refused int) {
+	t.Helper()
+	if refused > 0 {
+		t.Errorf("seed %d: %d harmless requests were refused", r.seed, refused)
+	}
+}
+
+// checkCrashesAreBounded checks the bound on sends, and that all nodes refuse the request that crashes
+// servers in the end.
+func (r sharedRun) checkCrashesAreBounded(t *testing.T, c *cluster) {
+	t.Helper()
+	if late := c.lateSends(request("bad").Digest(), detectionTime); late > maxLateSends {
+		t.Errorf("seed %d: %d sends after the bound", r.seed, late)
+	}
+	for _, node := range c.nodes {
+		if !node.executeShared(request("bad"), newSharedService("b", 1), false).refused {
+			t.Errorf("seed %d: %s admits the request that crashes servers", r.seed, node.name)
+		}
+	}
+}
+
 // reconnect ends the faults of the store, so that no write is left to be repeated.
 func (c *cluster) reconnect() {
 	c.mutex.Lock()
--- a/spec/spec_test.go
+++ b/spec/spec_test.go
@@ -38,6 +38,8 @@
 	versionNeverDecreases      = ">=inForce["
 	nodesConverge              = "(highest[0]==accepted)"
 	coverageIsNeverOverstated  = "!(counted["
+	harmlessNeverRefused       = "(quarantined&"
+	crashesAreBounded          = "(crashes<7)"
 	singleVersion              = "==pinned)"
 	singleShardMap             = "==map)"
 	maxDepthFlag               = "-m1000000"
@@ -85,6 +87,14 @@
 		"LATER_GRANT_PROLONGS": grantsBounded,
 		"CLOCK_STANDS_STILL":   grantsBounded,
 	}},
+	{"quarantine", map[string]string{
+		"SHARED_CRASH_COUNTS":          harmlessNeverRefused,
+		"TRIALS_ALONE_CONTEST":         harmlessNeverRefused,
+		"EQUAL_CRASHES_DO_NOT_CONTEST": harmlessNeverRefused,
+		"CRASH_IS_LOST":                harmlessNeverRefused,
+		"FEWER_CRASHES_CONTEST":        crashesAreBounded,
+		"NO_LOCK":                      crashesAreBounded,
+	}},
 	{"restored", map[string]string{
 		"FORGET_ERA":          lastWriteApplied,
 		"CHANGES_ACROSS_ERAS": lastWriteApplied,
