The loss of a trial is kept however many others its server has lost

A request that crashes servers would be tried again and again.

Cause: a node remembers 16 losses per server and drops further ones, also that of the trial, of which the crash is the result; the trial then ended as unknown.

Test: TestTrialFailsAmongManyLosses, before: unknown:1 in place of failed:1.

The loss of a trial now takes the place of the oldest one of another request.

--- a/internal/quarantine/loss_tracker.go
+++ b/internal/quarantine/loss_tracker.go
@@ -17,6 +17,8 @@
 	// Address is where the server listened (IP:port).
 	Address string
 	At      time.Time
+	// trial is set for an attempt of a trial.
+	trial bool
 }
 
 const (
@@ -64,14 +66,27 @@
 	case s == nil:
 		s = l.add(loss.Server)
 	}
-	if len(s.losses) < maxLossesPerServer {
-		s.losses = append(s.losses, loss)
-		s.checked = false
-		l.lossesByDigest[loss.Digest]++
+	if len(s.losses) >= maxLossesPerServer && !l.makeRoom(s, loss) {
+		return false
 	}
+	s.losses = append(s.losses, loss)
+	s.checked = false
+	l.lossesByDigest[loss.Digest]++
 	return false
 }
 
+// makeRoom drops the oldest loss that is not that of a trial in favor of the loss of a trial, of which
+// the crash decides the result. It reports whether there is room.
+func (l *lossTracker) makeRoom(s *serverLosses, loss Loss) bool {
+	index := slices.IndexFunc(s.losses, func(other Loss) bool { return !other.trial })
+	if !loss.trial || index < 0 {
+		return false
+	}
+	dropped := s.losses[index]
+	l.drop(s, func(other Loss) bool { return other == dropped })
+	return true
+}
+
 func (l *lossTracker) add(server ServerID) *serverLosses {
 	if l.servers == nil {
 		l.servers = make(map[ServerID]*serverLosses)
--- a/internal/quarantine/manager.go
+++ b/internal/quarantine/manager.go
@@ -166,11 +166,13 @@
 		return
 	}
 	m.locked(func(now boottime.Instant) {
+		t := m.trials[trialKey{loss.Digest, loss.Variant}]
+		loss.trial = t.concerns(loss.Service)
 		if m.losses.Add(loss) {
 			m.recordCrash([]Loss{loss}, now)
 			return
 		}
-		if t := m.trials[trialKey{loss.Digest, loss.Variant}]; t.concerns(loss.Service) {
+		if loss.trial {
 			t.loss = &loss
 		}
 	})
--- a/internal/quarantine/manager_test.go
+++ b/internal/quarantine/manager_test.go
@@ -266,3 +266,28 @@
 		})
 	}
 }
+
+// Guards against a trial whose crash does not count, because its server had lost as many attempts of
+// other requests as are remembered.
+func TestTrialFailsAmongManyLosses(t *testing.T) {
+	runInBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 1)
+		identity, node := request("bad"), c.nodes[0]
+		node.execute(identity, []string{"a"}, always)
+		time.Sleep(time.Second)
+		admission := node.Admit(t.Context(), identity, time.Second, anyServer)
+		is.True(admission.IsTrial())
+		lose := func(lost *Identity) {
+			node.AttemptLost(Loss{Digest: lost.Digest(), Variant: lost.Variant(), Service: "a", Server: "s", At: time.Now()})
+		}
+		for number := range maxLossesPerServer {
+			lose(request(fmt.Sprint(number)))
+		}
+		lose(identity)
+		node.ServerCrashed("s")
+		admission.Close()
+		time.Sleep(time.Second)
+		is.Equal(c.results, map[TrialResult]int{TrialFailed: 1})
+	})
+}
