--- a/cmd/driftctl/main.go
+++ b/cmd/driftctl/main.go
@@ -79,7 +79,7 @@
 }
 
 func (application *application) parseAndRun(ctx context.Context, root *ff.Command, args []string) error {
-	err := root.Parse(flagsFirst(args), ff.WithEnvVarPrefix(environmentPrefix))
+	err := root.Parse(flagsFirst(root, args), ff.WithEnvVarPrefix(environmentPrefix))
 	if errors.Is(err, ff.ErrHelp) {
 		return err
 	}
@@ -170,11 +170,15 @@
 
 // flagsFirst allows flags after arguments, as in "get fleet -o yaml": it moves the
 // flags before the subcommand's arguments, and rewrites "-o=yaml" to "-o yaml".
-func flagsFirst(args []string) []string {
+func flagsFirst(root *ff.Command, args []string) []string {
 	var flags, positional []string
+	known := root.Flags
 	for index := 0; index < len(args); index++ {
 		arg := args[index]
 		if !strings.HasPrefix(arg, "-") || arg == "-" {
+			if len(positional) == 0 {
+				known = flagsOf(root, arg)
+			}
 			positional = append(positional, arg)
 			continue
 		}
@@ -183,7 +187,7 @@
 			continue
 		}
 		flags = append(flags, arg)
-		takesValue := !strings.Contains(arg, "=") && !isBoolFlag(arg) && index+1 < len(args)
+		takesValue := !strings.Contains(arg, "=") && !isBoolFlag(known, arg) && index+1 < len(args)
 		if takesValue {
 			index++
 			flags = append(flags, args[index])
@@ -195,8 +199,23 @@
 	return append(append(positional[:1:1], flags...), positional[1:]...)
 }
 
-// isBoolFlag reports whether a flag takes no value.
-func isBoolFlag(arg string) bool {
+// flagsOf returns the flags of a subcommand, those of the root included.
+func flagsOf(root *ff.Command, name string) ff.Flags {
+	for _, command := range root.Subcommands {
+		if strings.EqualFold(command.Name, name) && command.Flags != nil {
+			return command.Flags
+		}
+	}
+	return root.Flags
+}
+
+// isBoolFlag reports whether an argument names a flag that takes no value. The library gives flags an
+// empty placeholder only if they are of type bool and false by default.
+func isBoolFlag(known ff.Flags, arg string) bool {
 	name := strings.TrimLeft(arg, "-")
-	return name == "h" || name == "help" || name == flagWait
+	if name == "h" || name == "help" {
+		return true
+	}
+	flag, found := known.GetFlag(name)
+	return found && flag.GetPlaceholder() == ""
 }
--- a/cmd/driftctl/main_test.go
+++ b/cmd/driftctl/main_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/peterbourgon/ff/v4"
 
 	v1 "github.com/driftstage/driftstage/api/v1"
 	"github.com/driftstage/driftstage/internal/platform"
@@ -322,3 +323,31 @@
 	is.True(strings.HasPrefix(lines[0], `{"type":"ADDED"`))
 	is.True(strings.HasPrefix(lines[1], `{"type":"DELETED"`))
 }
+
+// Guards against boolean flags that take the next argument for their value, as --watch did.
+func TestBoolFlagsTakeNoArgument(t *testing.T) {
+	application := &application{}
+	root := application.rootCommand()
+	for _, command := range root.Subcommands {
+		err := command.Flags.WalkFlags(func(flag ff.Flag) error {
+			name, _ := flag.GetLongName()
+			value := flag.GetValue()
+			isBool := value == "false" || value == "true"
+			want := []string{command.Name, "--" + name, "first", "second"}
+			t.Run(command.Name+" --"+name, func(t *testing.T) {
+				is := is.New(t)
+				is.Equal(flagsFirst(root, want), want)
+				after := []string{command.Name, "first", "--" + name, "second"}
+				if isBool {
+					is.Equal(flagsFirst(root, after), want)
+					return
+				}
+				is.Equal(flagsFirst(root, after), []string{command.Name, "--" + name, "second", "first"})
+			})
+			return nil
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/cmd/driftctl/rollouts_test.go
+++ b/cmd/driftctl/rollouts_test.go
@@ -88,3 +88,11 @@
 	is.Equal(got.status, exitInvalid)
 	is.Equal(strings.Count(got.output, `"State"`), 2)
 }
+
+// Guards against --watch taking the node for its value: the flags after the node were taken for nodes.
+func TestRolloutsWatchBeforeNode(t *testing.T) {
+	is := is.New(t)
+	got := runRollouts("--watch", stateServer(t, testRollout(rollout.StateRolledBack, rollout.StageLoad, 4)), "--output", "json")
+	is.Equal(got.errors, "driftctl: search: v2 was rolled back\n")
+	is.Equal(strings.Count(got.output, `"State"`), 1)
+}
