Leave returns once the members have confirmed it

Cause: Leave returned after a fixed second, whether or not anybody had heard. Ruled out: news that override the leave.

TestConfirmedLeaveIsKnown: 69 simulated leaves. The case in which 7 is right (a node cut off while it leaves) is TestLeaveInPartitionIsBounded, which passed before, too.

--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -103,23 +103,48 @@
 	}
 }
 
-// leaveDelay is the time for the leave to reach all members before Leave returns.
-const leaveDelay = time.Second
+const (
+	// leaveTimeout bounds how long Leave waits for members to confirm that they know of it: for
+	// longer than that, a member that does not answer is considered dead.
+	leaveTimeout = 5 * time.Second
+	// leavePollInterval is the time between two checks whether all members have confirmed.
+	leavePollInterval = 20 * time.Millisecond
+)
 
 // Leave announces a planned stop, so that no member sends new work to this node. It
-// returns after leaveDelay or when ctx ends.
+// returns once all live members have confirmed that they know of it, after
+// leaveTimeout, or when ctx ends.
 func (node *Node) Leave(ctx context.Context) {
 	node.mutex.Lock()
 	node.leaving = true
 	node.mutex.Unlock()
 	node.step(swim.Leave{})
-	select {
-	case <-ctx.Done():
-	case <-node.context.Done():
-	case <-time.After(leaveDelay):
+	timeout := time.After(leaveTimeout)
+	for {
+		unconfirmed := node.unconfirmedLeave()
+		if unconfirmed == 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-node.context.Done():
+			return
+		case <-timeout:
+			klog.InfoS("leave not confirmed by all members", "unconfirmed", unconfirmed)
+			return
+		case <-time.After(leavePollInterval):
+		}
 	}
 }
 
+// unconfirmedLeave returns the number of live members that have not confirmed the leave.
+func (node *Node) unconfirmedLeave() int {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	return node.core.UnconfirmedLeave()
+}
+
 // Members returns the members that are not dead, including the node itself, sorted by
 // ID. The slice is shared until the next change and must not be modified.
 func (node *Node) Members() []swim.Member {
--- a/internal/swim/core.go
+++ b/internal/swim/core.go
@@ -29,6 +29,7 @@
 	forwardedPings map[uint64]forwardedPing
 	probeRequests  []*record
 	suspects       []*record
+	leaving        leave
 
 	started       time.Time
 	lastTick      time.Time
@@ -102,6 +103,7 @@
 	core.startProbeWhenDue()
 	core.probeDead()
 	core.gossipWhenDue()
+	core.pingUnconfirmed()
 	core.removeExpired()
 	return core.end()
 }
@@ -200,19 +202,6 @@
 	return core.self.update()
 }
 
-func (core *Core) leave() {
-	if core.self.State != Alive {
-		return
-	}
-	core.table.change(core.self, func() {
-		core.self.State = Leaving
-		core.self.Incarnation++
-	})
-	core.emit(Changed{Member: core.self.Member, Before: Alive})
-	core.broadcast(core.selfUpdate())
-	core.gossip(core.options.GossipFanout)
-}
-
 // exitFanout is the number of members to which a node sends its exit.
 const exitFanout = 6
 
--- a/internal/swim/leave_test.go
+++ b/internal/swim/leave_test.go
@@ -100,3 +100,42 @@
 	h.runWithGossip(10 * time.Second)
 	is.True(h.failed(1))
 }
+
+// Guards against a leave that ends before all members know of it: with lost messages that takes longer
+// than any fixed time.
+func TestConfirmedLeaveIsKnown(t *testing.T) {
+	for _, test := range []struct {
+		nodes int
+		loss  float64
+		seeds uint64
+	}{{7, 0, 20}, {7, 0.1, 20}, {7, 0.3, 20}, {100, 0, 3}, {100, 0.1, 3}, {100, 0.3, 3}} {
+		var longest time.Duration
+		for seed := range test.seeds {
+			simulation := newSimulator(seed+1, test.nodes)
+			simulation.startAll()
+			simulation.run(15 * time.Second)
+			simulation.loss = test.loss
+			leaving := simulation.nodes[test.nodes/2]
+			simulation.step(leaving, swim.Leave{})
+			took, confirmed := simulation.runUntil(5*time.Second, func() bool { return leaving.core.UnconfirmedLeave() == 0 })
+			longest = max(longest, took)
+			if unaware := simulation.unawareOfLeave(leaving); !confirmed || unaware > 0 {
+				t.Errorf("%d nodes, loss %v, seed %d: confirmed %v, %d members do not know of it", test.nodes, test.loss, seed, confirmed, unaware)
+			}
+		}
+		t.Logf("%d nodes, loss %v: confirmed after %v at most", test.nodes, test.loss, longest)
+	}
+}
+
+// unawareOfLeave returns the number of nodes that consider the node a member that is not leaving.
+func (simulation *simulator) unawareOfLeave(leaving *simulatedNode) int {
+	count := 0
+	for _, node := range simulation.nodes {
+		for _, member := range node.core.Members() {
+			if node != leaving && member.ID == leaving.id && member.State != swim.Leaving {
+				count++
+			}
+		}
+	}
+	return count
+}
--- a/internal/swim/probe.go
+++ b/internal/swim/probe.go
@@ -220,6 +220,7 @@
 }
 
 func (core *Core) receiveAck(message Message) {
+	core.confirmLeave(message.From, message.Sequence)
 	if core.probe != nil && core.probe.sequence == message.Sequence {
 		core.probe = nil
 		return
