Log suspected requests that are refused untried

A play of TestCrashingRequests/others_with_the_same_path beside load had one harmless request refused as quarantined, whose variant no node had quarantined. Three hypotheses: it waited for trials of others, for the lock, or its node had used up its rate of writes. The log did not tell them apart.

--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -118,11 +118,11 @@
 				return admission
 			}
 			if errors.Is(err, errRateLimited) {
-				return m.refuseWaiting(admission)
+				return m.refuseWaiting(admission, Try)
 			}
 		}
 		if !await(ctx, decision, expired.C) {
-			return m.refuseWaiting(admission)
+			return m.refuseWaiting(admission, decision.Action)
 		}
 	}
 }
@@ -170,9 +170,11 @@
 	return true
 }
 
-// refuseWaiting refuses a request whose wait for a trial was unsuccessful.
-func (m *Manager) refuseWaiting(admission Admission) Admission {
+// refuseWaiting refuses a request whose wait for a trial was unsuccessful. last is the last decision on it:
+// Try if the permission was not granted.
+func (m *Manager) refuseWaiting(admission Admission, last Action) Admission {
 	m.Observer.RequestDecided(Await)
+	klog.InfoS("suspected request not tried", "digest", admission.identity.Digest(), "variant", admission.identity.Variant(), "last", last.String())
 	admission.Action, admission.RetryAfter = Refuse, trialPause
 	return admission
 }
