A trial under the lock of a service may go to all suspected services

Cause: with the lock of a service, a trial was limited to that service. While its servers were away the trial waited for them for a second, and all variants of the digest waited for the trial; log of a play: trial begun 14.09, answered 15.14, five requests refused at 14.95, after 1.9 s. Besides, once that service was given up, the trial went on to others without counting what it did there.

Change: as before the lock, a trial goes to any of the suspected services, in their order. Its lock is that of the first one that has a server; a crash at another one is told apart by the requests in flight there.

--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -128,7 +128,7 @@
 }
 
 // neededLock returns the lock that a trial needs: that of the first suspected service with a server that
-// can be tried, which is the same on all nodes that reach the same servers.
+// can be tried, to which it is sent first, and which is the same on all nodes that reach the same servers.
 func (m *Manager) neededLock(record Record, variant Variant, usable func(services []string) bool) neededLock {
 	if !record.needsLock(variant) {
 		return neededLock{}
@@ -200,7 +200,7 @@
 // time. A node that cannot reach the store makes one trial at a time on its own. ErrConflict
 // means that another node was first and its version of the record was applied.
 //
-// The trial goes to the service whose lock it needs, if any.
+// The lock that the trial needs, if any, is taken first.
 func (m *Manager) begin(ctx context.Context, admission *Admission, lock neededLock) (err error) {
 	t := &trial{Trial: Trial{Node: m.Node, Number: rand.Uint64() >> 12, Variant: admission.identity.Variant()}}
 	if lock.service == "" {
@@ -283,9 +283,6 @@
 		}
 		record, free = m.records.Record(digest)
 		t.failed, t.services = record.failedTrials(t.Variant), record.ServiceNames()
-		if t.lock != nil {
-			t.services = []string{t.lock.service}
-		}
 		m.trials[key] = t
 	})
 	return record, free
