A trial is not held in favor of other requests

Cause: on a node that has just started, a late request is held so that others can go first. A trial was held as well, with the permission that all variants of its digest wait for.

Test: TestTrialDoesNotYield, before: no send.

--- a/internal/exchange/admit.go
+++ b/internal/exchange/admit.go
@@ -65,9 +65,9 @@
 }
 
 // yields reports whether a late request is held back in favor of others on a node that
-// has just started, and schedules its next check.
+// has just started, and schedules its next check. A trial does not yield: other requests wait for it.
 func (c *Core) yields(now time.Duration, batch *Batch) bool {
-	if now >= c.plan.YieldUntil || !c.plan.ArrivedLate && now < c.plan.Target {
+	if c.plan.Trial || now >= c.plan.YieldUntil || !c.plan.ArrivedLate && now < c.plan.Target {
 		return false
 	}
 	if now >= c.yieldCheckAt {
--- a/internal/exchange/admit_test.go
+++ b/internal/exchange/admit_test.go
@@ -148,3 +148,13 @@
 	is.Equal(servers.budget, 0)
 	is.Equal(servers.extra, 1)
 }
+
+// Guards against a trial that is held in favor of requests that can still meet their target: identical
+// requests, and others under which servers crashed, wait for its result.
+func TestTrialDoesNotYield(t *testing.T) {
+	is := is.New(t)
+	plan := gatherPlan("a", "b")
+	plan.Trial, plan.ArrivedLate, plan.YieldUntil = true, true, time.Second
+	core := New(plan, &fakeServers{servers: map[string]int{"a": 1, "b": 1}, justStarted: true})
+	is.Equal(ids(core.Start(0)), []AttemptID{{0, 0}})
+}
