A crash under a trial is contested by first attempts of other variants, too

Cause: two variants of which a trial has failed quarantine all variants. A trial of a harmless variant failed in a crash that a first attempt of the crashing one had caused; the record listed the servers of the request as a whole, so that nobody knew that both were there. Log: trial of b1447 failed with i-shard-f-2-21 at 27.603, among 25 servers that first attempts of 8cbc3 crashed; trial of 8cbc3 failed at 28.666; quarantined at 29.18.

Change: a record lists up to 32 crashed servers by variant, and the rule between requests holds between variants: the crash counts for the one under which most servers crashed.

Test: TestFirstAttemptOfOtherVariantContestsCrash, before: refuse in place of try. The records that TestStoredRecordsAreMerged reads list the servers by variant as well; its checks are the same.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -46,9 +46,9 @@
 }
 
 // contested reports whether the crash of the server under a trial of the variant may have been caused
-// by another request: one that was in flight there, too, and under which at least as many servers
-// crashed. The request that crashes servers is in flight in each crash, a harmless one in some of
-// them, and the record of a harmless one is removed once it is answered.
+// by another request or variant: one that was in flight there, too, and under which at least as many
+// servers crashed. The request that crashes servers is in flight in each crash, a harmless one in some
+// of them, and the record of a harmless one is removed once it is answered.
 func (r *recordTable) contested(record *Record, variant Variant, server ServerID) bool {
 	for _, e := range r.entries {
 		other := &e.record
@@ -56,11 +56,17 @@
 			return true
 		}
 	}
+	crashes := len(record.findSuspect(variant).Servers)
 	return slices.ContainsFunc(record.SuspectedVariants, func(other SuspectedVariant) bool {
-		return other.Variant != variant && other.failedAt(server)
+		return other.Variant != variant && len(other.Servers) >= crashes && other.listsServer(server)
 	})
 }
 
+// listsServer reports whether the server crashed under the variant, as far as that is listed.
+func (s SuspectedVariant) listsServer(server ServerID) bool {
+	return slices.Contains(s.Servers, server) || s.failedAt(server)
+}
+
 // failedAt reports whether a trial of the variant failed in the crash of the server.
 func (s SuspectedVariant) failedAt(server ServerID) bool {
 	return slices.ContainsFunc(s.Failures, func(failure TrialFailure) bool { return failure.Server == server })
--- a/internal/quarantine/evidence_test.go
+++ b/internal/quarantine/evidence_test.go
@@ -105,3 +105,22 @@
 	}
 	is.Equal(table.Decide(bad, 200, at(time.Second)).Action, Refuse)
 }
+
+// Guards against quarantining all variants of a request for a crash that only one of them has caused: its
+// first attempt crashed the server of a harmless one's trial.
+func TestFirstAttemptOfOtherVariantContestsCrash(t *testing.T) {
+	is := is.New(t)
+	const crashing, sound = Variant(1), Variant(2)
+	table := newRecordTable(testTerm)
+	for _, server := range []ServerID{"a1", "a2", "s1"} {
+		table.AddLoss(lossOf(bad, crashing, "a", server), at(0))
+	}
+	table.AddLoss(lossOf(bad, sound, "a", "a1"), at(0))
+	table.TrialFailed(bad, sound, TrialFailure{Number: 1, Server: "s1"}, at(0))
+	table.TrialFailed(bad, crashing, TrialFailure{Number: 1, Server: "s2"}, at(0))
+	is.Equal(table.Decide(bad, sound, at(time.Second)).Action, Try)
+	is.Equal(table.Decide(bad, 3, at(time.Second)).Action, Try)
+	table.TrialFailed(bad, crashing, TrialFailure{Number: 2, Server: "s3"}, at(time.Second))
+	is.Equal(table.Decide(bad, crashing, at(2*time.Second)).Action, Refuse)
+	is.Equal(table.Decide(bad, sound, at(2*time.Second)).Action, Try)
+}
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -19,6 +19,9 @@
 	// request.
 	maxServers  = 8
 	maxVariants = 8
+	// maxVariantServers bounds the servers listed per variant: a first attempt at ten shards may crash
+	// three servers of each.
+	maxVariantServers = 32
 )
 
 // SuspectedService is a service whose servers crashed under a request and that has not answered it since.
@@ -31,6 +34,8 @@
 // SuspectedVariant is a variant of a request under which servers crashed.
 type SuspectedVariant struct {
 	Variant Variant `json:"variant"`
+	// Servers are those that crashed under the variant; the first maxVariantServers are kept.
+	Servers []ServerID `json:"servers,omitempty"`
 	// Failed is the number of its trials during which a server crashed.
 	Failed int `json:"failed,omitempty"`
 	// Failures are the latest of these trials.
@@ -170,7 +175,8 @@
 func (r Record) clone() Record {
 	r.SuspectedVariants = slices.Clone(r.SuspectedVariants)
 	for index := range r.SuspectedVariants {
-		r.SuspectedVariants[index].Failures = slices.Clone(r.SuspectedVariants[index].Failures)
+		suspect := &r.SuspectedVariants[index]
+		suspect.Servers, suspect.Failures = slices.Clone(suspect.Servers), slices.Clone(suspect.Failures)
 	}
 	r.Trials = slices.Clone(r.Trials)
 	r.SuspectedServices = slices.Clone(r.SuspectedServices)
@@ -206,10 +212,22 @@
 	return slices.ContainsFunc(r.SuspectedVariants, func(s SuspectedVariant) bool { return s.failedAt(server) })
 }
 
+// addVariantServer lists a server that crashed under a listed variant; it reports whether the record
+// changed.
+func (r *Record) addVariantServer(variant Variant, server ServerID) bool {
+	suspect := r.findSuspect(variant)
+	if suspect == nil || len(suspect.Servers) >= maxVariantServers || slices.Contains(suspect.Servers, server) {
+		return false
+	}
+	suspect.Servers = append(suspect.Servers, server)
+	return true
+}
+
 // addFailure lists a failed trial of a variant; it reports whether the record changed.
 func (r *Record) addFailure(variant Variant, failure TrialFailure) bool {
 	r.makeRoomFor(variant)
 	changed := r.addVariant(variant, failure.Number)
+	changed = r.addVariantServer(variant, failure.Server) || changed
 	suspect := r.findSuspect(variant)
 	if suspect == nil {
 		return changed
@@ -262,6 +280,9 @@
 	}
 	for _, suspect := range other.SuspectedVariants {
 		changed = r.addVariant(suspect.Variant, suspect.Failed) || changed
+		for _, server := range suspect.Servers {
+			changed = r.addVariantServer(suspect.Variant, server) || changed
+		}
 		for _, failure := range suspect.Failures {
 			changed = r.addFailure(suspect.Variant, failure) || changed
 		}
--- a/internal/quarantine/record_table.go
+++ b/internal/quarantine/record_table.go
@@ -78,8 +78,9 @@
 		e = r.put(Record{Digest: loss.Digest})
 	}
 	e.crashedLocally = true
-	variantAdded := e.record.addVariant(loss.Variant, 0)
-	if !e.record.addServer(loss.Service, loss.Server) && !variantAdded {
+	variantChanged := e.record.addVariant(loss.Variant, 0)
+	variantChanged = e.record.addVariantServer(loss.Variant, loss.Server) || variantChanged
+	if !e.record.addServer(loss.Service, loss.Server) && !variantChanged {
 		return false
 	}
 	e.lastChange = now
--- a/internal/quarantine/record_table_test.go
+++ b/internal/quarantine/record_table_test.go
@@ -141,6 +141,7 @@
 	record := Record{Digest: bad, Revision: revision, SuspectedVariants: []SuspectedVariant{{Variant: 1}}}
 	for _, service := range services {
 		record.addServer(service, ServerID(service))
+		record.addVariantServer(1, ServerID(service))
 	}
 	return record
 }
