A trial that the store lists is granted, whichever write has told it

Cause: a node writes one record from several tasks. A task that requests the permission for a trial adds it to the node's record first; another one may write that record before it. The first write then conflicts, and the node gave the trial up, while the store and all nodes listed it until its lease was over. Ruled out: the end of a trial that is not written, the lock, the rate of writes.

Change: a conflict whose record lists the trial is no conflict. The same for the lock.

--- a/internal/quarantine/cluster_test.go
+++ b/internal/quarantine/cluster_test.go
@@ -35,6 +35,9 @@
 	records  map[Digest]Record
 	// down is set while the store does not answer.
 	down bool
+	// written is how many writes of a stored record conflict with another write of the same node that
+	// was made at the same time and has the same content.
+	written int
 	// conflicts is how many writes of a stored record fail because another node has just written it.
 	conflicts int
 	servers   int
@@ -136,6 +139,10 @@
 	record.Revision = c.revision
 	c.records[record.Digest] = record.clone()
 	c.notifyNodes(catalog.Change[Record]{Name: record.Digest.String(), Value: record})
+	if found && c.written > 0 {
+		c.written--
+		return record.clone(), ErrConflict
+	}
 	return record, nil
 }
 
--- a/internal/quarantine/manager_test.go
+++ b/internal/quarantine/manager_test.go
@@ -313,3 +313,21 @@
 		is.True(seen.waited < 100*time.Millisecond)
 	})
 }
+
+// Guards against a trial that nobody makes and that all wait for until its lease is over: another write
+// of the node has told the store of it, and the write that requests the permission conflicts with that.
+func TestTrialWrittenByAnotherWriteIsGranted(t *testing.T) {
+	runInBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 2)
+		identity := request("lost")
+		c.nodes[0].execute(identity, []string{"a", "b"}, always)
+		time.Sleep(time.Second)
+		c.mutex.Lock()
+		c.written = 1
+		c.mutex.Unlock()
+		seen := c.nodes[0].execute(identity, []string{"a", "b"}, never)
+		is.True(seen.answered)
+		is.True(seen.waited < 100*time.Millisecond)
+	})
+}
--- a/internal/quarantine/service_lock.go
+++ b/internal/quarantine/service_lock.go
@@ -175,7 +175,7 @@
 	if record.Digest == (Digest{}) {
 		return held, nil
 	}
-	written, err := m.writeUnlessDown(ctx, record)
+	written, err := m.requestPermission(ctx, record, t)
 	switch {
 	case err == nil:
 		m.locked(func(now boottime.Instant) {
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -228,7 +228,7 @@
 		return ErrConflict
 	}
 	begun := m.Now()
-	written, err := m.writeUnlessDown(ctx, record)
+	written, err := m.requestPermission(ctx, record, t.Trial)
 	m.locked(func(now boottime.Instant) {
 		t.announced = err != nil || now.Sub(begun) >= broadcastDelay
 	})
@@ -251,6 +251,16 @@
 	return nil
 }
 
+// requestPermission writes a record with a trial of this node. A conflict with another write of this node
+// that listed the trial as well is no error.
+func (m *Manager) requestPermission(ctx context.Context, record Record, t Trial) (Record, error) {
+	written, err := m.writeUnlessDown(ctx, record)
+	if errors.Is(err, ErrConflict) && written.findTrial(t) != nil {
+		return written, nil
+	}
+	return written, err
+}
+
 // renew renews the lease of a trial until the trial ends.
 func (m *Manager) renew(ctx context.Context, digest Digest, t Trial) {
 	ticker := time.NewTicker(trialRenewInterval)
