--- a/internal/quarantine/decide.go
+++ b/internal/quarantine/decide.go
@@ -62,7 +62,8 @@
 }
 
 // MaySend reports whether a request that was admitted earlier may be sent now. A node whose own
-// request was running when servers crashed may retry it: most such requests are harmless.
+// request was running when servers crashed may retry it, until a trial of it has failed: most such
+// requests are harmless.
 func (r *recordTable) MaySend(digest Digest, variant Variant, trial Trial, now boottime.Instant) bool {
 	e := r.entries[digest]
 	switch {
