--- a/internal/quarantine/evidence_test.go
+++ b/internal/quarantine/evidence_test.go
@@ -124,3 +124,16 @@
 	is.Equal(table.Decide(bad, crashing, at(2*time.Second)).Action, Refuse)
 	is.Equal(table.Decide(bad, sound, at(2*time.Second)).Action, Try)
 }
+
+// Guards against records that are written again and again: an older version of a record with more
+// failures than are listed does not change it.
+func TestListOfFailuresIsBounded(t *testing.T) {
+	is := is.New(t)
+	record := Record{Digest: bad}
+	for number := range maxFailures + 3 {
+		record.addFailure(1, TrialFailure{Number: number + 1, Server: ServerID(rune('a' + number))})
+	}
+	is.Equal(len(record.SuspectedVariants[0].Failures), maxFailures)
+	is.True(!record.addFailure(1, TrialFailure{Number: 1, Server: "a"}))
+	is.Equal(record.SuspectedVariants[0].Failures[0].Number, 4)
+}
--- a/internal/quarantine/held_lock.go
+++ b/internal/quarantine/held_lock.go
@@ -67,8 +67,8 @@
 	if !await(ctx, held, expired) {
 		return false
 	}
-	now, reusable, backoff := m.Now(), false, Decision{Until: lockBackoff()}
-	m.locked(func(boottime.Instant) {
+	reusable, backoff := false, Decision{Until: lockBackoff()}
+	m.locked(func(now boottime.Instant) {
 		reusable = m.locks[needed.service].usableFor(needed, now)
 		if e := m.records.entries[lockDigest(needed.service)]; e != nil {
 			backoff.Changed = e.changed
--- a/internal/quarantine/manager_test.go
+++ b/internal/quarantine/manager_test.go
@@ -292,15 +292,21 @@
 	})
 }
 
+// suspect returns a request under which servers have crashed, so that all nodes suspect it.
+func (n *node) suspect() *Identity {
+	identity := request("lost")
+	n.execute(identity, []string{"a", "b"}, always)
+	time.Sleep(time.Second)
+	return identity
+}
+
 // Guards against a trial that others wait for until its lease is over, because nodes that tried other
 // variants of the request changed the record each time that its end was written.
 func TestEndOfTrialIsWrittenDespiteConflicts(t *testing.T) {
 	runInBubble(t, func(t *testing.T) {
 		is := is.New(t)
 		c := newCluster(t, 2)
-		identity := request("lost")
-		c.nodes[0].execute(identity, []string{"a", "b"}, always)
-		time.Sleep(time.Second)
+		identity := c.nodes[0].suspect()
 		admission := c.nodes[0].Admit(t.Context(), identity, time.Second, anyServer)
 		is.True(admission.IsTrial())
 		c.mutex.Lock()
@@ -320,9 +326,7 @@
 	runInBubble(t, func(t *testing.T) {
 		is := is.New(t)
 		c := newCluster(t, 2)
-		identity := request("lost")
-		c.nodes[0].execute(identity, []string{"a", "b"}, always)
-		time.Sleep(time.Second)
+		identity := c.nodes[0].suspect()
 		c.mutex.Lock()
 		c.written = 1
 		c.mutex.Unlock()
--- a/internal/quarantine/publish.go
+++ b/internal/quarantine/publish.go
@@ -156,13 +156,13 @@
 // logQuarantined logs which requests are refused from now on, and which no longer because their
 // crashes are explained by other requests.
 func (m *Manager) logQuarantined() {
-	var quarantined, admitted []Record
-	m.locked(func(now boottime.Instant) { quarantined, admitted = m.records.QuarantineChanges(now) })
-	for _, record := range quarantined {
+	var begun, ended []Record
+	m.locked(func(now boottime.Instant) { begun, ended = m.records.QuarantineChanges(now) })
+	for _, record := range begun {
 		klog.InfoS("request quarantined", "digest", record.Digest, "services", record.ServiceNames(),
 			"servers", record.CrashedServers(), "failed_trials", record.FailedTrials())
 	}
-	for _, record := range admitted {
+	for _, record := range ended {
 		klog.InfoS("request no longer quarantined", "digest", record.Digest, "services", record.ServiceNames(),
 			"servers", record.CrashedServers(), "failed_trials", record.FailedTrials())
 	}
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -114,15 +114,19 @@
 	return 0
 }
 
-// needsLock reports whether a trial of the variant needs the lock of its service, because an earlier
-// one has failed. Once some variant was answered, only failed trials of the variant itself count.
-func (r Record) needsLock(variant Variant) bool {
+// failedBefore returns the number of earlier failed trials that matter for the next one of the variant:
+// once some variant was answered, only those of the variant itself.
+func (r Record) failedBefore(variant Variant) int {
 	if r.SomeAnswered {
-		return r.failedTrials(variant) > 0
+		return r.failedTrials(variant)
 	}
-	return r.FailedTrials() > 0
+	return r.FailedTrials()
 }
 
+// needsLock reports whether a trial of the variant needs the lock of its service, because an earlier
+// one has failed.
+func (r Record) needsLock(variant Variant) bool { return r.failedBefore(variant) > 0 }
+
 // findSuspect returns the listed variant; nil if it is not listed.
 func (r Record) findSuspect(variant Variant) *SuspectedVariant {
 	index := slices.IndexFunc(r.SuspectedVariants, func(s SuspectedVariant) bool { return s.Variant == variant })
@@ -229,16 +233,16 @@
 	changed := r.addVariant(variant, failure.Number)
 	changed = r.addVariantServer(variant, failure.Server) || changed
 	suspect := r.findSuspect(variant)
-	if suspect == nil {
+	if suspect == nil || suspect.failedAt(failure.Server) {
 		return changed
 	}
-	if suspect.failedAt(failure.Server) {
-		return changed
+	if len(suspect.Failures) >= maxFailures {
+		if failure.Number < suspect.Failures[0].Number {
+			return changed
+		}
+		suspect.Failures = slices.Delete(suspect.Failures, 0, 1)
 	}
 	suspect.Failures = append(suspect.Failures, failure)
-	if excess := len(suspect.Failures) - maxFailures; excess > 0 {
-		suspect.Failures = slices.Delete(suspect.Failures, 0, excess)
-	}
 	return true
 }
 
--- a/internal/quarantine/record_table.go
+++ b/internal/quarantine/record_table.go
@@ -218,23 +218,23 @@
 	}
 }
 
-// QuarantineChanges returns the records of requests that are quarantined, and of those that no longer are,
-// since the last call.
-func (r *recordTable) QuarantineChanges(at boottime.Instant) (quarantined, admitted []Record) {
+// QuarantineChanges returns the records of the requests whose quarantine has begun since the last call, and
+// of those whose crashes are no longer attributed to them.
+func (r *recordTable) QuarantineChanges(now boottime.Instant) (begun, ended []Record) {
 	for _, e := range r.entries {
 		if e.record.FailedTrials() == 0 && !e.quarantineLogged {
 			continue
 		}
-		now := r.evidenceOf(&e.record).quarantined() && (e.quarantineLogged || e.unsettledFor(at) == 0)
+		quarantined := r.evidenceOf(&e.record).quarantined() && (e.quarantineLogged || e.unsettledFor(now) == 0)
 		switch {
-		case now && !e.quarantineLogged:
-			quarantined = append(quarantined, e.record.clone())
-		case !now && e.quarantineLogged:
-			admitted = append(admitted, e.record.clone())
+		case quarantined && !e.quarantineLogged:
+			begun = append(begun, e.record.clone())
+		case !quarantined && e.quarantineLogged:
+			ended = append(ended, e.record.clone())
 		}
-		e.quarantineLogged = now
+		e.quarantineLogged = quarantined
 	}
-	return quarantined, admitted
+	return begun, ended
 }
 
 // Due returns the records that have to be written to the store now.
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -147,13 +147,9 @@
 // triedAlone reports whether no other trial may use the lock at the same time: more than one trial has
 // failed, or one that is attributed to the request.
 func (m *Manager) triedAlone(record Record, variant Variant) bool {
-	failed := record.FailedTrials()
-	if record.SomeAnswered {
-		failed = record.failedTrials(variant)
-	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return failed > 1 || m.records.evidenceOf(&record).trials() > 0
+	return record.failedBefore(variant) > 1 || m.records.evidenceOf(&record).trials() > 0
 }
 
 // await waits until a decision may have changed. It returns false on timeout.
@@ -229,9 +225,7 @@
 	}
 	begun := m.Now()
 	written, err := m.requestPermission(ctx, record, t.Trial)
-	m.locked(func(now boottime.Instant) {
-		t.announced = err != nil || now.Sub(begun) >= broadcastDelay
-	})
+	m.locked(func(now boottime.Instant) { t.announced = err != nil || now.Sub(begun) >= broadcastDelay })
 	if errors.Is(err, ErrConflict) || errors.Is(err, errRateLimited) {
 		m.locked(func(now boottime.Instant) {
 			delete(m.trials, trialKey{digest, t.Variant})
