A completed rollout is not halted

Cause: the node wrote that a rollout was completed, the store answered 503; its next verdict was bad, and it halted the target. The order was completed all the same, and the node kept the target halted for good, which was the version of all servers left. Evidence: its log, verdict bad at 40.98, all attempts withheld from 42.30 on. Ruled out: suspension, evacuation (neither logged), replaced endpoints (other nodes use them).

Change: completion ends the halt, and a completed rollout cannot be halted.

Test: TestCompletedRolloutIsNotHalted, both orders, both failed before.

--- a/internal/rollout/tracked.go
+++ b/internal/rollout/tracked.go
@@ -33,7 +33,7 @@
 	// while it lacks its decision.
 	missingSince time.Time
 	decisionLost bool
-	// halted is set once the target was found bad.
+	// halted is set once the target was found bad, unless the order was completed all the same.
 	halted bool
 	// repeatable is set once the service had a request that may be repeated.
 	repeatable bool
@@ -62,8 +62,11 @@
 	o.since = min(o.since, order.ServersSince())
 	o.baseElapsed, o.baseTime = ranFor, now
 	o.order, o.plan = order, NewPlan(order.Duration)
+	o.halted = o.halted && !o.completed()
 }
 
+func (o *trackedOrder) completed() bool { return o.order.Current().State == StateCompleted }
+
 func (o *trackedOrder) elapsed(now time.Time) time.Duration {
 	return o.baseElapsed + now.Sub(o.baseTime)
 }
--- a/internal/rollout/tracker.go
+++ b/internal/rollout/tracker.go
@@ -258,7 +258,7 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	tracked := t.orders[key.Service]
-	if tracked == nil || tracked.order.Key() != key || tracked.halted {
+	if tracked == nil || tracked.order.Key() != key || tracked.halted || tracked.completed() {
 		return false
 	}
 	tracked.halted = true
--- a/internal/rollout/tracker_test.go
+++ b/internal/rollout/tracker_test.go
@@ -204,3 +204,30 @@
 	tracker.MarkReported([]Key{order.Key()}, at(400))
 	is.True(!unreported(at(500)))
 }
+
+// Guards against a node that serves nothing of a service for good: it has found the target bad, while
+// another node completed the rollout. A completed rollout stays completed, and its target may be the
+// only version that is left.
+func TestCompletedRolloutIsNotHalted(t *testing.T) {
+	start := time.Now()
+	completed := runningOrder(22, StageFull)
+	completed.Status.State = StateCompleted
+	target := Candidate{ID: "new", Version: "v2", Created: 20}
+	for name, halt := range map[string][]bool{"found bad before": {true, false}, "found bad after": {false, true}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tracker := NewTracker(testBounds)
+			tracker.Reached(20, start)
+			tracker.Put(runningOrder(20, StageFull), start)
+			if halt[0] {
+				is.True(tracker.Halt(completed.Key()))
+				is.True(tracker.Halted("s", target))
+			}
+			tracker.Put(completed, start)
+			if halt[1] {
+				is.True(!tracker.Halt(completed.Key()))
+			}
+			is.True(!tracker.Halted("s", target))
+		})
+	}
+}
