--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -104,8 +104,7 @@
 }
 
 const (
-	// leaveTimeout bounds how long Leave waits for members to confirm that they know of it: for
-	// longer than that, a member that does not answer is considered dead.
+	// leaveTimeout bounds how long Leave waits for members to confirm that they know of it.
 	leaveTimeout = 5 * time.Second
 	// leavePollInterval is the time between two checks whether all members have confirmed.
 	leavePollInterval = 20 * time.Millisecond
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -47,8 +47,8 @@
 
 // contested reports whether the crash of the server under a trial of the variant may have been caused
 // by another request or variant: one that was in flight there, too, and under which at least as many
-// servers crashed. The request that crashes servers is in flight in each crash, a harmless one in some
-// of them, and the record of a harmless one is removed once it is answered.
+// servers crashed. The request that crashes servers is in flight in each of its crashes, a harmless one
+// in some of them, and the record of a harmless one is removed once it is answered.
 func (r *recordTable) contested(record *Record, variant Variant, server ServerID) bool {
 	for _, e := range r.entries {
 		other := &e.record
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -19,8 +19,7 @@
 	// request.
 	maxServers  = 8
 	maxVariants = 8
-	// maxVariantServers bounds the servers listed per variant: a first attempt at ten shards may crash
-	// three servers of each.
+	// maxVariantServers bounds the servers listed per variant.
 	maxVariantServers = 32
 )
 
