--- a/review/harness/stale.go
+++ b/review/harness/stale.go
@@ -52,7 +52,7 @@
 		service := services[len(changes)%len(services)]
 		err := w.store.Configure(standin.Configuration{
 			Version: version,
-			Routes: []standin.Route{{Name: "desk", Host: host, PathPrefix: "/desk/", Kind: "safe", TimeoutMs: 15000,
+			Routes: []standin.Route{{Name: "booking", Host: host, PathPrefix: "/booking/", Kind: "unsafe", TimeoutMs: 15000,
 				TargetLatencyMs: 1000, Service: service, MaxAttempts: 2}},
 			Limits: limits,
 		})
@@ -74,7 +74,7 @@
 	sending, stop := context.WithCancel(ctx)
 	defer stop()
 	var group sync.WaitGroup
-	clients := &callers{record: w.record, method: http.MethodGet, host: host, path: "/desk/", prefix: "d", timeout: 15 * time.Second}
+	clients := &callers{record: w.record, method: http.MethodPost, host: host, path: "/booking/", prefix: "b", timeout: 15 * time.Second}
 	for number, target := range w.routers {
 		group.Go(func() { clients.run(sending, target, staleRate, rand.New(rand.NewPCG(uint64(number), 5))) })
 	}
