--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -160,7 +160,7 @@
 		body = ""
 	}
 	head := fmt.Sprintf("%s %s%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", c.method, c.path, seen.id, c.host,
-		headerAttempt, seen.id, headerDeadline, c.timeout.Milliseconds())
+		names.AttemptID, seen.id, names.Deadline, c.timeout.Milliseconds())
 	if body != "" {
 		head += fmt.Sprintf("Content-Type: application/json\r\nContent-Length: %d\r\n", len(body))
 	}
@@ -182,7 +182,7 @@
 		}
 		return
 	}
-	seen.status, seen.seal = response.StatusCode, response.Header.Get(headerSeal)
+	seen.status, seen.seal = response.StatusCode, response.Header.Get(names.Seal)
 	if response.Close {
 		_ = conn.Close()
 		return
--- a/review/harness/drain.go
+++ b/review/harness/drain.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"time"
+
+	"github.com/driftstage/driftstage/platform/standin"
 )
 
 // Bounds of gzebi-drift.
@@ -14,7 +16,7 @@
 
 // leave lets a server leave as planned: it says that it is draining, serves on, and ends. It
 // returns when the store acknowledged that it is draining.
-func (w *world) leave(ctx context.Context, leaving *server, draining entry, servesOn time.Duration) (time.Time, error) {
+func (w *world) leave(ctx context.Context, leaving *server, draining standin.ServerSpec, servesOn time.Duration) (time.Time, error) {
 	if err := w.store.Put("servers", leaving.id, draining); err != nil {
 		return time.Time{}, err
 	}
--- a/review/harness/hold.go
+++ b/review/harness/hold.go
@@ -35,11 +35,11 @@
 
 // shardNames returns the services of a set of shards.
 func shardNames(set string, count int) []string {
-	names := make([]string, count)
-	for shard := range names {
-		names[shard] = fmt.Sprintf("%s-%02d", set, shard)
+	services := make([]string, count)
+	for shard := range services {
+		services[shard] = fmt.Sprintf("%s-%02d", set, shard)
 	}
-	return names
+	return services
 }
 
 // startShards starts the servers of a set of shards; before is called before each one.
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -150,26 +150,15 @@
 	return nil
 }
 
-// entry is a server's entry in the store.
-type entry struct {
-	Service         string `json:"service"`
-	Address         string `json:"address"`
-	Zone            string `json:"zone"`
-	Version         string `json:"version"`
-	Slots           int    `json:"slots"`
-	State           string `json:"state"`
-	ColdRemainingMs int    `json:"coldRemainingMs"`
-	Sequence        int    `json:"sequence"`
-}
-
 // States of a server's entry.
 const (
 	stateReady    = "ready"
 	stateDraining = "draining"
 )
 
-func (s *server) entry(state string) entry {
-	return entry{Service: s.service, Address: s.addr(), Zone: s.zone, Version: "v1", Slots: s.slots, State: state, Sequence: 1}
+// entry returns the server's entry in the store.
+func (s *server) entry(state string) standin.ServerSpec {
+	return standin.ServerSpec{Service: s.service, Address: s.addr(), Zone: s.zone, Version: "v1", Slots: s.slots, State: state, Sequence: 1}
 }
 
 // addServer starts a server and writes its entry.
--- a/review/harness/router.go
+++ b/review/harness/router.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -13,6 +12,7 @@
 	"time"
 
 	"github.com/driftstage/driftstage/internal/loopback"
+	"github.com/driftstage/driftstage/platform/standin"
 )
 
 // program is the command of the deploy file's role.
@@ -135,14 +135,10 @@
 
 // awaitReady waits until the process says that it is ready.
 func (r *router) awaitReady(ctx context.Context, limit time.Duration) error {
-	client := http.Client{Timeout: time.Second}
-	for deadline := time.Now().Add(limit); time.Now().Before(deadline) && ctx.Err() == nil; time.Sleep(20 * time.Millisecond) {
-		response, err := client.Get("http://" + r.readiness + "/-/readiness")
-		if err != nil {
-			continue
-		}
-		_ = response.Body.Close()
-		if response.StatusCode == http.StatusOK {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for ; ctx.Err() == nil; time.Sleep(20 * time.Millisecond) {
+		if standin.Ready(ctx, r.readiness) {
 			return nil
 		}
 	}
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -14,18 +14,13 @@
 	"strconv"
 	"sync"
 	"time"
-)
 
-// Headers of the users' protocol.
-const (
-	headerAttempt     = "X-Attempt-Identifier"
-	headerDeadline    = "X-Request-Deadline"
-	headerExpected    = "X-Expected-Instance"
-	headerInstance    = "X-Instance-Identifier"
-	headerNotExecuted = "X-Not-Executed"
-	headerSeal        = "X-Server-Seal"
+	"github.com/driftstage/driftstage/platform"
 )
 
+// names are the names of the headers of the users' protocol.
+var names = platform.Names()
+
 // run is one request that a server began to work on.
 type run struct {
 	id     string
@@ -172,7 +167,7 @@
 			return
 		}
 		if surplus != nil {
-			s.record.line("server %s sends its earlier answer on this connection once more, as %s arrives", s.id, request.Header.Get(headerAttempt))
+			s.record.line("server %s sends its earlier answer on this connection once more, as %s arrives", s.id, request.Header.Get(names.AttemptID))
 			if _, err := conn.Write(surplus); err != nil {
 				return
 			}
@@ -203,13 +198,13 @@
 
 // handle runs or rejects a request and returns the answer; nil if the caller has gone.
 func (s *server) handle(conn net.Conn, reader *bufio.Reader, request *http.Request) []byte {
-	id := request.Header.Get(headerAttempt)
-	if expected := request.Header.Get(headerExpected); expected != "" && expected != s.id {
-		return s.answer(id, http.StatusMisdirectedRequest, headerNotExecuted+": 1\r\n", nil)
+	id := request.Header.Get(names.AttemptID)
+	if expected := request.Header.Get(names.ExpectedInstance); expected != "" && expected != s.id {
+		return s.answer(id, http.StatusMisdirectedRequest, names.NotExecuted+": 1\r\n", nil)
 	}
 	if !s.admit() {
-		s.record.line("server %s is full and rejects %s: 503, %s", s.id, id, headerNotExecuted)
-		return s.answer(id, http.StatusServiceUnavailable, headerNotExecuted+": 1\r\n", nil)
+		s.record.line("server %s is full and rejects %s: 503, %s", s.id, id, names.NotExecuted)
+		return s.answer(id, http.StatusServiceUnavailable, names.NotExecuted+": 1\r\n", nil)
 	}
 	defer s.leave()
 	s.free <- struct{}{}
@@ -220,7 +215,7 @@
 		return nil
 	}
 	body := bytes.Repeat([]byte("r"), 200)
-	return s.answer(id, http.StatusOK, fmt.Sprintf("%s: seal-%s-%s\r\n", headerSeal, s.id, id), body)
+	return s.answer(id, http.StatusOK, fmt.Sprintf("%s: seal-%s-%s\r\n", names.Seal, s.id, id), body)
 }
 
 // admit reports whether the server has room for one more request.
@@ -244,7 +239,7 @@
 // caller closes the connection meanwhile.
 func (s *server) doWork(conn net.Conn, reader *bufio.Reader, request *http.Request) bool {
 	work := s.work
-	if left, err := strconv.Atoi(request.Header.Get(headerDeadline)); err == nil {
+	if left, err := strconv.Atoi(request.Header.Get(names.Deadline)); err == nil {
 		work = min(work, time.Duration(left)*time.Millisecond)
 	}
 	_ = conn.SetReadDeadline(time.Now().Add(work))
@@ -255,7 +250,7 @@
 
 // answer returns the bytes of an answer.
 func (s *server) answer(id string, status int, fields string, body []byte) []byte {
-	head := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n",
-		status, http.StatusText(status), headerAttempt, id, headerInstance, s.id, fields, len(body))
+	head := fmt.Sprintf("HTTP/1.1 %d %s\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n",
+		status, http.StatusText(status), names.AttemptID, id, fields, len(body))
 	return append([]byte(head), body...)
 }
--- a/review/harness/twice.go
+++ b/review/harness/twice.go
@@ -93,9 +93,9 @@
 
 // describe lists the servers of runs.
 func describe(runs []run) string {
-	names := make([]string, len(runs))
+	servers := make([]string, len(runs))
 	for index, r := range runs {
-		names[index] = r.server
+		servers[index] = r.server
 	}
-	return strings.Join(names, ", ")
+	return strings.Join(servers, ", ")
 }
