upstream: send a request only once on a connection

Cause: all sends of a request have the same id. The connection of a refused send returned to the pool and was the first to be handed out again. A server that sends a surplus copy of its refusal, in the place where the next answer is due, sends it as the answer to the second send of the same request: the id matches, the refusal counts as proof that the second send has not run, and the request is sent on to another server while the first one runs it.

Ruled out: copies of answers to other requests (their id differs), and refusals that are not true (the record of the case shows no run at a server that refused, until it got the request again).

Change: a request records the connections on which it was sent, and the pool hands out none of these for it. Other requests go on using them. An answer without an id on a reused connection ends the attempt as malformed, whatever its status: it could be a late copy as well. Before, a refusal was skipped until the deadline, and a success, a failure or a 421 was believed.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -94,7 +94,7 @@
 
 func (c *Client) connect(ctx context.Context, call Call) (*connection, error) {
 	now := time.Now()
-	if conn := c.pool.get(call.poolKey(), now); conn != nil {
+	if conn := c.pool.get(call.poolKey(), &call.Request.sends, now); conn != nil {
 		return conn, conn.SetDeadline(call.Deadline)
 	}
 	dialer := c.dialer
@@ -116,6 +116,7 @@
 	if call.MaySend != nil && !call.MaySend() {
 		return markUnsent(Reply{Kind: NotPermitted, Verdict: verdict.NotRun, Err: errNotPermitted}), conn.used
 	}
+	call.Request.sends.add(conn)
 	sent := c.send(conn, call, remaining)
 	if err := sent.syncError(); err != nil {
 		return failedReply(ctx, call, ioErrorKind(conn, err), verdict.MayHaveRun, err), false
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -2,6 +2,8 @@
 
 import (
 	"net"
+	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -21,6 +23,29 @@
 	expires time.Time
 }
 
+// sendLog records the connections on which a request was sent. A server may repeat an answer later
+// on its connection. If the same request were sent there again, the repeated answer would have the
+// id that is expected, so each send of a request needs a connection that has not carried it. The
+// zero value records no connection. It is safe for concurrent use.
+type sendLog struct {
+	mutex       sync.Mutex
+	connections []*connection
+}
+
+// add records a send.
+func (l *sendLog) add(conn *connection) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.connections = append(l.connections, conn)
+}
+
+// contains reports whether the request was sent on the connection.
+func (l *sendLog) contains(conn *connection) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return slices.Contains(l.connections, conn)
+}
+
 // SetSocketOptions sets the options of TCP sockets that cross the network.
 func SetSocketOptions(_, _ string, raw syscall.RawConn) error {
 	var failure error
--- a/internal/upstream/doc.go
+++ b/internal/upstream/doc.go
@@ -45,6 +45,9 @@
 	Body []byte
 	// HeadOnly is set for HEAD requests, whose answers have no body.
 	HeadOnly bool
+
+	// sends records the connections on which the request was sent.
+	sends sendLog
 }
 
 // Call describes one attempt of a request.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -24,10 +25,10 @@
 	return &pool{idle: make(map[string][]*connection)}
 }
 
-// get returns a healthy idle connection to the server, or nil.
-func (p *pool) get(key string, now time.Time) *connection {
+// get returns a healthy idle connection to the server that has not carried the request, or nil.
+func (p *pool) get(key string, sends *sendLog, now time.Time) *connection {
 	for {
-		conn := p.pop(key)
+		conn := p.pop(key, sends)
 		if conn == nil {
 			return nil
 		}
@@ -38,17 +39,18 @@
 	}
 }
 
-func (p *pool) pop(key string) *connection {
+// pop removes the most recently used connection that has not carried the request; nil if there is none.
+func (p *pool) pop(key string, sends *sendLog) *connection {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	idle := p.idle[key]
-	if len(idle) == 0 {
-		return nil
+	for index, conn := range slices.Backward(idle) {
+		if !sends.contains(conn) {
+			p.idle[key] = slices.Delete(idle, index, index+1)
+			return conn
+		}
 	}
-	last := len(idle) - 1
-	conn := idle[last]
-	p.idle[key] = idle[:last]
-	return conn
+	return nil
 }
 
 // put adds an idle connection, or closes it if the limit is reached; a negative
--- a/internal/upstream/receive.go
+++ b/internal/upstream/receive.go
@@ -25,9 +25,14 @@
 	idleTimeout time.Duration
 }
 
-var errStaleAnswers = errors.New("only answers to other requests arrived")
+var (
+	errStaleAnswers = errors.New("only answers to other requests arrived")
+	errMissingID    = errors.New("an answer without an id on a reused connection")
+)
 
-// receive reads answers until it finds the one with the request's id.
+// receive reads answers until it finds the one with the request's id. An answer without an id is
+// accepted only on a new connection: on a reused one it could be a late duplicate of an earlier
+// answer, whatever its status.
 func (c *Client) receive(reader *bufio.Reader, call Call, reused bool) (Reply, keepAlive) {
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
@@ -42,7 +47,10 @@
 		if err := response.ReadLimitBody(reader, maximumAnswerBytes); err != nil {
 			return readErrorReply(reader, err), keepAlive{}
 		}
-		if c.matchesRequest(response, call, reused) {
+		switch id := response.Header.Peek(c.headers.AttemptID); {
+		case len(id) == 0 && reused:
+			return Reply{Kind: Malformed, Verdict: verdict.MayHaveRun, Err: errMissingID}, keepAlive{}
+		case len(id) == 0, string(id) == call.Request.ID:
 			return c.interpret(response, call), parseKeepAlive(response)
 		}
 	}
@@ -59,17 +67,6 @@
 	return Reply{Kind: kind, Verdict: verdict.MayHaveRun, Err: err}
 }
 
-// matchesRequest reports whether the answer belongs to this request. A refusal may
-// have no id; on a reused connection it could be a late duplicate of an earlier one
-// and is ignored.
-func (c *Client) matchesRequest(response *fasthttp.Response, call Call, reused bool) bool {
-	id := response.Header.Peek(c.headers.AttemptID)
-	if len(id) == 0 {
-		return !reused || len(response.Header.Peek(c.headers.NotExecuted)) == 0
-	}
-	return string(id) == call.Request.ID
-}
-
 func (c *Client) interpret(response *fasthttp.Response, call Call) Reply {
 	reply := Reply{
 		Kind:    Answered,
