catalog: one node reads the store without lag and confirms the state of the others

Cause: after a watch that could not be stale, all watches of the next 14 s could be (5 s on a node that others follow), and their answers counted as current. The protocol gives such reads no bound but "seconds".

Ruled out: a late adoption (the log line follows each answer that has the version at once) and failed watches (all calls of the case are answered). The age of the last read could not tell an old answer from a current one; new metrics: the age of the last state that was current for certain.

Change: a follower knows the time before which no change is missing from its state. The first live node in the common order, the confirmer, reads without lag every 1.8 s; readers of other regions ask it before each watch for what they lack and for the time of that read, and hand it on. A node that it does not answer, or that it answers too late, reads without lag itself. Regions of two nodes and more now have a reader, a single node follows the confirmer. A node younger than 4.5 s reads with lag unless it is confirmed: it learns of the others first.

Evidence: TestStaleReadsDoNotDelayChanges failed before in both rows. It replaces TestFreshWatchesBoundStaleness, which allowed a change to be unknown for 17 s and demanded that most watches be stale; the new one bounds the delay (2.5 s) and the number of watches without lag.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -109,8 +109,8 @@
 }
 
 // StaleLister is a feed whose first list may lag behind the store, which costs a tenth of a fresh
-// list. It is for kinds whose later changes matter more than the state at startup. As with a stale
-// watch, the lag ends when the store works normally again.
+// list. It is for kinds whose later changes matter more than the state at startup. The lag ends with
+// the first watch that must not be stale.
 type StaleLister[T any] interface {
 	// ListStale is List without the guarantee that the result is not older than the call.
 	ListStale(ctx context.Context, after string) (Page[T], error)
@@ -129,9 +129,11 @@
 type Relay[T any] interface {
 	// Source returns the peer to follow, or nil if the store is to be called.
 	Source() Watcher[T]
-	// Publish passes on the changes after a revision that the store returned. fresh means that the
-	// answer could not be stale.
-	Publish(after Revision, changes Changes[T], fresh bool)
+	// Confirmer returns the node that reads the store without lag on behalf of the nodes that read
+	// it with lag; nil if this node has to do so itself.
+	Confirmer() Watcher[T]
+	// Publish passes on the changes after a revision. No change made before freshAt is missing.
+	Publish(after Revision, changes Changes[T], freshAt time.Time)
 	// StoreFailed records that the store did not answer.
 	StoreFailed()
 	// HasFollowers reports whether other nodes follow this one.
--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -65,7 +65,35 @@
 		f.apply(changes)
 	}
 	f.listed = true
-	f.freshAt = start.Add(-changes.FreshAge)
+	f.setFreshAt(start.Add(-changes.FreshAge))
+	return true
+}
+
+// confirm asks the node that reads the store without lag whether this node's state is current, and
+// applies the changes that it lacks. It returns false if this node has to read the store without lag
+// itself: there is no such node, it does not answer, or its own state may have been outdated for too long.
+func (f *Follower[T]) confirm(ctx context.Context) bool {
+	if f.relay == nil {
+		return false
+	}
+	source := f.relay.Confirmer()
+	if source == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, relayGrace)
+	defer cancel()
+	after, start := f.revision, time.Now()
+	changes, err := source.Watch(ctx, WatchRequest{After: after})
+	if err != nil {
+		return false
+	}
+	f.eras.Observe(changes.Revision.Era())
+	if changes.Full || changes.FreshAge > maxConfirmedAge || !f.accepts(changes) {
+		return false
+	}
+	f.apply(changes)
+	f.setFreshAt(start.Add(-changes.FreshAge))
+	f.relay.Publish(after, changes, f.freshAt)
 	return true
 }
 
@@ -80,7 +108,7 @@
 // accepts reports whether changes from a peer continue the known state.
 func (f *Follower[T]) accepts(changes Changes[T]) bool {
 	switch {
-	case changes.Revision.Era() < f.eras.Latest():
+	case changes.Revision.Era() < f.eras.Latest(), changes.FreshAge > MaxFreshAge:
 		return false
 	case changes.Full:
 		return changes.Revision >= f.revision
--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -14,18 +14,24 @@
 	watchWait = 3 * time.Second
 	// watchGrace is how much longer than watchWait a watch may take before it times out.
 	watchGrace = 900 * time.Millisecond
-	// freshInterval is the time between two watches that must not be stale. The others may be stale
-	// and cost a tenth: the store's lag is small in normal operation, and this interval bounds the
-	// effect of a larger one.
-	freshInterval = 14 * time.Second
+	// freshInterval is the time after which a node whose state no other node confirms reads the store
+	// without lag again. The reads in between may lag, by seconds, and cost a tenth.
+	freshInterval = 1200 * time.Millisecond
+	// maxConfirmedAge is the maximum age of a confirmation by another node. It exceeds the time from one
+	// read without lag of that node to the end of its next one, freshInterval plus relayWait.
+	maxConfirmedAge = 2 * time.Second
+	// startupLag is how long after its start a node reads the store with lag only, unless another node
+	// confirms its state: it learns of the other nodes in this time, and need not be current earlier.
+	startupLag = 4500 * time.Millisecond
+	// MaxFreshAge is the maximum time since the state of a node was current for other nodes to follow
+	// it: maxConfirmedAge and the longest time between two confirmations.
+	MaxFreshAge = 2800 * time.Millisecond
 	// relayWait replaces watchWait if other nodes follow this one: it bounds the age of the data
 	// that they receive.
 	relayWait = 600 * time.Millisecond
 	// relayGrace is how much longer than its wait a peer may take to answer before it times out.
 	relayGrace   = 400 * time.Millisecond
 	relayTimeout = relayWait + relayGrace
-	// relayFreshInterval replaces freshInterval if other nodes follow this one.
-	relayFreshInterval = 5 * time.Second
 	// maxPeersTried is how many peers are tried in a row while the store does not answer, as long
 	// as each one refuses within maxRefusalTime because its data is outdated too.
 	maxPeersTried  = 2
@@ -50,6 +56,9 @@
 type Observer interface {
 	// StoreCalled is called at the end of each call for the feed.
 	StoreCalled(feed string, err error)
+	// StateFresh is called with the time before which no change of the feed is missing, whenever it
+	// changes; zero if it is unknown.
+	StateFresh(feed string, freshAt time.Time)
 	// ObjectUnreadable is called for each object of the feed that cannot be decoded.
 	ObjectUnreadable(feed string, failure DecodeFailure)
 }
@@ -71,7 +80,9 @@
 	outcome Outcome
 	// outage is set from a failed call to the store until a call to the store or a peer succeeds.
 	outage bool
-	// freshAt is when the state was last known not to be stale.
+	// startedAt is when Run was called.
+	startedAt time.Time
+	// freshAt is the latest time before which no change is missing from the state.
 	freshAt time.Time
 	// relay may be nil: then only the store is called.
 	relay Relay[T]
@@ -113,6 +124,7 @@
 
 // Run follows the feed until ctx ends.
 func (f *Follower[T]) Run(ctx context.Context) {
+	f.startedAt = time.Now()
 	for ctx.Err() == nil {
 		f.step(ctx)
 	}
@@ -218,7 +230,13 @@
 	f.outage = false
 	f.sink.Resumed()
 	// The answer that ended the outage may have been stale, so the next watch must not be.
-	f.freshAt = time.Time{}
+	f.setFreshAt(time.Time{})
+}
+
+// setFreshAt sets the time before which no change is missing from the state; zero if it is unknown.
+func (f *Follower[T]) setFreshAt(freshAt time.Time) {
+	f.freshAt = freshAt
+	f.observer.StateFresh(f.name, freshAt)
 }
 
 // reportUnreadable reports objects that cannot be decoded to the observer.
@@ -247,7 +265,8 @@
 }
 
 func (f *Follower[T]) watch(ctx context.Context) error {
-	request := f.nextWatch()
+	request := f.nextWatch(ctx)
+	start := time.Now()
 	changes, err := f.callWatch(ctx, request)
 	if err != nil {
 		f.listed = !errors.Is(err, ErrHistoryGone) && !errors.Is(err, ErrNewEra) && (f.failures+1)%failuresBeforeRelist != 0
@@ -256,10 +275,10 @@
 	f.endOutage()
 	f.apply(changes)
 	if !request.Stale {
-		f.freshAt = time.Now()
+		f.setFreshAt(freshAsOf(request, start, changes))
 	}
 	if f.relay != nil {
-		f.relay.Publish(request.After, changes, !request.Stale)
+		f.relay.Publish(request.After, changes, f.freshAt)
 	}
 	if len(changes.Changes) > 0 && f.batchDelay != nil {
 		sleepUntil(ctx, f.batchDelay(len(changes.Changes)), f.batchDelayEnd)
@@ -267,17 +286,47 @@
 	return nil
 }
 
+// freshAsOf returns the time before which no change is missing from the answer to a watch that could
+// not be stale: an answer without changes was given when the wait was over.
+func freshAsOf[T any](request WatchRequest, start time.Time, changes Changes[T]) time.Time {
+	if len(changes.Changes) > 0 {
+		return start
+	}
+	return start.Add(request.Wait)
+}
+
 // nextWatch returns the next request. While the store may still be unreachable, it is one that does
 // not wait and may be stale, which is cheaper.
-func (f *Follower[T]) nextWatch() WatchRequest {
+func (f *Follower[T]) nextWatch(ctx context.Context) WatchRequest {
+	request := WatchRequest{After: f.revision, Stale: true}
 	if f.outage || f.backoff.Failing() {
-		return WatchRequest{After: f.revision, Stale: true}
+		return request
 	}
-	wait, fresh := watchWait, freshInterval
+	confirmed := f.confirm(ctx)
+	request.After = f.revision
+	startup := startupLag - time.Since(f.startedAt)
+	age := time.Since(f.freshAt)
+	switch {
+	case confirmed:
+		request.Wait = relayWait
+	case startup > 0:
+		request.Wait = min(startup, f.watchDuration())
+	case age < freshInterval:
+		request.Wait = min(relayWait, freshInterval-age)
+	case age > maxConfirmedAge:
+		request.Stale = false
+	default:
+		request.Stale, request.Wait = false, f.watchDuration()
+	}
+	return request
+}
+
+// watchDuration returns how long a watch waits for changes.
+func (f *Follower[T]) watchDuration() time.Duration {
 	if f.hasFollowers() {
-		wait, fresh = relayWait, relayFreshInterval
+		return relayWait
 	}
-	return WatchRequest{After: f.revision, Wait: wait, Stale: time.Since(f.freshAt) < fresh}
+	return watchWait
 }
 
 func (f *Follower[T]) callWatch(ctx context.Context, request WatchRequest) (Changes[T], error) {
--- a/internal/catalog/follower_test.go
+++ b/internal/catalog/follower_test.go
@@ -231,6 +231,8 @@
 // noopObserver ignores all calls.
 type noopObserver struct{}
 
+func (noopObserver) StateFresh(string, time.Time) {}
+
 func (noopObserver) ObjectUnreadable(string, DecodeFailure) {}
 
 func (noopObserver) StoreCalled(string, error) {}
@@ -365,17 +367,44 @@
 	}
 }
 
-func TestFreshWatchesBoundStaleness(t *testing.T) {
-	runFollower(t, func(is *is.I, feed *memoryFeed, sink *memorySink) {
-		feed.configure(func() { feed.staleBehind = 1 })
-		time.Sleep(time.Minute)
-		feed.set("main", "two")
-		time.Sleep(freshInterval + watchWait)
-		is.Equal(sink.get(), "two")
-		feed.configure(func() {
-			is.True(feed.stale > 3*feed.fresh) // most watches may be stale
+// staleReadBound is below the time within which a configuration must be in force, and a draining
+// server must get no more requests (3 s).
+const staleReadBound = 2500 * time.Millisecond
+
+// Guards against nodes that go on with an old configuration, or send to draining servers: a store
+// whose answers to reads that may be stale lag for good keeps a change from them until their next
+// current read.
+func TestStaleReadsDoNotDelayChanges(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		relay *memoryRelay
+	}{
+		{"alone", nil},
+		{"followed by others", &memoryRelay{followed: true}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			if test.relay == nil {
+				runFollower(t, checkStaleReads)
+			} else {
+				runWithRelay(t, test.relay, checkStaleReads)
+			}
 		})
+	}
+}
+
+func checkStaleReads(is *is.I, feed *memoryFeed, sink *memorySink) {
+	feed.configure(func() { feed.staleBehind = 1 })
+	time.Sleep(time.Minute)
+	feed.configure(func() {
+		// A call without lag costs ten times as much as one with lag.
+		is.True(feed.fresh <= int(time.Minute/(freshInterval+relayWait)))
 	})
+	for _, value := range []string{"two", "three", "four"} {
+		feed.set("main", value)
+		time.Sleep(staleReadBound)
+		is.Equal(sink.get(), value)
+		time.Sleep(1234 * time.Millisecond)
+	}
 }
 
 // A store that answers slowly is read page by page, however long all pages together take.
--- a/internal/catalog/list.go
+++ b/internal/catalog/list.go
@@ -35,16 +35,19 @@
 	if err != nil {
 		return err
 	}
+	if f.listsWithLag() {
+		asOf = time.Time{}
+	}
 	if read.Revision < f.revision || read.Revision.Era() < f.eras.Latest() {
 		return fmt.Errorf("%w: revision %d of era %d, known %d of era %d", ErrOutdated,
 			read.Revision.Number(), read.Revision.Era(), f.revision.Number(), f.revision.Era())
 	}
 	f.reportUnreadable(read.DecodeFailures)
-	publish := f.diffPublisher(read)
+	publish := f.diffPublisher(read, asOf)
 	f.setState(read.Items, read.Revision)
 	publish()
 	f.listed, f.listedAt = true, start
-	f.freshAt = asOf
+	f.setFreshAt(asOf)
 	f.recordProgress(start)
 	return nil
 }
@@ -69,10 +72,10 @@
 // diffPublisher returns a function that publishes what the list changes; it is to be called once the
 // sink holds the list. After an outage it publishes nothing: missing objects may only have expired,
 // which nodes that take the full state detect themselves.
-func (f *Follower[T]) diffPublisher(read Page[T]) (publish func()) {
+func (f *Follower[T]) diffPublisher(read Page[T], asOf time.Time) (publish func()) {
 	if f.relay != nil && f.revision > 0 && f.revision.EarlierEraThan(read.Revision) {
 		// No changes lead from one era to another: followers take the full state.
-		return func() { f.relay.Publish(read.Revision, Changes[T]{Revision: read.Revision}, true) }
+		return func() { f.relay.Publish(read.Revision, Changes[T]{Revision: read.Revision}, asOf) }
 	}
 	differ, ok := f.sink.(Differ[T])
 	if !ok || f.relay == nil || f.revision == 0 || f.outage {
@@ -80,7 +83,7 @@
 	}
 	changes := Changes[T]{Changes: differ.Diff(read.Items), Revision: read.Revision}
 	after := f.revision
-	return func() { f.relay.Publish(after, changes, true) }
+	return func() { f.relay.Publish(after, changes, asOf) }
 }
 
 // readPages returns all objects with the revision of the first page. Changes made while the other
@@ -141,11 +144,17 @@
 	})
 }
 
-// lister returns the call that reads a page. The known state must not go back in time, so only a
-// node without any state uses a list that may be stale.
+// lister returns the call that reads a page.
 func (f *Follower[T]) lister() func(context.Context, string) (Page[T], error) {
-	if feed, ok := f.feed.(StaleLister[T]); ok && f.revision == 0 {
-		return feed.ListStale
+	if f.listsWithLag() {
+		return f.feed.(StaleLister[T]).ListStale
 	}
 	return f.feed.List
 }
+
+// listsWithLag reports whether the next list may lag behind the store. The known state must not go
+// back in time, so only a node without any state uses such a list.
+func (f *Follower[T]) listsWithLag() bool {
+	_, ok := f.feed.(StaleLister[T])
+	return ok && f.revision == 0
+}
--- a/internal/catalog/relay_test.go
+++ b/internal/catalog/relay_test.go
@@ -14,6 +14,7 @@
 type memoryRelay struct {
 	mutex     sync.Mutex
 	source    *memoryFeed
+	confirmer Watcher[string]
 	followed  bool
 	failed    int
 	published []Changes[string]
@@ -28,12 +29,21 @@
 	return m.source
 }
 
-func (m *memoryRelay) Publish(_ Revision, changes Changes[string], _ bool) {
+func (m *memoryRelay) Publish(_ Revision, changes Changes[string], _ time.Time) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.published = append(m.published, changes)
 }
 
+func (m *memoryRelay) Confirmer() Watcher[string] {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.confirmer == nil {
+		return nil
+	}
+	return m.confirmer
+}
+
 func (m *memoryRelay) StoreFailed() {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -103,6 +113,8 @@
 	successes int
 }
 
+func (*countingObserver) StateFresh(string, time.Time) {}
+
 func (*countingObserver) ObjectUnreadable(string, DecodeFailure) {}
 
 func (c *countingObserver) StoreCalled(_ string, err error) {
@@ -137,7 +149,7 @@
 		time.Sleep(time.Minute)
 		store.configure(func() {
 			is.True(store.stale+store.fresh >= int(time.Minute/relayWait)-1)
-			is.True(store.fresh >= int(time.Minute/relayFreshInterval)-2)
+			is.True(store.fresh >= int(time.Minute/(freshInterval+relayWait))-2)
 		})
 	})
 	if len(relay.published) < 90 {
@@ -278,3 +290,59 @@
 		})
 	}
 }
+
+// confirmingNode is a node that has read the feed without lag some time ago.
+type confirmingNode struct {
+	feed *memoryFeed
+	age  time.Duration
+	fail bool
+}
+
+func (c *confirmingNode) Watch(_ context.Context, request WatchRequest) (Changes[string], error) {
+	if c.fail {
+		return Changes[string]{}, errStore
+	}
+	changes, _, err := c.feed.since(request)
+	changes.FreshAge = c.age
+	return changes, err
+}
+
+// A node whose state another one confirms never reads the store without lag, and has each change in
+// time. It reads without lag itself if that node does not answer or is outdated.
+func TestConfirmedNodeReadsWithLag(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		age   time.Duration
+		fail  bool
+		fresh bool
+	}{
+		{"confirmed", 500 * time.Millisecond, false, false},
+		{"outdated", maxConfirmedAge + time.Millisecond, false, true},
+		{"no answer", 0, true, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store, sink := newMemoryFeed(), &memorySink{}
+				store.set("main", "one")
+				store.configure(func() { store.staleBehind = 1 })
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				follower := NewFollower("test", store, sink, noopObserver{})
+				relay := &memoryRelay{followed: true, confirmer: &confirmingNode{feed: store, age: test.age, fail: test.fail}}
+				follower.UseRelay(relay)
+				go follower.Run(ctx)
+				time.Sleep(time.Minute)
+				store.set("main", "two")
+				time.Sleep(staleReadBound)
+				is.Equal(sink.get(), "two")
+				store.configure(func() {
+					is.Equal(store.fresh > 0, test.fresh)
+					is.True(store.stale >= int(time.Minute/(freshInterval+relayWait))) // for the nodes that follow this one
+				})
+				latest := relay.published[len(relay.published)-1]
+				is.Equal(latest.Revision, Revision(2))
+			})
+		})
+	}
+}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -42,8 +42,9 @@
 	quarantine quarantineCounters
 
 	mutex sync.Mutex
-	// lastRead is the time of the last successful read of each feed.
-	lastRead map[string]time.Time
+	// lastRead is the time of the last successful read of each feed, freshAt the time before which no
+	// change of it is missing.
+	lastRead, freshAt map[string]time.Time
 }
 
 func newMetrics(node *Node, logs Logs) *metrics {
@@ -53,6 +54,7 @@
 	counters := &metrics{
 		registry:      telemetry.NewRegistry(),
 		lastRead:      make(map[string]time.Time),
+		freshAt:       make(map[string]time.Time),
 		finished:      counterVector("request", "finished_total", "Requests by their end.", "gather", "status", "cause"),
 		missingShards: counter("request", "missing_shards_total", "Shards left out of answers."),
 		attempts:      counterVector("attempt", "ended_total", "Attempts at servers by reason and result.", "reason", "result"),
@@ -89,7 +91,9 @@
 		{"node", "ready_status", "1 while the node takes new connections.", func() float64 { return boolToFloat(node.state.ready()) }},
 		{"log", "dropped_lines_count", "Log lines lost to a slow reader since the start.", logs.dropped},
 		{"log", "left_out_requests_count", "Requests whose lines were left out by the bounds since the start.", logs.omitted},
-		{"store", "tables_age_seconds", "Time since the configuration was last read.", func() float64 { return m.age(feedTables) }},
+		{"store", "tables_age_seconds", "Time since the configuration was last read.", func() float64 { return m.age(m.lastRead, feedTables) }},
+		{"store", "tables_fresh_age_seconds", "Time since the known configuration was the store's latest for certain; -1 if that is unknown.", func() float64 { return m.age(m.freshAt, feedTables) }},
+		{"store", "servers_fresh_age_seconds", "Time since the known servers were the store's latest for certain; -1 if that is unknown.", func() float64 { return m.age(m.freshAt, feedServers) }},
 		{"server", "evacuated_zones_count", "Zones whose servers get nothing new.", func() float64 { return float64(len(node.directory.Evacuated())) }},
 		{"server", "silent_zones_count", "Zones that are out of reach.", func() float64 { return float64(len(node.directory.UnreachableZones())) }},
 		{"quarantine", "records_count", "Requests under which servers ended that this node knows.", func() float64 { return float64(len(node.quarantine.Describe())) }},
@@ -98,7 +102,7 @@
 			unconfirmed, _ := node.directory.UnconfirmedCounts()
 			return float64(unconfirmed)
 		}},
-		{"store", "servers_age_seconds", "Time since the servers were last read.", func() float64 { return m.age(feedServers) }},
+		{"store", "servers_age_seconds", "Time since the servers were last read.", func() float64 { return m.age(m.lastRead, feedServers) }},
 	} {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: namespace, Subsystem: gauge.component, Name: gauge.name, Help: gauge.help,
@@ -184,6 +188,20 @@
 	}
 }
 
+// StateFresh implements catalog.Observer.
+func (m *metrics) StateFresh(feed string, freshAt time.Time) {
+	if !m.enabled() {
+		return
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if freshAt.IsZero() {
+		delete(m.freshAt, feed)
+		return
+	}
+	m.freshAt[feed] = freshAt
+}
+
 // ObjectUnreadable implements catalog.Observer.
 func (m *metrics) ObjectUnreadable(feed string, _ catalog.DecodeFailure) {
 	if m.enabled() {
@@ -191,15 +209,15 @@
 	}
 }
 
-// age returns the seconds since the feed was last read, or -1 if it never was.
-func (m *metrics) age(feed string) float64 {
+// age returns the seconds since the time of the feed, or -1 if it has none.
+func (m *metrics) age(times map[string]time.Time, feed string) float64 {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	lastRead, found := m.lastRead[feed]
+	at, found := times[feed]
 	if !found {
 		return -1
 	}
-	return time.Since(lastRead).Seconds()
+	return time.Since(at).Seconds()
 }
 
 // serveMetrics serves the metrics and the administrative interface, if they have an address.
--- a/internal/peers/publisher.go
+++ b/internal/peers/publisher.go
@@ -25,7 +25,7 @@
 	// state returns all objects, at least as new as the published changes; nil if only
 	// changes are served.
 	state func() []T
-	// answeredAt is when the store last answered, freshAt when it last did so without lag.
+	// answeredAt is when the store last answered. No change made before freshAt is missing.
 	answeredAt, freshAt time.Time
 	// requestedAt is when a follower last sent a request.
 	requestedAt time.Time
@@ -36,16 +36,16 @@
 	changed, answered chan struct{}
 }
 
-// Publish adds an answer of the store.
-func (p *Publisher[T]) Publish(after catalog.Revision, changes catalog.Changes[T], fresh bool) {
+// Publish adds an answer of the store, or of another node that has read it. No change made before
+// freshAt is missing.
+func (p *Publisher[T]) Publish(after catalog.Revision, changes catalog.Changes[T], freshAt time.Time) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.answeredAt = p.now()
+	now := p.now()
+	p.answeredAt = later(p.answeredAt, now.Add(-changes.Age))
+	p.freshAt = later(p.freshAt, now.Add(-time.Since(freshAt)))
 	restored := p.log.Last().EarlierEraThan(changes.Revision)
-	p.log.Append(after, changes, p.answeredAt)
-	if fresh {
-		p.freshAt = p.answeredAt
-	}
+	p.log.Append(after, changes, now)
 	notify(&p.answered)
 	if len(changes.Changes) > 0 || restored {
 		notify(&p.changed)
@@ -118,7 +118,7 @@
 	now := p.now()
 	p.requestedAt = now
 	tooOld := p.answeredAt.IsZero() || now.Sub(p.answeredAt) > q.maxAge
-	if tooOld || p.log.Last().Era() < q.era {
+	if tooOld || now.Sub(p.freshAt) > catalog.MaxFreshAge || p.log.Last().Era() < q.era {
 		return catalog.Changes[T]{}, channel(&p.answered), errStale
 	}
 	changes, err := p.log.Since(q.after)
--- a/internal/peers/recovery_test.go
+++ b/internal/peers/recovery_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -40,12 +41,19 @@
 	// oldest is the oldest revision from which a watch can continue.
 	oldest  catalog.Revision
 	changed chan struct{}
+	// lag is how old answers to reads are that may be stale; writtenAt is when the latest revision
+	// was written.
+	lag       time.Duration
+	writtenAt time.Time
+	// fresh and stale count the watches by whether they may be stale.
+	fresh, stale int
 }
 
 func (s *kindStore) write() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.revision++
+	s.writtenAt = time.Now()
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -62,6 +70,31 @@
 	return s.revision, s.oldest, s.changed
 }
 
+func (s *kindStore) setLag(lag time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.lag, s.fresh, s.stale = lag, 0, 0
+}
+
+// count counts a watch and returns for how long an answer to it hides the latest revision.
+func (s *kindStore) count(request catalog.WatchRequest) time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if !request.Stale {
+		s.fresh++
+		return 0
+	}
+	s.stale++
+	return s.lag
+}
+
+// hidden reports whether the latest revision was written less than the lag ago.
+func (s *kindStore) hidden(lag time.Duration) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return time.Since(s.writtenAt) < lag
+}
+
 // network simulates which nodes can reach the store and each other.
 type network struct {
 	mutex sync.Mutex
@@ -159,14 +192,17 @@
 func (k *recoveryKind) Watch(ctx context.Context, request catalog.WatchRequest) (catalog.Changes[catalog.Revision], error) {
 	none := catalog.Changes[catalog.Revision]{Revision: request.After}
 	expired := time.After(request.Wait)
+	store := k.node.cluster.kinds[k.index]
+	lag := store.count(request)
 	for {
 		if err := k.reached(ctx); err != nil {
 			return none, err
 		}
-		revision, oldest, changed := k.node.cluster.kinds[k.index].current()
+		revision, oldest, changed := store.current()
 		switch {
 		case request.After < oldest:
 			return none, catalog.ErrHistoryGone
+		case store.hidden(lag):
 		case request.After < revision:
 			change := catalog.Change[catalog.Revision]{Name: "main", Value: revision}
 			return catalog.Changes[catalog.Revision]{Revision: revision, Changes: []catalog.Change[catalog.Revision]{change}}, nil
@@ -187,8 +223,8 @@
 	k.update(change.Value)
 }
 
-func (k *recoveryKind) Publish(after catalog.Revision, changes catalog.Changes[catalog.Revision], fresh bool) {
-	k.publisher.Publish(after, changes, fresh)
+func (k *recoveryKind) Publish(after catalog.Revision, changes catalog.Changes[catalog.Revision], freshAt time.Time) {
+	k.publisher.Publish(after, changes, freshAt)
 }
 func (k *recoveryKind) StoreFailed()       { k.node.selector.StoreFailed(time.Now()) }
 func (k *recoveryKind) HasFollowers() bool { return k.publisher.HasFollowers() }
@@ -202,16 +238,27 @@
 	return recoverySource{kind: k, member: member}
 }
 
+// Confirmer implements catalog.Relay.
+func (k *recoveryKind) Confirmer() catalog.Watcher[catalog.Revision] {
+	member, found := k.node.selector.Confirmer(time.Now())
+	if !found {
+		return nil
+	}
+	return recoverySource{kind: k, member: member, confirmer: true}
+}
+
 // recoverySource is a source without sockets.
 type recoverySource struct {
 	kind   *recoveryKind
 	member members.Member
+	// confirmer is set for the node that reads the store without lag, which is not followed.
+	confirmer bool
 }
 
 func (s recoverySource) Watch(ctx context.Context, request catalog.WatchRequest) (catalog.Changes[catalog.Revision], error) {
 	found, err := s.ask(ctx, request)
 	s.kind.node.selector.ReportResult(ctx, s.member.Name, err, time.Now())
-	if err == nil {
+	if err == nil && !s.confirmer {
 		s.kind.setFollowed(s.member.Name)
 	}
 	return found, err
@@ -242,16 +289,32 @@
 // newRecoveryCluster starts nodes that all have the first revision; half of them are in each of
 // the two zones of a region.
 func newRecoveryCluster(ctx context.Context, count int) *recoveryCluster {
-	cluster := &recoveryCluster{nodes: make([]*recoveryNode, count)}
-	for index := range cluster.kinds {
-		cluster.kinds[index] = &kindStore{revision: 1, changed: make(chan struct{})}
-	}
 	var all []members.Member
 	for number := range count {
 		all = append(all, members.Member{Name: nodeName(number), Address: nodeName(number), Zone: fmt.Sprint("near-", number%2)})
 	}
+	return startRecoveryCluster(ctx, all)
+}
+
+// sameRegionAs reports whether zones are in the region of the given one: they have the same name up
+// to the first dash.
+func sameRegionAs(zone string) func(string) bool {
+	region, _, _ := strings.Cut(zone, "-")
+	return func(other string) bool {
+		name, _, _ := strings.Cut(other, "-")
+		return name == region
+	}
+}
+
+// startRecoveryCluster starts nodes that all have the first revision.
+func startRecoveryCluster(ctx context.Context, all []members.Member) *recoveryCluster {
+	count := len(all)
+	cluster := &recoveryCluster{nodes: make([]*recoveryNode, count)}
+	for index := range cluster.kinds {
+		cluster.kinds[index] = &kindStore{revision: 1, changed: make(chan struct{})}
+	}
 	for number := range count {
-		node := &recoveryNode{number: number, cluster: cluster, selector: NewSelector(all[number], inRegion)}
+		node := &recoveryNode{number: number, cluster: cluster, selector: NewSelector(all[number], sameRegionAs(all[number].Zone))}
 		node.selector.SetMembers(all)
 		node.backoff.SetCallers(recoveryFleet)
 		cluster.nodes[number] = node
@@ -287,6 +350,8 @@
 
 type noopObserver struct{}
 
+func (noopObserver) StateFresh(string, time.Time) {}
+
 func (noopObserver) ObjectUnreadable(string, catalog.DecodeFailure) {}
 
 func (noopObserver) StoreCalled(string, error) {}
--- a/internal/peers/relay.go
+++ b/internal/peers/relay.go
@@ -92,8 +92,8 @@
 func (r *Relay[T]) SetSuspensionClock(clock func() time.Duration) { r.publisher.suspended = clock }
 
 // Publish implements catalog.Relay.
-func (r *Relay[T]) Publish(after catalog.Revision, changes catalog.Changes[T], fresh bool) {
-	r.publisher.Publish(after, changes, fresh)
+func (r *Relay[T]) Publish(after catalog.Revision, changes catalog.Changes[T], freshAt time.Time) {
+	r.publisher.Publish(after, changes, freshAt)
 }
 
 // StoreFailed implements catalog.Relay.
@@ -116,6 +116,15 @@
 	return source[T]{relay: r, member: member}
 }
 
+// Confirmer implements catalog.Relay.
+func (r *Relay[T]) Confirmer() catalog.Watcher[T] {
+	member, found := r.selector.Confirmer(time.Now())
+	if !found {
+		return nil
+	}
+	return confirmer[T]{relay: r, member: member}
+}
+
 // lastFollowed returns the name of the node that answered last; empty for the store.
 func (r *Relay[T]) lastFollowed() string {
 	r.mutex.Lock()
--- a/internal/peers/relay_test.go
+++ b/internal/peers/relay_test.go
@@ -30,10 +30,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		var publisher Publisher[endpoints.Server]
-		publisher.Publish(5, changesAt(7), true)
+		publisher.Publish(5, changesAt(7), time.Now())
 		go func() {
 			time.Sleep(200 * time.Millisecond)
-			publisher.Publish(7, changesAt(9, put("a")), false)
+			publisher.Publish(7, changesAt(9, put("a")), time.Time{})
 		}()
 		begun := time.Now()
 		got, err := publisher.answer(t.Context(), watchQuery{after: 7, wait: time.Second, maxAge: time.Second})
@@ -55,7 +55,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		var publisher Publisher[endpoints.Server]
-		publisher.Publish(5, changesAt(7), true)
+		publisher.Publish(5, changesAt(7), time.Now())
 		begun := time.Now()
 		_, err := publisher.answer(t.Context(), watchQuery{after: 7, wait: time.Hour, maxAge: time.Second})
 		is.True(errors.Is(err, errStale))
@@ -91,7 +91,7 @@
 	reader, source, selector := linked(t, PlainCodec[endpoints.Server]{})
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	reader.Publish(5, changesAt(7, put("a"), catalog.Change[endpoints.Server]{Name: "b", Removed: true}), true)
+	reader.Publish(5, changesAt(7, put("a"), catalog.Change[endpoints.Server]{Name: "b", Removed: true}), time.Now())
 	got, err := source.Watch(ctx, catalog.WatchRequest{After: 5, Wait: time.Second})
 	is.NoErr(err)
 	is.Equal(got.Revision, catalog.Revision(7))
@@ -116,7 +116,7 @@
 	for number := range 100 {
 		many = append(many, put(fmt.Sprint("server-", number)))
 	}
-	reader.Publish(5, changesAt(7, many...), true)
+	reader.Publish(5, changesAt(7, many...), time.Now())
 	request := catalog.WatchRequest{After: 5, Wait: time.Second}
 	got, err := source.Watch(ctx, request)
 	is.NoErr(err)
@@ -126,7 +126,7 @@
 	_, err = source.Watch(ctx, request)
 	is.NoErr(err)
 	is.Equal(&reader.latest.body[0], kept)
-	reader.Publish(7, changesAt(9, put("next")), true)
+	reader.Publish(7, changesAt(9, put("next")), time.Now())
 	got, err = source.Watch(ctx, request)
 	is.NoErr(err)
 	is.Equal(len(got.Changes), 101)
@@ -138,7 +138,7 @@
 	route := routing.Route{Name: "r", Host: "a.example", PathPrefix: "/a/", Shards: []string{"s", "u"}, Timeout: time.Second, Repeatable: true}
 	table, err := routing.NewTable(3, routing.Limits{MaximumBodyBytes: 5}, []routing.Service{{Name: "s", MaximumConnections: 4}}, []routing.Route{route})
 	is.NoErr(err)
-	reader.Publish(5, catalog.Changes[*routing.Table]{Revision: 7, Changes: []catalog.Change[*routing.Table]{{Name: "main", Value: table}}}, true)
+	reader.Publish(5, catalog.Changes[*routing.Table]{Revision: 7, Changes: []catalog.Change[*routing.Table]{{Name: "main", Value: table}}}, time.Now())
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
 	got, err := source.Watch(ctx, catalog.WatchRequest{After: 5, Wait: time.Second})
@@ -157,7 +157,7 @@
 	_, err := source.Watch(ctx, catalog.WatchRequest{After: 5, Wait: time.Millisecond})
 	is.True(err != nil) // the reader has read nothing yet
 	is.Equal(relay.followed, "")
-	reader.Publish(5, changesAt(7), true)
+	reader.Publish(5, changesAt(7), time.Now())
 	_, err = source.Watch(ctx, catalog.WatchRequest{After: 5, Wait: time.Millisecond})
 	is.NoErr(err)
 	is.Equal(relay.followed, "reader")
@@ -190,7 +190,7 @@
 	reader.ServeState(func() []endpoints.Server { return state })
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	reader.Publish(5, changesAt(7, put("a")), true)
+	reader.Publish(5, changesAt(7, put("a")), time.Now())
 	for _, after := range []catalog.Revision{2, 3} {
 		got, err := source.Watch(ctx, catalog.WatchRequest{After: after, Wait: time.Second})
 		is.NoErr(err)
@@ -207,7 +207,7 @@
 	_, err = reader.publisher.answer(ctx, watchQuery{after: 2, wait: time.Second, maxAge: time.Hour})
 	is.True(errors.Is(err, catalog.ErrHistoryGone)) // the full state was not requested
 	state = nil
-	reader.Publish(8, changesAt(9), true) // drops the earlier changes
+	reader.Publish(8, changesAt(9), time.Now()) // drops the earlier changes
 	got, err = source.Watch(ctx, catalog.WatchRequest{After: 2, Wait: time.Second})
 	is.NoErr(err)
 	is.True(got.Full)
--- a/internal/peers/restored_test.go
+++ b/internal/peers/restored_test.go
@@ -308,8 +308,8 @@
 	return maps.Clone(k.objects), k.latest
 }
 
-func (k *mirror) Publish(after catalog.Revision, changes catalog.Changes[storeObject], fresh bool) {
-	k.publisher.Publish(after, changes, fresh)
+func (k *mirror) Publish(after catalog.Revision, changes catalog.Changes[storeObject], freshAt time.Time) {
+	k.publisher.Publish(after, changes, freshAt)
 }
 func (k *mirror) StoreFailed()       { k.node.selector.StoreFailed(time.Now()) }
 func (k *mirror) HasFollowers() bool { return k.publisher.HasFollowers() || k.node.selector.IsReader() }
@@ -337,16 +337,27 @@
 	k.followed = name
 }
 
+// Confirmer implements catalog.Relay.
+func (k *mirror) Confirmer() catalog.Watcher[storeObject] {
+	member, found := k.node.selector.Confirmer(time.Now())
+	if !found {
+		return nil
+	}
+	return restoreSource{kind: k, member: member, confirmer: true}
+}
+
 // restoreSource is a source without network connections.
 type restoreSource struct {
 	kind   *mirror
 	member members.Member
+	// confirmer is set for the node that reads the store without lag, which is not followed.
+	confirmer bool
 }
 
 func (s restoreSource) Watch(ctx context.Context, request catalog.WatchRequest) (catalog.Changes[storeObject], error) {
 	found, err := s.ask(ctx, request)
 	s.kind.node.selector.ReportResult(ctx, s.member.Name, err, time.Now())
-	if err == nil {
+	if err == nil && !s.confirmer {
 		s.kind.setFollowed(s.member.Name)
 	}
 	return found, err
--- a/internal/peers/selector.go
+++ b/internal/peers/selector.go
@@ -16,8 +16,8 @@
 
 const (
 	// minRelayNodes is the minimum number of nodes in a region for some of them to read the
-	// store for all: with fewer nodes, their calls cost little.
-	minRelayNodes = 8
+	// store for all; a single node follows the confirmer.
+	minRelayNodes = 2
 	// nodesPerReader is the number of nodes in a region that share a reader.
 	nodesPerReader = 48
 	// initialAvoidance is how long a node that did not answer is avoided; it doubles with
@@ -47,11 +47,11 @@
 	sameRegion func(zone string) bool
 
 	mutex sync.Mutex
-	// region are the live members of this node's region, others those of other regions, both
-	// in the common order.
-	region, others []members.Member
-	avoided        map[string]avoidance
-	storeFailedAt  time.Time
+	// all are the live members, region those of this node's region, others those of other regions,
+	// all in the common order.
+	all, region, others []members.Member
+	avoided             map[string]avoidance
+	storeFailedAt       time.Time
 	// preferred is a node that was recently connected to the store; empty for none.
 	preferred string
 }
@@ -70,10 +70,12 @@
 	})
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.all = slices.DeleteFunc(ordered, func(member members.Member) bool {
+		return member.Address == "" && member.Name != s.self.Name
+	})
 	s.region, s.others = nil, nil
-	for _, member := range ordered {
+	for _, member := range s.all {
 		switch {
-		case member.Address == "" && member.Name != s.self.Name:
 		case s.sameRegion(member.Zone):
 			s.region = append(s.region, member)
 		default:
@@ -104,11 +106,32 @@
 // relay returns the reader that this node follows while the store answers; false if it reads from the store.
 func (s *Selector) relay(now time.Time) (members.Member, bool) {
 	if len(s.region) < minRelayNodes {
-		return members.Member{}, false
+		return s.confirmer(now)
 	}
 	return s.reader(now)
 }
 
+// Confirmer returns the node that reads the store without lag on behalf of the nodes that read it
+// with lag; false if that is this node.
+func (s *Selector) Confirmer(now time.Time) (members.Member, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.confirmer(now)
+}
+
+// confirmer returns the first node in the common order that is not avoided; false if that is this node.
+func (s *Selector) confirmer(now time.Time) (members.Member, bool) {
+	for _, member := range s.all {
+		if member.Name == s.self.Name {
+			break
+		}
+		if !s.avoids(member, now) {
+			return member, true
+		}
+	}
+	return members.Member{}, false
+}
+
 // reader returns the reader of the region that this node follows; false if it is
 // one itself.
 func (s *Selector) reader(now time.Time) (members.Member, bool) {
@@ -136,7 +159,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if len(s.region) < minRelayNodes {
-		return false
+		return len(s.all) > 1 && s.all[0].Name == s.self.Name
 	}
 	first := s.region[:readerCount(len(s.region))]
 	return slices.ContainsFunc(first, func(member members.Member) bool { return member.Name == s.self.Name })
--- a/internal/peers/source.go
+++ b/internal/peers/source.go
@@ -32,6 +32,16 @@
 	return changes, nil
 }
 
+// confirmer is the watcher of the node that reads the store without lag for others.
+type confirmer[T any] source[T]
+
+// Watch implements catalog.Watcher.
+func (c confirmer[T]) Watch(ctx context.Context, request catalog.WatchRequest) (catalog.Changes[T], error) {
+	changes, err := source[T](c).ask(ctx, request)
+	c.relay.selector.ReportResult(ctx, c.member.Name, err, time.Now())
+	return changes, errors.Wrapf(err, "node %s", c.member.Name)
+}
+
 func (s source[T]) ask(ctx context.Context, request catalog.WatchRequest) (catalog.Changes[T], error) {
 	deadline, ok := ctx.Deadline()
 	if !ok {
--- a/internal/peers/suspended_test.go
+++ b/internal/peers/suspended_test.go
@@ -17,7 +17,7 @@
 		is := is.New(t)
 		suspended := time.Duration(0)
 		publisher := Publisher[endpoints.Server]{suspended: func() time.Duration { return suspended }}
-		publisher.Publish(5, changesAt(7), true)
+		publisher.Publish(5, changesAt(7), time.Now())
 		ask := watchQuery{after: 6, wait: 0, maxAge: maxDataAge}
 		got, err := publisher.answer(t.Context(), ask)
 		is.NoErr(err)
