upstream: a status that is none ends the attempt

What callers saw: nothing yet.

TestAnswerCutAtEachByte cuts answers after each byte: with a length, chunked, without a length, after an interim answer, to HEAD, failures and refusals, on new and reused connections, by a close and by a reset. Every cut head, and every cut body whose end is announced, ended the attempt without an answer, before this change as well. Gathered, keyed and repeated requests use the same client.

Change: only 200 to 599 are answers. TestStatusThatIsNoAnswer failed before in five of six rows.

--- a/internal/upstream/receive.go
+++ b/internal/upstream/receive.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"io"
 	"strconv"
 	"strings"
 	"time"
@@ -17,6 +19,10 @@
 	// before the connection is closed.
 	maximumStaleAnswers = 4
 	maximumAnswerBytes  = 64 << 20
+	// maximumInterimAnswers is how many interim answers may precede an answer.
+	maximumInterimAnswers = 8
+	// statusLineBytes is the size of a status line up to and including the status.
+	statusLineBytes = len("HTTP/1.1 200")
 )
 
 // keepAlive says whether and for how long the connection of an answer can be reused.
@@ -44,7 +50,7 @@
 		}
 		response.Reset()
 		response.SkipBody = call.Request.HeadOnly
-		if err := response.ReadLimitBody(reader, maximumAnswerBytes); err != nil {
+		if err := readAnswer(reader, response); err != nil {
 			return readErrorReply(reader, err), keepAlive{}
 		}
 		switch id := response.Header.Peek(c.headers.AttemptID); {
@@ -57,6 +63,55 @@
 	return Reply{Kind: Malformed, Verdict: verdict.MayHaveRun, Err: errStaleAnswers}, keepAlive{}
 }
 
+var (
+	errNoStatus       = errors.New("the status of the answer is no status")
+	errInterimAnswers = errors.New("too many interim answers")
+)
+
+// readAnswer reads the next answer that is not interim.
+func readAnswer(reader *bufio.Reader, response *fasthttp.Response) error {
+	if err := readHead(reader, &response.Header); err != nil {
+		return err
+	}
+	status := response.StatusCode()
+	if response.SkipBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
+		return nil
+	}
+	chunked := response.Header.ContentLength() == -1
+	if err := response.ReadBody(reader, maximumAnswerBytes); err != nil || !chunked {
+		return err
+	}
+	err := response.Header.ReadTrailer(reader)
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// readHead reads heads up to the first one that is not interim.
+func readHead(reader *bufio.Reader, header *fasthttp.ResponseHeader) error {
+	for range 1 + maximumInterimAnswers {
+		line, err := reader.Peek(statusLineBytes)
+		if err != nil {
+			return err
+		}
+		// fasthttp takes the status 000 for 200.
+		if bytes.HasSuffix(line, []byte("000")) {
+			return errNoStatus
+		}
+		if err := header.Read(reader); err != nil {
+			return err
+		}
+		switch status := header.StatusCode(); {
+		case status >= 200 && status <= 599:
+			return nil
+		case status < 100, status > 599, status == fasthttp.StatusSwitchingProtocols:
+			return errNoStatus
+		}
+	}
+	return errInterimAnswers
+}
+
 // readErrorReply classifies a read error. Bytes that do not form an answer come from a
 // live server; no bytes or a reset may be caused by the network.
 func readErrorReply(reader *bufio.Reader, err error) Reply {
