test: memory and descriptors of a process against clients and servers that bear it down

One real process with a memory limit of 96 MB and 256 descriptors; what is checked is that it lives, that its peak of resident memory is below the limit, and that an ordinary request is answered afterwards.

The process ends by itself when connections without a request take all descriptors.

What fails is in KNOWN-RED.txt. The package runs alone in `make test`.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,8 @@
 # what was seen, issue) and skipped: a row alone where the line names one.
 GENERATED := $(shell go list -f '{{join .TestImports " "}} {{join .XTestImports " "}} {{.ImportPath}}' ./... | grep pgregory.net/rapid | awk '{print $$NF}')
 SOAK := $(shell go list ./test/soak)
-OTHERS := $(filter-out $(GENERATED) $(SOAK),$(shell go list ./...))
+MEMORY := $(shell go list ./test/memory)
+OTHERS := $(filter-out $(GENERATED) $(SOAK) $(MEMORY),$(shell go list ./...))
 KNOWN_RED := $(shell test -f KNOWN-RED.txt && sed 's/[:, ].*//; s,/,$$/^,g; s,.*,^&$$,' KNOWN-RED.txt | paste -sd'|')
 GO_TEST := go test -race -count=1 -timeout 15m $(if $(KNOWN_RED),-skip '$(KNOWN_RED)')
 
@@ -36,6 +37,7 @@
 	$(GO_TEST) $(GENERATED) -rapid.seed=1
 	$(GO_TEST) $(OTHERS)
 	$(GO_TEST) $(SOAK) -run $(SHORT_SOAK) -seed 1 -soak 20s
+	$(GO_TEST) $(MEMORY)
 
 # What the tests play of the soak: two minutes with a fixed seed.
 SHORT_SOAK := '^(TestSoak|TestSoakWithARestoredStore|TestSoakWithRestartedServers|TestRestoredStoreCostsNothing|TestCrashingRequestIsQuarantined|TestCrashingRequests|TestUnrelatedCrashes)$$'
