listener: outlast a lack of descriptors

What callers saw: the process ended by itself once connections that say nothing had taken all of its descriptors (TestClientsThatSayNothing).

Cause: accept fails with EMFILE then, the HTTP server returns the error, and a listener that fails stops the process. The same holds for the readiness check, the peers' and the metrics address.

Change: these four listeners wait 50 ms and accept again if the process or the machine lacks descriptors or memory.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +16,7 @@
 	"github.com/driftstage/driftstage/internal/catalog"
 	"github.com/driftstage/driftstage/internal/endpoints"
 	"github.com/driftstage/driftstage/internal/ingress"
+	"github.com/driftstage/driftstage/internal/listener"
 	"github.com/driftstage/driftstage/internal/members"
 	"github.com/driftstage/driftstage/internal/overload"
 	"github.com/driftstage/driftstage/internal/peers"
@@ -161,11 +161,11 @@
 // Run serves until ctx ends, then shuts down gracefully. It returns nil if no
 // listener failed and no request was interrupted.
 func (n *Node) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp4", n.settings.ListenAddress)
+	callers, err := listener.Listen(n.settings.ListenAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
-	readinessListener, err := net.Listen("tcp4", n.settings.ReadinessAddress)
+	readinessListener, err := listener.Listen(n.settings.ReadinessAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for readiness checks")
 	}
@@ -177,7 +177,7 @@
 	if err := errors.Join(n.serveMetrics(failed), n.servePeers(failed)); err != nil {
 		return err
 	}
-	go func() { failed <- n.server.Serve(listener) }()
+	go func() { failed <- n.server.Serve(callers) }()
 	go func() { failed <- n.readiness.serve(readinessListener) }()
 	klog.InfoS("started", "zone", n.settings.Zone, "listen", n.settings.ListenAddress)
 	select {
@@ -185,7 +185,7 @@
 	case err = <-failed:
 		klog.ErrorS(err, "a listener failed; stopping")
 	}
-	interrupted := n.stop(listener)
+	interrupted := n.stop(callers)
 	cancel()
 	klog.InfoS("stopped", "cut", interrupted)
 	klog.Flush()
@@ -200,14 +200,14 @@
 	if n.settings.PeerAddress == "" {
 		return nil
 	}
-	listener, err := net.Listen("tcp4", n.settings.PeerAddress)
+	listening, err := listener.Listen(n.settings.PeerAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
 	storeStatus := peers.StoreStatusServer{UpToDate: func() bool { return n.storeBackoff.UpToDate(time.Now()) }}
 	server := peers.NewServer(n.requester(), n.state.snapshot, n.tableRelay, n.serverRelay, n.evacuationRelay, n.rolloutRelay, n.quarantineRelay, n.reportServer(), peers.NoticeServer{Handle: n.quarantine.ReceiveNotice}, storeStatus,
 		&peers.MemberServer{Latest: n.announcer.Latest}, peers.ConfigurationServer{Table: n.state.Table}, peers.RetryServer{Pool: &n.retryPool, Now: boottime.Time})
-	go func() { failed <- server.Serve(listener) }()
+	go func() { failed <- server.Serve(listening) }()
 	return nil
 }
 
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"net"
 	"strconv"
 	"sync"
 	"time"
@@ -13,6 +12,7 @@
 	"github.com/driftstage/driftstage/internal/catalog"
 	"github.com/driftstage/driftstage/internal/endpoints"
 	"github.com/driftstage/driftstage/internal/exchange"
+	"github.com/driftstage/driftstage/internal/listener"
 	"github.com/driftstage/driftstage/internal/quarantine"
 	"github.com/driftstage/driftstage/internal/telemetry"
 	"github.com/driftstage/driftstage/internal/upstream"
@@ -225,7 +225,7 @@
 	if !n.metrics.enabled() {
 		return nil
 	}
-	listener, err := net.Listen("tcp4", n.settings.MetricsAddress)
+	listening, err := listener.Listen(n.settings.MetricsAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for metrics")
 	}
@@ -235,6 +235,6 @@
 		State:          func() any { return n.state.describe() },
 		Commands:       map[string]func(*fasthttp.Args) error{quarantine.ReleasePath: n.release},
 	})
-	go func() { failed <- admin.Serve(listener) }()
+	go func() { failed <- admin.Serve(listening) }()
 	return nil
 }
