--- a/internal/edge/readiness.go
+++ b/internal/edge/readiness.go
@@ -10,8 +10,15 @@
 	"github.com/driftstage/driftstage/internal/telemetry"
 )
 
-// readinessTimeout is the idle timeout of readiness connections.
-const readinessTimeout = 30 * time.Second
+const (
+	// readinessTimeout is the idle timeout of readiness connections.
+	readinessTimeout = 30 * time.Second
+	// readinessRequestTimeout bounds the read of a check and the write of its answer.
+	readinessRequestTimeout = 5 * time.Second
+	// maxReadinessConnections and maxReadinessBytes bound what those that check can hold.
+	maxReadinessConnections = 256
+	maxReadinessBytes       = 4 << 10
+)
 
 // readiness serves the readiness check: whether the node accepts new connections.
 type readiness struct {
@@ -28,6 +35,10 @@
 	return &readiness{server: &fasthttp.Server{
 		Handler:               routes.Handler,
 		IdleTimeout:           readinessTimeout,
+		ReadTimeout:           readinessRequestTimeout,
+		WriteTimeout:          readinessRequestTimeout,
+		Concurrency:           maxReadinessConnections,
+		MaxRequestBodySize:    maxReadinessBytes,
 		ReduceMemoryUsage:     true,
 		NoDefaultServerHeader: true,
 		Logger:                telemetry.DiscardHTTPLogger{},
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -42,6 +42,7 @@
 		Handler:               routes.Handler,
 		IdleTimeout:           idleTimeout,
 		ReadTimeout:           idleTimeout,
+		WriteTimeout:          idleTimeout,
 		Concurrency:           maxConnections,
 		MaxRequestBodySize:    maxMessageBytes,
 		ReduceMemoryUsage:     true,
--- a/internal/telemetry/admin.go
+++ b/internal/telemetry/admin.go
@@ -63,6 +63,7 @@
 		Name:               "driftstage",
 		Handler:            routes.Handler,
 		ReadTimeout:        adminTimeout,
+		WriteTimeout:       adminTimeout,
 		IdleTimeout:        adminTimeout,
 		MaxRequestBodySize: maxAdminBodyBytes,
 		Concurrency:        maxAdminConnections,
