membudget: one budget for the memory that a process holds for its clients

Cause: each buffer had a bound of its own (64 MB an answer, twice while it was copied; a body of the size that its head announces), and nobody counted the sum. Nothing bounded the time for which an answer waits for its client, and nothing the number of connections.

Told apart by the rows of test/memory, which fail one by one: answers that wait to be written, answers that are being read, bodies of requests that are being read. Each of the three is true.

Change: a budget of the process, a third of its memory. Each request has an account for its body, for the bodies of its answers as they arrive, and for its answer until that is written. What does not fit is refused with 503 before anything runs, or waited for; transfers that have lasted a second are ended for it, the slowest first. A quarter is kept for small requests. An answer must be read within the time that its caller states and write-timeout. Beyond client-connections the longest idle connection gives way. A stop waits for answers that are being written. Bodies are read without a copy, into buffers that grow as bytes arrive, so that a length that is only announced costs nothing.

--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -24,7 +24,7 @@
 	case reply.Kind == upstream.Answered:
 		manager.ServerAlive(server, send.Choice.ReservedAt)
 		manager.RequestAnswered(r.request.Identity, r.plan.Services[send.ID.Shard])
-	case reply.Kind == upstream.Refused:
+	case reply.Kind == upstream.Refused, reply.Kind == upstream.NoMemory:
 		manager.ServerAlive(server, send.Choice.ReservedAt)
 	case reply.Unsent:
 	case reply.Kind == upstream.Expired && !r.silent(ctx, send, now):
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -251,7 +251,7 @@
 		return endpoints.ResultUnreachable
 	case upstream.Reset:
 		return endpoints.ResultReset
-	case upstream.Expired:
+	case upstream.Expired, upstream.NoMemory:
 		return endpoints.ResultAbandoned
 	default:
 		return endpoints.ResultFailed
--- a/internal/edge/assemble.go
+++ b/internal/edge/assemble.go
@@ -166,6 +166,7 @@
 	}
 	node.announcer = node.newAnnouncer()
 	node.metrics = newMetrics(node, parts.Logs)
+	node.clients = clientLimits(node.settings, newLimitObserver(node.metrics))
 	node.agent = newAgent(node)
 	node.setShares(minAssumedCount)
 	node.quarantine = newQuarantineManager(node)
@@ -178,6 +179,7 @@
 		Synced:     node.state.synced,
 		Overloaded: node.state.shedsConnections,
 		Dispatcher: dispatcher,
+		Clients:    node.clients,
 	})
 	node.readiness = newReadiness(parts.Names.ReadinessPath, node.state.ready)
 	node.store.Eras().OnRestore(node.handleStoreRestored)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -102,8 +102,10 @@
 	client      *upstream.Client
 	loadMeter   *overload.Meter
 	server      *ingress.Server
-	readiness   *readiness
-	metrics     *metrics
+	// clients protects the process from its callers.
+	clients   ingress.ClientLimits
+	readiness *readiness
+	metrics   *metrics
 	// selector picks the node to follow instead of reading from the store.
 	selector        *peers.Selector
 	tableRelay      *peers.Relay[*routing.Table]
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -12,6 +12,7 @@
 	"github.com/driftstage/driftstage/internal/catalog"
 	"github.com/driftstage/driftstage/internal/endpoints"
 	"github.com/driftstage/driftstage/internal/exchange"
+	"github.com/driftstage/driftstage/internal/ingress"
 	"github.com/driftstage/driftstage/internal/listener"
 	"github.com/driftstage/driftstage/internal/quarantine"
 	"github.com/driftstage/driftstage/internal/telemetry"
@@ -37,7 +38,9 @@
 	// unreadable counts objects of the store that cannot be decoded.
 	unreadable   *prometheus.CounterVec
 	lostAttempts *prometheus.CounterVec
-	rollouts     rolloutCounters
+	// limits counts the callers that met a limit.
+	limits   *prometheus.CounterVec
+	rollouts rolloutCounters
 	// quarantine counts the decisions on requests that crash servers.
 	quarantine quarantineCounters
 
@@ -63,12 +66,13 @@
 		storeCalls:    counterVector("store", "calls_total", "Calls to the store by feed and result.", "feed", "result"),
 		unreadable:    counterVector("store", "unreadable_objects_total", "Objects read from the store that could not be understood, by feed.", "feed"),
 		lostAttempts:  counterVector("attempt", "lost_with_server_total", "Attempts that were lost because their server ended, by service.", "service"),
+		limits:        counterVector("caller", "limits_total", "Callers that met a limit, by limit and by what was done.", "limit", "action"),
 		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Subsystem: "request", Name: "duration_seconds",
 			Help: "Time from the arrival of a request to its final answer.", Buckets: requestBuckets,
 		}, []string{"gather"}),
 	}
-	counters.registry.MustRegister(counters.finished, counters.missingShards, counters.attempts, counters.held, counters.deferred, counters.storeCalls, counters.unreadable, counters.lostAttempts, counters.duration)
+	counters.registry.MustRegister(counters.finished, counters.missingShards, counters.attempts, counters.held, counters.deferred, counters.storeCalls, counters.unreadable, counters.lostAttempts, counters.limits, counters.duration)
 	counters.quarantine = newQuarantineCounters(counters.registry)
 	if node.tracker != nil {
 		counters.rollouts = newRolloutCounters(counters.registry)
@@ -85,6 +89,10 @@
 	}{
 		{"configuration", "version", "Version of the configuration in force; 0 for none.", func() float64 { return float64(node.state.version()) }},
 		{"server", "known_count", "Servers in the list.", func() float64 { return float64(node.directory.Count()) }},
+		{"request", "memory_held_bytes", "Memory in use for requests and answers.", func() float64 { return float64(node.clients.Memory.Held()) }},
+		{"request", "memory_limit_bytes", "Limit of the memory for requests and answers; 0 for none.", func() float64 { return float64(node.clients.Memory.Limit()) }},
+		{"caller", "connections_limit_count", "Limit of the open connections of callers; 0 for none.", func() float64 { return float64(node.clients.Connections) }},
+		{"caller", "unread_answers_count", "Answers that callers have not read completely.", func() float64 { return float64(node.server.Writing()) }},
 		{"caller", "connections_count", "Open connections of callers.", func() float64 { return float64(node.server.Connections()) }},
 		{"server", "idle_connections_count", "Idle connections to servers.", func() float64 { return float64(node.client.IdleCount()) }},
 		{"request", "under_way_count", "Requests without final answer.", func() float64 { return float64(node.server.InFlight()) }},
@@ -147,6 +155,12 @@
 	}
 }
 
+func (m *metrics) limitReached(limit ingress.Limit, action ingress.Action) {
+	if m.enabled() {
+		m.limits.WithLabelValues(string(limit), string(action)).Inc()
+	}
+}
+
 // AttemptEnded implements dispatch.Observer.
 func (m *metrics) AttemptEnded(reason exchange.Reason, kind upstream.Kind) {
 	if m.enabled() {
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -30,18 +30,21 @@
 	_ = listener.Close()
 	deadline := started.Add(timeout - exitReserve)
 	n.waitForRequests(deadline)
-	if remaining := n.server.InFlight(); remaining > 0 {
+	if remaining := n.unfinished(); remaining > 0 {
 		klog.InfoS("requests given up", "count", remaining)
 		n.server.CancelRequests()
 		n.waitForRequests(deadline.Add(exitReserve / 2))
 	}
 	n.server.CloseIdle()
-	return n.server.InFlight()
+	return n.unfinished()
 }
 
-// waitForRequests waits until no request is in flight, at most until the given time.
+// unfinished returns the number of requests in flight and of answers that are being written.
+func (n *Node) unfinished() int64 { return n.server.InFlight() + n.server.Writing() }
+
+// waitForRequests waits until no request is unfinished, at most until the given time.
 func (n *Node) waitForRequests(until time.Time) {
-	for n.server.InFlight() > 0 && time.Now().Before(until) {
+	for n.unfinished() > 0 && time.Now().Before(until) {
 		time.Sleep(stopPollInterval)
 	}
 }
--- a/internal/exchange/core.go
+++ b/internal/exchange/core.go
@@ -47,6 +47,8 @@
 	guard crashguard.Guard
 	// budgetExhausted is set once a shard is lost for lack of retry budget.
 	budgetExhausted bool
+	// memoryExhausted is set once a shard is lost because its answer does not fit into memory.
+	memoryExhausted bool
 }
 
 // New returns the core of a request that has just arrived.
@@ -117,6 +119,9 @@
 	case reply.Kind == upstream.Refused:
 		attempt.refused = true
 		attempt.allowRetry(now + refusalBackoff(attempt, reply))
+	case reply.Kind == upstream.NoMemory:
+		// The answer of another server would not fit either.
+		shard.lost, c.memoryExhausted = true, true
 	case reply.Kind != upstream.Answered:
 	case c.isFinal(&reply):
 		shard.answer = &reply
--- a/internal/exchange/decide.go
+++ b/internal/exchange/decide.go
@@ -75,6 +75,8 @@
 	switch {
 	case c.Sends() == 0:
 		cause = CauseNoServers
+	case cause == CauseShardsLost && c.memoryExhausted:
+		cause = CauseNoMemory
 	case cause == CauseShardsLost && c.budgetExhausted:
 		cause = CauseNoBudget
 	}
--- a/internal/exchange/guard.go
+++ b/internal/exchange/guard.go
@@ -8,13 +8,13 @@
 	"github.com/driftstage/driftstage/internal/verdict"
 )
 
-// updateGuard updates the guard with the end of an attempt. An attempt that has not run or
-// that ran into its deadline does not count as a loss.
+// updateGuard updates the guard with the end of an attempt. An attempt that has not run, that ran into
+// its deadline, or whose answer did not fit into memory does not count as a loss.
 func (c *Core) updateGuard(attempt *attempt, reply upstream.Reply, now time.Duration) {
 	switch {
 	case reply.Kind == upstream.Answered:
 		c.noteAnswer(now)
-	case reply.Unsent || reply.Verdict == verdict.NotRun || reply.Kind == upstream.Expired:
+	case reply.Unsent || reply.Verdict == verdict.NotRun || reply.Kind == upstream.Expired || reply.Kind == upstream.NoMemory:
 	default:
 		c.guard.RecordLoss(attempt.sequential)
 	}
--- a/internal/exchange/types.go
+++ b/internal/exchange/types.go
@@ -194,6 +194,8 @@
 	CauseServerFailed Cause = "server_failed"
 	// CauseNoBudget means that a retry was needed and the retry budget did not allow it.
 	CauseNoBudget Cause = "no_budget"
+	// CauseNoMemory means that an answer does not fit into the memory for requests.
+	CauseNoMemory Cause = "no_memory"
 	// CauseQuarantined means that the request is known to crash servers, or is
 	// suspected of it and has to wait for a trial.
 	CauseQuarantined Cause = "quarantined"
--- a/internal/ingress/connection.go
+++ b/internal/ingress/connection.go
@@ -3,8 +3,10 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/driftstage/driftstage/internal/membudget"
 	"github.com/driftstage/driftstage/internal/routing"
 	"github.com/driftstage/driftstage/internal/upstream"
 )
@@ -13,21 +15,28 @@
 type listener struct {
 	net.Listener
 	limits func() routing.Limits
+	client *ClientLimits
 	open   *connections
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. Beyond the limit of connections it closes the one that has been idle
+// for the longest time, or the new one if all have requests.
 func (l *listener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	if tcp, isTCP := accepted.(*net.TCPConn); isTCP {
-		setSocketOptions(tcp)
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if tcp, isTCP := accepted.(*net.TCPConn); isTCP {
+			setSocketOptions(tcp)
+		}
+		conn := &connection{Conn: accepted, limits: l.limits, client: l.client, open: l.open, idleSince: time.Now()}
+		if l.open.add(conn, l.client.Connections) {
+			return conn, nil
+		}
+		l.client.Observer.LimitReached(LimitConnections, ActionClose, conn.RemoteAddr())
+		conn.reset()
 	}
-	conn := &connection{Conn: accepted, limits: l.limits, open: l.open}
-	l.open.add(conn)
-	return conn, nil
 }
 
 func setSocketOptions(conn *net.TCPConn) {
@@ -42,16 +51,43 @@
 type connections struct {
 	mutex sync.Mutex
 	all   map[*connection]struct{}
+	// writing is the number of answers that are being written.
+	writing atomic.Int64
 }
 
 func newConnections() *connections {
 	return &connections{all: make(map[*connection]struct{})}
 }
 
-func (c *connections) add(conn *connection) {
+// add adds a connection. Beyond the limit (0 for none) it closes an idle one, and returns false if
+// there is none.
+func (c *connections) add(conn *connection, limit int) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if limit > 0 && len(c.all) >= limit {
+		idle := c.longestIdle()
+		if idle == nil {
+			return false
+		}
+		conn.client.Observer.LimitReached(LimitConnections, ActionClose, idle.RemoteAddr())
+		idle.closeIfIdle()
+		delete(c.all, idle)
+	}
 	c.all[conn] = struct{}{}
+	return true
+}
+
+// longestIdle returns the connection that has been idle for the longest time, before all others one
+// that has never carried a request; nil if none is idle. The caller holds the mutex.
+func (c *connections) longestIdle() *connection {
+	var longest *connection
+	var longestState idleState
+	for conn := range c.all {
+		if state := conn.idleState(); state.idle && (longest == nil || state.before(longestState)) {
+			longest, longestState = conn, state
+		}
+	}
+	return longest
 }
 
 func (c *connections) remove(conn *connection) {
@@ -85,6 +121,8 @@
 	phaseReading
 	// phaseServing is processing the request; only watch reads.
 	phaseServing
+	// phaseWriting is writing the answer.
+	phaseWriting
 )
 
 // connection is one caller's connection. It sets read deadlines from the current
@@ -92,10 +130,22 @@
 type connection struct {
 	net.Conn
 	limits func() routing.Limits
+	client *ClientLimits
 	open   *connections
 
+	// The fields up to the mutex are used by the goroutine that serves the connection.
+
+	// memory is the account of the current request; nil between requests.
+	memory  *membudget.Account
+	reading reading
+	// answering is set while an answer is being written.
+	answering bool
+
 	mutex sync.Mutex
 	phase phase
+	// idleSince is when the connection became idle, used whether it has carried a request.
+	idleSince time.Time
+	used      bool
 	// peeked holds the byte that watch has read, if any.
 	peeked    [1]byte
 	hasPeeked bool
@@ -106,18 +156,28 @@
 	if len(buffer) == 0 {
 		return 0, nil
 	}
-	if c.takePeeked(buffer) {
-		c.markReading()
-		return 1, nil
+	c.finishAnswer()
+	c.chargeBody()
+	if c.reading.err != nil {
+		return 0, c.reading.err
 	}
-	c.setIdleDeadline()
-	count, err := c.Conn.Read(buffer)
+	count, err := c.receive(buffer)
 	if count > 0 {
 		c.markReading()
+		c.chargeRead(buffer[:count])
 	}
 	return count, err
 }
 
+// receive returns the byte that watch has read, or reads from the network.
+func (c *connection) receive(buffer []byte) (int, error) {
+	if c.takePeeked(buffer) {
+		return 1, nil
+	}
+	c.setIdleDeadline()
+	return c.Conn.Read(buffer)
+}
+
 func (c *connection) takePeeked(buffer []byte) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -161,9 +221,31 @@
 // Close implements net.Conn.
 func (c *connection) Close() error {
 	c.open.remove(c)
+	c.finishAnswer()
+	c.closeAccount()
 	return c.Conn.Close()
 }
 
+// idleState is for how long a connection has been idle.
+type idleState struct {
+	idle, used bool
+	since      time.Time
+}
+
+// before reports whether the connection is closed before the other one.
+func (s idleState) before(other idleState) bool {
+	if s.used != other.used {
+		return !s.used
+	}
+	return s.since.Before(other.since)
+}
+
+func (c *connection) idleState() idleState {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return idleState{idle: c.phase == phaseIdle, used: c.used, since: c.idleSince}
+}
+
 func (c *connection) closeIfIdle() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -205,8 +287,15 @@
 		c.mutex.Unlock()
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 		<-done
-		c.mutex.Lock()
-		c.phase = phaseIdle
-		c.mutex.Unlock()
+	}
+}
+
+// setPhase changes the phase.
+func (c *connection) setPhase(next phase) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.phase = next
+	if next == phaseIdle {
+		c.idleSince, c.used = time.Now(), true
 	}
 }
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -39,6 +39,7 @@
 		ID:       id,
 		Body:     bytes.Clone(ctx.Request.Body()),
 		HeadOnly: header.IsHead(),
+		Memory:   ctx.Conn().(*connection).memory,
 	}
 	message.Head = s.serializeHead(header, len(message.Body))
 	return parsedRequest{message: message, identity: identityOf(ctx, message), timeout: timeout}, nil
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -30,6 +30,8 @@
 	Dispatcher Dispatcher
 	// Overloaded reports whether callers should move to other nodes.
 	Overloaded func() bool
+	// Clients protects the process from its clients.
+	Clients ClientLimits
 }
 
 // Server serves callers over HTTP.
@@ -39,6 +41,7 @@
 	startup    startup
 	dispatcher Dispatcher
 	overloaded func() bool
+	clients    ClientLimits
 	http       *fasthttp.Server
 	open       *connections
 	stopping   atomic.Bool
@@ -69,12 +72,13 @@
 		startup:    startup{synced: options.Synced},
 		dispatcher: options.Dispatcher,
 		overloaded: options.Overloaded,
+		clients:    options.Clients,
 		open:       newConnections(),
 	}
 	server.baseContext, server.cancelRequests = context.WithCancelCause(context.Background())
 	server.http = &fasthttp.Server{
 		Handler:                       server.handle,
-		ErrorHandler:                  handleError,
+		ErrorHandler:                  server.handleError,
 		HeaderReceived:                server.headerReceived,
 		ReadBufferSize:                headerBufferBytes,
 		ReduceMemoryUsage:             true,
@@ -90,7 +94,7 @@
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(netListener net.Listener) error {
-	return s.http.Serve(&listener{Listener: netListener, limits: s.limits, open: s.open})
+	return s.http.Serve(&listener{Listener: netListener, limits: s.limits, client: &s.clients, open: s.open})
 }
 
 // Drain makes all further answers ask their callers to close the connection.
@@ -105,6 +109,9 @@
 // InFlight returns the number of requests in flight.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
+// Writing returns the number of answers that their callers have not read completely.
+func (s *Server) Writing() int64 { return s.open.writing.Load() }
+
 // Connections returns the number of open connections of callers.
 func (s *Server) Connections() int { return s.open.count() }
 
@@ -124,12 +131,34 @@
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	s.answer(ctx, time.Now())
+	arrived, conn := time.Now(), ctx.Conn().(*connection)
+	if conn.beginServing(len(ctx.Request.Body())) == nil {
+		s.answer(ctx, arrived)
+	} else {
+		s.refuseForMemory(ctx)
+	}
+	conn.beginAnswer(s.answerDeadline(ctx, arrived))
 	if s.stopping.Load() || s.overloaded() {
 		ctx.SetConnectionClose()
 	}
 }
 
+// answerDeadline returns the time until which the client may read its answer.
+func (s *Server) answerDeadline(ctx *fasthttp.RequestCtx, arrived time.Time) time.Time {
+	timeout, _ := s.callerTimeout(&ctx.Request.Header)
+	if timeout == 0 {
+		timeout = defaultAnswerTime
+	}
+	return arrived.Add(min(timeout, maximumAnswerTime) + s.clients.WriteTimeout)
+}
+
+// refuseForMemory refuses a request that has not run because the memory for requests is in use.
+func (s *Server) refuseForMemory(ctx *fasthttp.RequestCtx) {
+	s.clients.Observer.LimitReached(LimitMemory, ActionReject, ctx.RemoteAddr())
+	refuse(ctx, "no memory for the request", 0)
+	ctx.SetConnectionClose()
+}
+
 func (s *Server) answer(ctx *fasthttp.RequestCtx, arrived time.Time) {
 	if !s.waitForStartup(ctx, arrived) {
 		return
@@ -193,10 +222,13 @@
 }
 
 // handleError answers requests that could not be read.
-func handleError(ctx *fasthttp.RequestCtx, err error) {
+func (s *Server) handleError(ctx *fasthttp.RequestCtx, err error) {
 	var tooLarge *fasthttp.ErrSmallBuffer
 	var timeout net.Error
+	_ = ctx.Conn().(*connection).SetWriteDeadline(time.Now().Add(s.clients.WriteTimeout))
 	switch {
+	case errors.Is(err, errNoMemory):
+		s.refuseForMemory(ctx)
 	case errors.As(err, &tooLarge):
 		reject(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, err)
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"errors"
 	"fmt"
 	"reflect"
 	"strconv"
@@ -40,6 +41,13 @@
 	QuarantineTerm time.Duration
 	// MemoryMegabytes is the memory limit of the process; 0 for none.
 	MemoryMegabytes int
+	// RequestMemoryMegabytes limits the memory for requests and answers; 0 for a share of the memory.
+	RequestMemoryMegabytes int
+	// ClientConnections is the maximum number of connections of callers; 0 for a share of the
+	// descriptors.
+	ClientConnections int
+	// WriteTimeout is how much longer than a caller states to wait it may take to read its answer.
+	WriteTimeout time.Duration
 	Reloadable
 }
 
@@ -131,6 +139,15 @@
 	{"memory-megabytes", "0", "memory limit of the process, 0 (none) to 1000000", func(s *Router, text string) error {
 		return parseInt(&s.MemoryMegabytes, text, 0, 1_000_000)
 	}},
+	{"request-memory-megabytes", "0", "memory for requests and answers, 0 (a third of the memory) to 1000000", func(s *Router, text string) error {
+		return parseInt(&s.RequestMemoryMegabytes, text, 0, 1_000_000)
+	}},
+	{"client-connections", "0", "maximum number of connections of callers, 0 (three fifths of the descriptors) to 1000000", func(s *Router, text string) error {
+		return parseInt(&s.ClientConnections, text, 0, 1_000_000)
+	}},
+	{"write-timeout", "2s", "how much longer than a caller states to wait it may take to read its answer, 100ms to 10m", func(s *Router, text string) error {
+		return parseDuration(&s.WriteTimeout, text, 100*time.Millisecond, 10*time.Minute)
+	}},
 	{"log-verbosity", "0", "log verbosity, 0 to 4", func(s *Router, text string) error {
 		return parseInt(&s.LogVerbosity, text, 0, 4)
 	}},
@@ -152,12 +169,16 @@
 		loaded.Regions = make(map[string]string)
 	}
 	loaded.Regions[loaded.Zone] = loaded.Region
-	return checkAddressesDiffer([]listener{
+	var errs []error
+	if loaded.MemoryMegabytes > 0 && loaded.RequestMemoryMegabytes > loaded.MemoryMegabytes/2 {
+		errs = append(errs, errors.New("request-memory-megabytes: want at most half of memory-megabytes"))
+	}
+	return append(errs, checkAddressesDiffer([]listener{
 		{keyListenAddress, loaded.ListenAddress},
 		{keyReadinessAddress, loaded.ReadinessAddress},
 		{keyPeerAddress, loaded.PeerAddress},
 		{keyMetricsAddress, loaded.MetricsAddress},
-	})
+	})...)
 }
 
 // Changes tells how a new settings file affects a running program.
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -124,7 +124,7 @@
 	reader := c.readers.Get().(*bufio.Reader)
 	reader.Reset(conn)
 	defer c.putReader(reader)
-	reply, keepAlive := c.receive(reader, call, conn.used)
+	reply, keepAlive := c.receive(ctx, reader, call, conn.used)
 	if reply.Err != nil {
 		if reply.Kind == Lost {
 			reply.Kind = ioErrorKind(conn, reply.Err)
--- a/internal/upstream/doc.go
+++ b/internal/upstream/doc.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/driftstage/driftstage/internal/membudget"
 	"github.com/driftstage/driftstage/internal/verdict"
 )
 
@@ -45,6 +46,8 @@
 	Body []byte
 	// HeadOnly is set for HEAD requests, whose answers have no body.
 	HeadOnly bool
+	// Memory accounts for the bodies of the answers, up to the end of the request. It may be nil.
+	Memory *membudget.Account
 
 	// sends records the connections on which the request was sent.
 	sends sendLog
@@ -101,9 +104,11 @@
 	NotPermitted
 	// Expired is an attempt that reached its deadline or was canceled.
 	Expired
+	// NoMemory is an attempt whose answer does not fit into the memory for requests.
+	NoMemory
 )
 
-var kindNames = [...]string{"answered", "refused", "foreign", "reset", "unreachable", "lost", "malformed", "withheld", "expired"}
+var kindNames = [...]string{"answered", "refused", "foreign", "reset", "unreachable", "lost", "malformed", "withheld", "expired", "no_memory"}
 
 // String returns the name used in logs and metrics.
 func (k Kind) String() string { return kindNames[k] }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -99,14 +99,15 @@
 	}
 }
 
-// closeExpired closes the connections whose idle time has expired.
+// closeExpired closes the connections whose idle time has expired, and those on which bytes wait that
+// belong to no request.
 func (p *pool) closeExpired(now time.Time) {
 	p.mutex.Lock()
 	var expired []*connection
 	for key, idle := range p.idle {
 		kept := idle[:0]
 		for _, conn := range idle {
-			if now.Before(conn.expires) {
+			if now.Before(conn.expires) && conn.healthy() {
 				kept = append(kept, conn)
 			} else {
 				expired = append(expired, conn)
--- a/internal/upstream/receive.go
+++ b/internal/upstream/receive.go
@@ -3,7 +3,7 @@
 import (
 	"bufio"
 	"bytes"
-	"io"
+	"context"
 	"strconv"
 	"strings"
 	"time"
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/driftstage/driftstage/internal/membudget"
 	"github.com/driftstage/driftstage/internal/verdict"
 )
 
@@ -18,7 +19,6 @@
 	// maximumStaleAnswers is how many answers to earlier requests are skipped
 	// before the connection is closed.
 	maximumStaleAnswers = 4
-	maximumAnswerBytes  = 64 << 20
 	// maximumInterimAnswers is how many interim answers may precede an answer.
 	maximumInterimAnswers = 8
 	// statusLineBytes is the size of a status line up to and including the status.
@@ -39,7 +39,7 @@
 // receive reads answers until it finds the one with the request's id. An answer without an id is
 // accepted only on a new connection: on a reused one it could be a late duplicate of an earlier
 // answer, whatever its status.
-func (c *Client) receive(reader *bufio.Reader, call Call, reused bool) (Reply, keepAlive) {
+func (c *Client) receive(ctx context.Context, reader *bufio.Reader, call Call, reused bool) (Reply, keepAlive) {
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
 	for range maximumStaleAnswers {
@@ -49,16 +49,17 @@
 			return Reply{Kind: Lost, Verdict: verdict.MayHaveRun, Err: err}, keepAlive{}
 		}
 		response.Reset()
-		response.SkipBody = call.Request.HeadOnly
-		if err := readAnswer(reader, response); err != nil {
+		body, err := readAnswer(ctx, reader, &response.Header, call)
+		if err != nil {
 			return readErrorReply(reader, err), keepAlive{}
 		}
 		switch id := response.Header.Peek(c.headers.AttemptID); {
 		case len(id) == 0 && reused:
 			return Reply{Kind: Malformed, Verdict: verdict.MayHaveRun, Err: errMissingID}, keepAlive{}
 		case len(id) == 0, string(id) == call.Request.ID:
-			return c.interpret(response, call), parseKeepAlive(response)
+			return c.interpret(response, body, call), parseKeepAlive(response)
 		}
+		call.Request.Memory.Free(membudget.Bytes(cap(body)))
 	}
 	return Reply{Kind: Malformed, Verdict: verdict.MayHaveRun, Err: errStaleAnswers}, keepAlive{}
 }
@@ -68,24 +69,16 @@
 	errInterimAnswers = errors.New("too many interim answers")
 )
 
-// readAnswer reads the next answer that is not interim.
-func readAnswer(reader *bufio.Reader, response *fasthttp.Response) error {
-	if err := readHead(reader, &response.Header); err != nil {
-		return err
-	}
-	status := response.StatusCode()
-	if response.SkipBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
-		return nil
+// readAnswer reads the next answer that is not interim and returns its body.
+func readAnswer(ctx context.Context, reader *bufio.Reader, header *fasthttp.ResponseHeader, call Call) ([]byte, error) {
+	if err := readHead(reader, header); err != nil {
+		return nil, err
 	}
-	chunked := response.Header.ContentLength() == -1
-	if err := response.ReadBody(reader, maximumAnswerBytes); err != nil || !chunked {
-		return err
+	status := header.StatusCode()
+	if call.Request.HeadOnly || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
+		return nil, nil
 	}
-	err := response.Header.ReadTrailer(reader)
-	if errors.Is(err, io.EOF) {
-		return io.ErrUnexpectedEOF
-	}
-	return err
+	return readBody(ctx, reader, header, call)
 }
 
 // readHead reads heads up to the first one that is not interim.
@@ -116,13 +109,16 @@
 // live server; no bytes or a reset may be caused by the network.
 func readErrorReply(reader *bufio.Reader, err error) Reply {
 	kind := Lost
-	if reader.Buffered() > 0 {
+	switch {
+	case errors.Is(err, errNoMemory):
+		kind = NoMemory
+	case reader.Buffered() > 0:
 		kind = Malformed
 	}
 	return Reply{Kind: kind, Verdict: verdict.MayHaveRun, Err: err}
 }
 
-func (c *Client) interpret(response *fasthttp.Response, call Call) Reply {
+func (c *Client) interpret(response *fasthttp.Response, body []byte, call Call) Reply {
 	reply := Reply{
 		Kind:    Answered,
 		Verdict: verdict.Ran,
@@ -150,7 +146,7 @@
 		reply.Kind = Malformed
 		reply.Err = errors.New("a success without the server's seal")
 	default:
-		reply.Body = append([]byte(nil), response.Body()...)
+		reply.Body = body
 		if !call.OmitHeaders {
 			reply.Fields = endToEndFields(&response.Header)
 		}
--- a/internal/upstream/receive_test.go
+++ b/internal/upstream/receive_test.go
@@ -29,7 +29,7 @@
 			response.SetStatusCode(fasthttp.StatusServiceUnavailable)
 			response.Header.Set("X-Not-Run", "1")
 			response.Header.Set(fasthttp.HeaderRetryAfter, test.header)
-			reply := client.interpret(&response, Call{})
+			reply := client.interpret(&response, nil, Call{})
 			is.Equal(reply.Kind, Refused)
 			is.Equal(reply.RetryAfter, test.want)
 		})
