catalog: a node that leaves a burst of changes to others goes on asking them

Cause: after a watch with 64 changes or more, a node younger than 6.5 to 8 s slept until that age, so that the readers pass the changes on. While it slept it asked nobody, and also slept where nobody passes anything on. It counts as connected 5 s after its start.

Ruled out: a lag of the store (none in the case) and a late application (the entry is applied as soon as it is read).

Change: the delay is one for reads of the store.

--- a/internal/catalog/follower.go
+++ b/internal/catalog/follower.go
@@ -93,6 +93,8 @@
 	batchDelay func(changes int) time.Duration
 	// batchDelayEnd ends such a delay when it is closed.
 	batchDelayEnd <-chan struct{}
+	// nextReadAt is when the delay after the latest changes ends.
+	nextReadAt time.Time
 	// backoff spaces the calls to a failing store.
 	backoff *Backoff
 	// eras tracks the latest era, to reject answers of earlier ones.
@@ -141,6 +143,10 @@
 		sleepUntil(ctx, maxSleep, recovered)
 		return
 	}
+	if wait := time.Until(f.nextReadAt); wait > 0 {
+		f.sleepForBatch(ctx, min(wait, maxSleep))
+		return
+	}
 	if wait := f.backoffWait(); wait > 0 {
 		sleepUntil(ctx, min(wait, maxSleep), recovered)
 		return
@@ -281,11 +287,30 @@
 		f.relay.Publish(request.After, changes, f.freshAt)
 	}
 	if len(changes.Changes) > 0 && f.batchDelay != nil {
-		sleepUntil(ctx, f.batchDelay(len(changes.Changes)), f.batchDelayEnd)
+		f.delayNextRead(f.batchDelay(len(changes.Changes)))
 	}
 	return nil
 }
 
+// delayNextRead delays the next read of the store. A node that has just started has to be current
+// after startupLag, so a longer delay ends then. Until the read, it follows another node as soon as
+// there is one.
+func (f *Follower[T]) delayNextRead(delay time.Duration) {
+	untilCurrent := time.Until(f.startedAt.Add(startupLag))
+	f.nextReadAt = time.Now().Add(min(delay, max(untilCurrent, maxSleep)))
+}
+
+// sleepForBatch sleeps for a part of the delay between two reads, which ends early once batchDelayEnd
+// is closed.
+func (f *Follower[T]) sleepForBatch(ctx context.Context, delay time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-f.batchDelayEnd:
+		f.nextReadAt = time.Time{}
+	case <-time.After(delay):
+	}
+}
+
 // freshAsOf returns the time before which no change is missing from the answer to a watch that could
 // not be stale: an answer without changes was given when the wait was over.
 func freshAsOf[T any](request WatchRequest, start time.Time, changes Changes[T]) time.Time {
--- a/internal/catalog/relay_test.go
+++ b/internal/catalog/relay_test.go
@@ -195,6 +195,50 @@
 	})
 }
 
+// Guards against requests that reach a draining server: a node that has just started leaves a burst of
+// changes to others for seconds, and does not see what changes meanwhile, though another node could
+// tell it, or though it has to be current by then (5 s after its start).
+func TestDelayAfterBurstDoesNotHideChanges(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// peerAt is when there is a node to follow; 0 for never. changeAt is when the change is made,
+		// knownAt when it has to be known.
+		peerAt, changeAt, knownAt time.Duration
+	}{
+		{"another node is known soon", 1500 * time.Millisecond, 2 * time.Second, 2100 * time.Millisecond},
+		{"another node is known later", 3 * time.Second, 2 * time.Second, 3*time.Second + maxSleep},
+		{"no other node", 0, 2 * time.Second, startupLag + 100*time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store, sink, relay := newMemoryFeed(), &memorySink{}, &memoryRelay{}
+				store.set("main", "one")
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				follower := NewFollower("test", store, sink, noopObserver{})
+				follower.UseRelay(relay)
+				follower.SetBatchDelay(func(int) time.Duration { return 8 * time.Second }, nil)
+				start := time.Now()
+				go follower.Run(ctx)
+				time.Sleep(time.Second)
+				store.set("main", "burst")
+				if test.peerAt > 0 {
+					time.AfterFunc(test.peerAt-time.Second, func() {
+						relay.mutex.Lock()
+						defer relay.mutex.Unlock()
+						relay.source = store
+					})
+				}
+				time.Sleep(time.Until(start.Add(test.changeAt)))
+				store.set("main", "draining")
+				time.Sleep(time.Until(start.Add(test.knownAt)))
+				is.Equal(sink.get(), "draining")
+			})
+		})
+	}
+}
+
 // diffSink returns one change for each object of the list beyond the number that it holds.
 type diffSink struct{ memorySink }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -69,11 +69,11 @@
 	serversBatchDelay = 250 * time.Millisecond
 	// The startup hold is minStartupHold plus a random part of startupHoldJitter. For this time after
 	// its start, a node leaves any burst of at least burstSize changes to the readers, the nodes that
-	// read the store for others. By the end of the hold it has counted the nodes, and the readers have
-	// caught up. Without the hold, many nodes that start together with their servers would each read
-	// all changes.
-	minStartupHold    = 6500 * time.Millisecond
-	startupHoldJitter = 1500 * time.Millisecond
+	// read the store for others, and takes the changes from these once it knows them. Without the hold,
+	// many nodes that start together with their servers would each read all changes. It ends before a
+	// node has to be current.
+	minStartupHold    = 3500 * time.Millisecond
+	startupHoldJitter = time.Second
 	burstSize         = 64
 )
 
