--- a/internal/ingress/limits_test.go
+++ b/internal/ingress/limits_test.go
@@ -26,6 +26,8 @@
 	*Server
 	address string
 	body    []byte
+	// work is how long a request takes.
+	work time.Duration
 
 	mutex      sync.Mutex
 	dispatched int
@@ -33,6 +35,7 @@
 }
 
 func (s *testServer) Do(context.Context, dispatch.Request) *exchange.Outcome {
+	time.Sleep(s.work)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.dispatched++
@@ -185,6 +188,16 @@
 	awaitTrue(t, func() bool { return budget.Held() == 0 && s.Writing() == 0 })
 }
 
+// Guards against an answer that is dropped although its client reads at once: it is ready only after
+// the time that the client has for reading, as on a route whose timeout is longer than that.
+func TestLateAnswerCanBeRead(t *testing.T) {
+	is := is.New(t)
+	s := startTestServer(t, ClientLimits{WriteTimeout: 100 * time.Millisecond}, []byte("body"))
+	s.work = 300 * time.Millisecond
+	is.Equal(exchangeOn(t, s.dial(t), requestBytes("X-Deadline: 100\r\n", "")).StatusCode, http.StatusOK)
+	is.Equal(len(s.limitsReached()), 0)
+}
+
 // Guards against clients that keep others out by connections on which they say nothing: the one that
 // has been idle for the longest time gives way, first one that never carried a request.
 func TestIdleConnectionGivesWay(t *testing.T) {
--- a/internal/membudget/budget_test.go
+++ b/internal/membudget/budget_test.go
@@ -126,6 +126,30 @@
 	})
 }
 
+// Guards against a budget that evicts too many transfers, or too few, from then on: an eviction comes
+// to nothing, because its transfer has just ended, and the account goes on and uses more.
+func TestEvictionThatComesToNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		budget := New(Megabyte)
+		half := budget.large() / 2
+		account, other, waiting := open(t, budget), open(t, budget), open(t, budget)
+		is.NoErr(account.TryUse(half))
+		is.NoErr(other.TryUse(half - Allowance))
+		account.StartTransfer(func() {})
+		time.Sleep(evictionGrace)
+		is.True(errors.Is(waiting.TryUse(2*Allowance), ErrExhausted))
+		is.True(account.evicted)
+		account.EndTransfer()
+		other.Close()
+		is.NoErr(account.TryUse(half / 2))
+		account.Close()
+		waiting.Close()
+		is.Equal(budget.Held(), Bytes(0))
+		is.Equal(budget.evicting, Bytes(0))
+	})
+}
+
 // Whatever accounts do, the sum stays within the limit, and nothing remains once all are closed.
 func TestSumStaysWithinLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
