ingress: an answer that is ready late can still be read

Callers saw: no answer, only a closed connection, on routes whose timeout is longer than the time that the caller states (15 s if it states none, a minute at most) and write-timeout.

Cause: the deadline for reading an answer counted from the arrival of the request alone, so that it had passed before the answer was ready.

Change: the caller has write-timeout from the moment when the answer is ready, at least.

--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -45,7 +45,8 @@
 	Memory *membudget.Budget
 	// Connections is the maximum number of connections; 0 for no limit.
 	Connections int
-	// WriteTimeout is how much longer than the client states to wait it may take to read its answer.
+	// WriteTimeout is how long the client may take to read its answer after the time that it states to
+	// wait, or after the answer is ready if that is later.
 	WriteTimeout time.Duration
 	// Observer may not be nil.
 	Observer Observer
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -143,13 +143,14 @@
 	}
 }
 
-// answerDeadline returns the time until which the client may read its answer.
+// answerDeadline returns the time until which the client may read its answer, which is ready now.
 func (s *Server) answerDeadline(ctx *fasthttp.RequestCtx, arrived time.Time) time.Time {
 	timeout, _ := s.callerTimeout(&ctx.Request.Header)
 	if timeout == 0 {
 		timeout = defaultAnswerTime
 	}
-	return arrived.Add(min(timeout, maximumAnswerTime) + s.clients.WriteTimeout)
+	waiting := max(min(timeout, maximumAnswerTime), time.Since(arrived))
+	return arrived.Add(waiting + s.clients.WriteTimeout)
 }
 
 // refuseForMemory refuses a request that has not run because the memory for requests is in use.
--- a/internal/settings/router.go
+++ b/internal/settings/router.go
@@ -46,7 +46,8 @@
 	// ClientConnections is the maximum number of connections of callers; 0 for a share of the
 	// descriptors.
 	ClientConnections int
-	// WriteTimeout is how much longer than a caller states to wait it may take to read its answer.
+	// WriteTimeout is how long a caller may take to read its answer after the time that it states to wait,
+	// or after the answer is ready if that is later.
 	WriteTimeout time.Duration
 	Reloadable
 }
@@ -145,7 +146,7 @@
 	{"client-connections", "0", "maximum number of connections of callers, 0 (three fifths of the descriptors) to 1000000", func(s *Router, text string) error {
 		return parseInt(&s.ClientConnections, text, 0, 1_000_000)
 	}},
-	{"write-timeout", "2s", "how much longer than a caller states to wait it may take to read its answer, 100ms to 10m", func(s *Router, text string) error {
+	{"write-timeout", "2s", "how long a caller may take to read its answer after the time that it states to wait, or after the answer is ready if that is later, 100ms to 10m", func(s *Router, text string) error {
 		return parseDuration(&s.WriteTimeout, text, 100*time.Millisecond, 10*time.Minute)
 	}},
 	{"log-verbosity", "0", "log verbosity, 0 to 4", func(s *Router, text string) error {
