--- a/internal/settings/router_test.go
+++ b/internal/settings/router_test.go
@@ -85,3 +85,31 @@
 		is.True(strings.Contains(err.Error(), key)) // every invalid setting is named
 	}
 }
+
+// Limits against clients outside their ranges are refused by name, also half of the memory that the
+// process has.
+func TestClientLimitSettings(t *testing.T) {
+	for _, test := range []struct {
+		args    []string
+		invalid string
+	}{
+		{nil, ""},
+		{[]string{"--memory-megabytes", "96", "--request-memory-megabytes", "48", "--client-connections", "1", "--write-timeout", "100ms"}, ""},
+		{[]string{"--memory-megabytes", "96", "--request-memory-megabytes", "49"}, "request-memory-megabytes:"},
+		{[]string{"--request-memory-megabytes", "-1"}, "request-memory-megabytes:"},
+		{[]string{"--request-memory-megabytes", "1000001"}, "request-memory-megabytes:"},
+		{[]string{"--client-connections", "-1"}, "client-connections:"},
+		{[]string{"--client-connections", "many"}, "client-connections:"},
+		{[]string{"--write-timeout", "99ms"}, "write-timeout:"},
+		{[]string{"--write-timeout", "11m"}, "write-timeout:"},
+	} {
+		is := is.New(t)
+		_, err := LoadRouter(append(requiredRouter(), test.args...))
+		if test.invalid == "" {
+			is.NoErr(err)
+			continue
+		}
+		is.True(err != nil)
+		is.True(strings.Contains(err.Error(), test.invalid))
+	}
+}
