--- a/internal/ingress/connection.go
+++ b/internal/ingress/connection.go
@@ -14,9 +14,9 @@
 // listener wraps each accepted connection so that it can detect when its caller hangs up.
 type listener struct {
 	net.Listener
-	limits func() routing.Limits
-	client *ClientLimits
-	open   *connections
+	limits       func() routing.Limits
+	clientLimits *ClientLimits
+	open         *connections
 }
 
 // Accept implements net.Listener. Beyond the limit of connections it closes the one that has been idle
@@ -30,11 +30,11 @@
 		if tcp, isTCP := accepted.(*net.TCPConn); isTCP {
 			setSocketOptions(tcp)
 		}
-		conn := &connection{Conn: accepted, limits: l.limits, client: l.client, open: l.open, idleSince: time.Now()}
-		if l.open.add(conn, l.client.Connections) {
+		conn := &connection{Conn: accepted, limits: l.limits, clientLimits: l.clientLimits, open: l.open, idleSince: time.Now()}
+		if l.open.add(conn, l.clientLimits.Connections) {
 			return conn, nil
 		}
-		l.client.Observer.LimitReached(LimitConnections, ActionClose, conn.RemoteAddr())
+		l.clientLimits.Observer.LimitReached(LimitConnections, ActionClose, conn.RemoteAddr())
 		conn.reset()
 	}
 }
@@ -69,7 +69,7 @@
 		if idle == nil {
 			return false
 		}
-		conn.client.Observer.LimitReached(LimitConnections, ActionClose, idle.RemoteAddr())
+		conn.clientLimits.Observer.LimitReached(LimitConnections, ActionClose, idle.RemoteAddr())
 		idle.closeIfIdle()
 		delete(c.all, idle)
 	}
@@ -129,9 +129,9 @@
 // limits and can be watched for a hang-up while a request is processed.
 type connection struct {
 	net.Conn
-	limits func() routing.Limits
-	client *ClientLimits
-	open   *connections
+	limits       func() routing.Limits
+	clientLimits *ClientLimits
+	open         *connections
 
 	// The fields up to the mutex are used by the goroutine that serves the connection.
 
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -114,7 +114,7 @@
 	if c.memory != nil || c.reading.err != nil {
 		return
 	}
-	account, err := c.client.Memory.Open()
+	account, err := c.clientLimits.Memory.Open()
 	if err != nil {
 		c.reading.err = errNoMemory
 		return
@@ -205,7 +205,7 @@
 func (c *connection) reportWriteError(err error) {
 	var timeout net.Error
 	if errors.As(err, &timeout) && timeout.Timeout() {
-		c.client.Observer.LimitReached(LimitWriteTimeout, ActionClose, c.RemoteAddr())
+		c.clientLimits.Observer.LimitReached(LimitWriteTimeout, ActionClose, c.RemoteAddr())
 	}
 }
 
@@ -217,7 +217,7 @@
 	if c.phase != phaseReading && c.phase != phaseWriting {
 		return
 	}
-	c.client.Observer.LimitReached(LimitMemory, ActionClose, c.RemoteAddr())
+	c.clientLimits.Observer.LimitReached(LimitMemory, ActionClose, c.RemoteAddr())
 	c.reset()
 }
 
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -36,16 +36,16 @@
 
 // Server serves callers over HTTP.
 type Server struct {
-	names      Names
-	table      func() *routing.Table
-	startup    startup
-	dispatcher Dispatcher
-	overloaded func() bool
-	clients    ClientLimits
-	http       *fasthttp.Server
-	open       *connections
-	stopping   atomic.Bool
-	inFlight   atomic.Int64
+	names        Names
+	table        func() *routing.Table
+	startup      startup
+	dispatcher   Dispatcher
+	overloaded   func() bool
+	clientLimits ClientLimits
+	http         *fasthttp.Server
+	open         *connections
+	stopping     atomic.Bool
+	inFlight     atomic.Int64
 	// baseContext is the parent context of all requests; cancelRequests cancels it when
 	// the process can no longer wait for them.
 	baseContext    context.Context
@@ -67,13 +67,13 @@
 // New returns a server that is not serving yet.
 func New(options Options) *Server {
 	server := &Server{
-		names:      options.Names,
-		table:      options.Table,
-		startup:    startup{synced: options.Synced},
-		dispatcher: options.Dispatcher,
-		overloaded: options.Overloaded,
-		clients:    options.Clients,
-		open:       newConnections(),
+		names:        options.Names,
+		table:        options.Table,
+		startup:      startup{synced: options.Synced},
+		dispatcher:   options.Dispatcher,
+		overloaded:   options.Overloaded,
+		clientLimits: options.Clients,
+		open:         newConnections(),
 	}
 	server.baseContext, server.cancelRequests = context.WithCancelCause(context.Background())
 	server.http = &fasthttp.Server{
@@ -94,7 +94,7 @@
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(netListener net.Listener) error {
-	return s.http.Serve(&listener{Listener: netListener, limits: s.limits, client: &s.clients, open: s.open})
+	return s.http.Serve(&listener{Listener: netListener, limits: s.limits, clientLimits: &s.clientLimits, open: s.open})
 }
 
 // Drain makes all further answers ask their callers to close the connection.
@@ -150,12 +150,12 @@
 		timeout = defaultAnswerTime
 	}
 	waiting := max(min(timeout, maximumAnswerTime), time.Since(arrived))
-	return arrived.Add(waiting + s.clients.WriteTimeout)
+	return arrived.Add(waiting + s.clientLimits.WriteTimeout)
 }
 
 // refuseForMemory refuses a request that has not run because the memory for requests is in use.
 func (s *Server) refuseForMemory(ctx *fasthttp.RequestCtx) {
-	s.clients.Observer.LimitReached(LimitMemory, ActionReject, ctx.RemoteAddr())
+	s.clientLimits.Observer.LimitReached(LimitMemory, ActionReject, ctx.RemoteAddr())
 	refuse(ctx, "no memory for the request", 0)
 	ctx.SetConnectionClose()
 }
@@ -226,7 +226,7 @@
 func (s *Server) handleError(ctx *fasthttp.RequestCtx, err error) {
 	var tooLarge *fasthttp.ErrSmallBuffer
 	var timeout net.Error
-	_ = ctx.Conn().(*connection).SetWriteDeadline(time.Now().Add(s.clients.WriteTimeout))
+	_ = ctx.Conn().(*connection).SetWriteDeadline(time.Now().Add(s.clientLimits.WriteTimeout))
 	switch {
 	case errors.Is(err, errNoMemory):
 		s.refuseForMemory(ctx)
