edge, ingress: a request that arrives in the moment of a stop is answered

Callers saw: a request on an open connection that its node had accepted got no answer, only a close; one that must not be repeated may have run. The node ended with "1 requests were interrupted".

Cause: after the two seconds in which new connections are accepted, stop counted the requests in flight, closed the idle connections and returned, without waiting for what had arrived in between, or for a request of which a part had arrived. Closing an idle connection also closed one whose request had been read and was not marked yet.

Ruled out: a request that outlasts the stop. The node logged no "requests given up" and stopped 2.0 s after "stopping", where it would have waited for 3.6 s.

TestStopWaitsForRequestThatIsBeingRead and TestRequestThatHasJustArrivedIsAnswered failed before and pass now; TestIdleConnectionsAreClosed holds before and after.

Change: after the count, stop closes idle connections until none is open, at most until its deadline. An idle connection is closed by ending its wait for a request; one that has been read is served.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -291,6 +291,30 @@
 	h.stopped <- nil // for the cleanup
 }
 
+// Guards against requests that are lost because the node ends while it reads them: once nothing else
+// was in flight, it did not wait for them.
+func TestStopWaitsForRequestThatIsBeingRead(t *testing.T) {
+	is := is.New(t)
+	config := configuration(1, singleRoute("/one/", "unsafe", "s"))
+	config.Limits.HeaderTimeoutMs = 5000
+	h := newHarness(t, config)
+	h.startServer(standin.ServerOptions{ID: "i-1", Service: "s", ServiceTime: 200 * time.Millisecond})
+	h.startReady(func(loaded *settings.Router) { loaded.StopTimeout = 4 * time.Second })
+	conn, err := net.Dial("tcp4", h.loaded.ListenAddress)
+	is.NoErr(err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "GET /one/ HTTP/1.1\r\nHost: %s\r\n", testHost)
+	is.NoErr(err)
+	h.stop()
+	time.Sleep(2300 * time.Millisecond) // the listener has been closed after half of the stop timeout
+	_, err = fmt.Fprint(conn, "X-Attempt-Identifier: id-1\r\nX-Request-Deadline: 2000\r\n\r\n")
+	is.NoErr(err)
+	is.NoErr(<-h.stopped)
+	is.Equal(h.runCount(), 1)
+	is.Equal(readAnswer(bufio.NewReader(conn)).status, 200)
+	h.stopped <- nil // for the cleanup
+}
+
 // A request that takes longer than the stop timeout gets a final answer before its connection closes.
 func TestStopAnswersRequestsThatOutlastIt(t *testing.T) {
 	is := is.New(t)
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -13,7 +13,7 @@
 	drainDelay = 3 * time.Second
 	// exitReserve is the part of the stop timeout reserved for the exit of the process.
 	exitReserve = 400 * time.Millisecond
-	// stopPollInterval is how often the requests in flight are counted.
+	// stopPollInterval is how often the requests in flight and the open connections are counted.
 	stopPollInterval = 20 * time.Millisecond
 )
 
@@ -29,22 +29,29 @@
 	time.Sleep(min(drainDelay, timeout/2))
 	_ = listener.Close()
 	deadline := started.Add(timeout - exitReserve)
-	n.waitForRequests(deadline)
+	waitUntil(deadline, func() bool { return n.unfinished() == 0 })
+	// Requests that have arrived since are served, too: their connections are not idle.
+	waitUntil(deadline, n.closeIdle)
 	if remaining := n.unfinished(); remaining > 0 {
 		klog.InfoS("requests given up", "count", remaining)
 		n.server.CancelRequests()
-		n.waitForRequests(deadline.Add(exitReserve / 2))
+		waitUntil(deadline.Add(exitReserve/2), n.closeIdle)
 	}
-	n.server.CloseIdle()
 	return n.unfinished()
 }
 
 // unfinished returns the number of requests in flight and of answers that are being written.
 func (n *Node) unfinished() int64 { return n.server.InFlight() + n.server.Writing() }
 
-// waitForRequests waits until no request is unfinished, at most until the given time.
-func (n *Node) waitForRequests(until time.Time) {
-	for n.unfinished() > 0 && time.Now().Before(until) {
+// closeIdle closes the connections without a request and reports whether none is open.
+func (n *Node) closeIdle() bool {
+	n.server.CloseIdle()
+	return n.server.Connections() == 0
+}
+
+// waitUntil waits for the condition, at most until the deadline.
+func waitUntil(deadline time.Time, condition func() bool) {
+	for !condition() && time.Now().Before(deadline) {
 		time.Sleep(stopPollInterval)
 	}
 }
--- a/internal/ingress/connection.go
+++ b/internal/ingress/connection.go
@@ -125,6 +125,9 @@
 	phaseWriting
 )
 
+// expired is a deadline that has passed.
+var expired = time.Unix(1, 0)
+
 // connection is one caller's connection. It sets read deadlines from the current
 // limits and can be watched for a hang-up while a request is processed.
 type connection struct {
@@ -146,6 +149,8 @@
 	// idleSince is when the connection became idle, used whether it has carried a request.
 	idleSince time.Time
 	used      bool
+	// closing is set when the connection is to be closed once it is idle.
+	closing bool
 	// peeked holds the byte that watch has read, if any.
 	peeked    [1]byte
 	hasPeeked bool
@@ -199,9 +204,12 @@
 // the deadline for the rest.
 func (c *connection) setIdleDeadline() {
 	c.mutex.Lock()
-	idle := c.phase == phaseIdle
-	c.mutex.Unlock()
-	if idle {
+	defer c.mutex.Unlock()
+	switch {
+	case c.phase != phaseIdle:
+	case c.closing:
+		_ = c.Conn.SetReadDeadline(expired)
+	default:
 		_ = c.Conn.SetReadDeadline(time.Now().Add(c.limits().IdleTimeout))
 	}
 }
@@ -251,11 +259,14 @@
 	return idleState{idle: c.phase == phaseIdle, used: c.used, since: c.idleSince}
 }
 
+// closeIfIdle closes the connection unless it has a request. It ends only the wait for a request: one
+// that has just been read is still answered.
 func (c *connection) closeIfIdle() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.phase == phaseIdle {
-		_ = c.Conn.Close()
+		c.closing = true
+		_ = c.Conn.SetReadDeadline(expired)
 	}
 }
 
@@ -290,7 +301,7 @@
 		c.mutex.Lock()
 		stopping = true
 		c.mutex.Unlock()
-		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+		_ = c.Conn.SetReadDeadline(expired)
 		<-done
 	}
 }
--- a/internal/ingress/limits_test.go
+++ b/internal/ingress/limits_test.go
@@ -216,6 +216,40 @@
 	is.Equal(s.limitsReached(), []Limit{LimitConnections})
 }
 
+// An idle connection is closed without an answer, whether it has carried a request or not.
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	is := is.New(t)
+	s := startTestServer(t, ClientLimits{WriteTimeout: time.Second}, []byte("body"))
+	used, silent := s.dial(t), s.dial(t)
+	is.Equal(exchangeOn(t, used, requestBytes("", "")).StatusCode, http.StatusOK)
+	awaitTrue(t, func() bool { return s.Connections() == 2 })
+	awaitTrue(t, func() bool { s.CloseIdle(); return s.Connections() == 0 })
+	for _, conn := range []net.Conn{used, silent} {
+		count, err := conn.Read(make([]byte, 1))
+		is.Equal(count, 0)
+		is.Equal(err, io.EOF)
+	}
+}
+
+// Guards against a request whose connection is closed as an idle one because it has only just been
+// read.
+func TestRequestThatHasJustArrivedIsAnswered(t *testing.T) {
+	is := is.New(t)
+	here, there := net.Pipe()
+	defer func() { _ = here.Close() }()
+	conn := &connection{Conn: there, limits: func() routing.Limits { return defaultLimits }, clientLimits: &ClientLimits{}, open: newConnections()}
+	is.True(conn.open.add(conn, 0))
+	go func() { _, _ = io.WriteString(here, "G") }()
+	count, err := conn.receive(make([]byte, 1)) // not marked as being read yet
+	is.NoErr(err)
+	is.Equal(count, 1)
+	conn.open.closeIdle()
+	conn.markReading()
+	go func() { _, _ = io.Copy(io.Discard, here) }()
+	_, err = conn.Write([]byte("answer"))
+	is.NoErr(err)
+}
+
 // The end of a head is found in whatever parts it arrives.
 func TestHeadArrivesInParts(t *testing.T) {
 	const head = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
