controller: tests of a leader that keeps its lease have a long term

Trace: the lease of these tests lasts one second of real time. In TestLostReplies the tombstone was published at 50.424 under epoch 5, the lease was lost at 50.450 and acquired under epoch 6 at 51.371, and the tombstone was published again at 51.429. The other two are about one leader, too, and the log shows lost leases around each. On the same machine a loop that sleeps for 0.1 s took 1.42, 1.01 and 0.98 s in the minutes of these runs.

The checks are as they were; only the term of the three tests changes. The others keep 1 s.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -20,6 +20,8 @@
 
 const (
 	testTerm = time.Second
+	// longTerm is the term of tests whose leader must not lose its lease when the machine stalls.
+	longTerm = 10 * time.Second
 	// eventuallyTimeout bounds the wait for a condition; it is generous on purpose.
 	eventuallyTimeout = 30 * time.Second
 )
@@ -27,7 +29,9 @@
 // cluster is a stand-in platform, some nodes with controllers, and dissemination
 // that reaches every member immediately, except those that are cut off.
 type cluster struct {
-	t         *testing.T
+	t *testing.T
+	// term is the term of leases.
+	term      time.Duration
 	server    *standin.Server
 	address   string
 	operator  *platform.Client
@@ -58,6 +62,7 @@
 	}
 	cluster := &cluster{
 		t:       t,
+		term:    testTerm,
 		server:  standin.NewServer(standin.Options{BookmarkInterval: 100 * time.Millisecond}),
 		address: listener.Addr().String(),
 		nodes:   make(map[string]*testNode),
@@ -89,7 +94,7 @@
 		Propagation: cluster,
 		Config:      node.store,
 		Registry:    prometheus.NewRegistry(),
-		Term:        testTerm,
+		Term:        cluster.term,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	node.cancel = cancel
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -93,6 +93,7 @@
 func TestAcceptanceDoesNotWaitForMembers(t *testing.T) {
 	is := is.New(t)
 	cluster := newCluster(t)
+	cluster.term = longTerm
 	cluster.blockApplied = make(chan struct{})
 	node := cluster.start("a")
 	for round := range 3 {
@@ -159,6 +160,7 @@
 func TestCrashDuringAcceptance(t *testing.T) {
 	is := is.New(t)
 	cluster := newCluster(t)
+	cluster.term = longTerm
 	crashing := cluster.start("a")
 	cluster.leader()
 	other := cluster.start("b")
@@ -252,6 +254,7 @@
 func TestLostReplies(t *testing.T) {
 	is := is.New(t)
 	cluster := newCluster(t)
+	cluster.term = longTerm
 	cluster.start("a")
 	for dropped := 1; dropped <= 4; dropped++ {
 		cluster.leader()
