httphead: reject heads of answers whose field lines do not conform

What callers saw: an answer in whose head the name of a field held a blank reached the client as an answer, with that line passed on, or with a body that was not the server's: where a blank stood between "Content-Length" and its colon, the client got a body cut to that length and framed as whole (3 of 5 bytes). The same in failures, refusals and the heads of interim answers; a seal, a coding, a retry delay and the era of the store were believed from such fields.

Cause: fasthttp's parser accepts more than the grammar and repairs what it accepts. It trims blanks before the colon, tolerates them inside a name, joins folded lines, takes a bare line feed for a line end and lets chunks override a length. What it returns no longer shows that the head was malformed.

Ruled out: control bytes in a name or before the colon were refused already; so were the other odd lengths, codings and chunk sizes. A check of what the parser returns cannot find a blank that it has trimmed.

Change: internal/httphead checks the raw head, byte by byte as it arrives, against the grammar of field lines (RFC 9112, section 5; RFC 9110, token and field value) before anything is taken from it. Repairs that the RFCs leave to the recipient (folded lines, bare CR and LF, a length together with chunks) are not made. Sound heads pass: all bytes of a token, bytes from 0x80 and tabs in values, empty values. The answer counts as bytes that form no answer: the request may have run, nothing in the head is believed, the connection is closed, unrepeatable requests are not sent again.

Wherever answers are read: attempts and parts of gathered answers (upstream) and the older gateway's client with its load reports (backend) read heads through httphead.Read; the clients of both stores, lists and watches, and the calls between nodes, which a library's client reads, are on a httphead.Conn. Interim answers are checked on all of them. The backend client now skips interim answers as upstream does: one of them was taken for the reply. driftrouter makes no other health check than a connection.

The scanner is compared with the grammar as a regular expression: for sound heads with one byte changed, added or removed at each place, and by a fuzz test.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/driftstage/driftstage/internal/httphead"
 	"github.com/driftstage/driftstage/internal/verdict"
 	"github.com/valyala/fasthttp"
 )
@@ -161,7 +162,7 @@
 		return false, err
 	}
 	reader := exchange.conn.reader
-	if err := reply.Header.Read(reader); err != nil {
+	if err := httphead.Read(reader, &reply.Header); err != nil {
 		return true, err
 	}
 	// Without a length or a terminator, a truncated body looks complete.
--- a/internal/backend/load.go
+++ b/internal/backend/load.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/driftstage/driftstage/internal/httphead"
 	"github.com/valyala/fasthttp"
 )
 
@@ -52,12 +53,20 @@
 	}
 	reply := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(reply)
-	if err := reply.ReadLimitBody(conn.reader, maxLoadBytes); err != nil {
+	if err := httphead.Read(conn.reader, &reply.Header); err != nil {
 		return Load{}, false, err
 	}
 	if reply.StatusCode() != fasthttp.StatusOK {
 		return Load{}, false, fmt.Errorf("load: status %d", reply.StatusCode())
 	}
+	if err := reply.ReadBody(conn.reader, maxLoadBytes); err != nil {
+		return Load{}, false, err
+	}
+	if chunked := reply.Header.ContentLength() == -1; chunked {
+		if err := reply.Header.ReadTrailer(conn.reader); err != nil {
+			return Load{}, false, err
+		}
+	}
 	var load Load
 	if err := json.Unmarshal(reply.Body(), &load); err != nil {
 		return Load{}, false, fmt.Errorf("load: %w", err)
--- /dev/null
+++ b/internal/httphead/read.go
@@ -0,0 +1,81 @@
+package httphead
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// maximumInterim is how many interim responses may precede a response.
+	maximumInterim = 8
+	// statusLineBytes is the size of a status line up to and including the status.
+	statusLineBytes = len("HTTP/1.1 200")
+)
+
+var (
+	errNoStatus = errors.New("the status of the response is no status")
+	errInterim  = errors.New("too many interim responses")
+	errTooLarge = errors.New("the head of the response is too large")
+)
+
+// Read reads heads up to the first one that is not interim. After an error, the header is empty.
+func Read(reader *bufio.Reader, header *fasthttp.ResponseHeader) error {
+	err := readFinal(reader, header)
+	if err != nil {
+		header.Reset()
+	}
+	return err
+}
+
+func readFinal(reader *bufio.Reader, header *fasthttp.ResponseHeader) error {
+	for range 1 + maximumInterim {
+		if err := check(reader); err != nil {
+			return err
+		}
+		// fasthttp takes the status 000 for 200.
+		if line, _ := reader.Peek(statusLineBytes); bytes.HasSuffix(line, []byte("000")) {
+			return errNoStatus
+		}
+		if err := header.Read(reader); err != nil {
+			return err
+		}
+		switch status := header.StatusCode(); {
+		case status >= 200 && status <= 599:
+			return nil
+		case status < 100, status > 599, status == fasthttp.StatusSwitchingProtocols:
+			return errNoStatus
+		}
+	}
+	return errInterim
+}
+
+// check waits for a whole head and checks it. It consumes nothing.
+func check(reader *bufio.Reader) error {
+	var scanner Scanner
+	for scanned := 0; ; {
+		if _, err := reader.Peek(scanned + 1); err != nil {
+			return readError(err, scanned)
+		}
+		buffered, _ := reader.Peek(reader.Buffered())
+		count, err := scanner.Scan(buffered[scanned:])
+		if err != nil || scanner.Complete() {
+			return err
+		}
+		scanned += count
+	}
+}
+
+// readError returns the error of a read that failed after some bytes of a head.
+func readError(err error, scanned int) error {
+	switch {
+	case errors.Is(err, bufio.ErrBufferFull):
+		return errTooLarge
+	case errors.Is(err, io.EOF) && scanned > 0:
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
--- /dev/null
+++ b/internal/httphead/scanner.go
@@ -0,0 +1,170 @@
+package httphead
+
+import (
+	"bytes"
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// state is the element of the grammar to which the next byte belongs.
+type state uint8
+
+const (
+	statusLine state = iota
+	statusLineEnd
+	lineStart
+	fieldName
+	fieldValue
+	fieldLineEnd
+	headEnd
+	complete
+)
+
+var stateNames = [...]string{
+	"status line", "end of the status line", "start of a field line", "field name", "field value",
+	"end of a field line", "end of the head", "complete head",
+}
+
+// String returns the name used in errors.
+func (s state) String() string { return stateNames[s] }
+
+// SyntaxError reports the first byte of a head that does not conform to the grammar.
+type SyntaxError struct {
+	Byte byte
+	// Offset is the position of the byte from the start of the head.
+	Offset int
+	// Element is the element of the grammar in which the byte stands.
+	Element string
+}
+
+// Error implements error.
+func (e *SyntaxError) Error() string {
+	return fmt.Sprintf("malformed head of a response: byte %#02x at offset %d, %s", e.Byte, e.Offset, e.Element)
+}
+
+// ErrConflictingLength rejects a head that announces both a length and chunks (RFC 9112, section 6.3).
+var ErrConflictingLength = errors.New("malformed head of a response: it has a length and a transfer coding")
+
+// Offsets of the status within a status line.
+const (
+	statusOffset = len("HTTP/1.1 ")
+	statusEnd    = statusOffset + len("200")
+)
+
+// Names of the fields that frame the body.
+var (
+	contentLength    = []byte(fasthttp.HeaderContentLength)
+	transferEncoding = []byte(fasthttp.HeaderTransferEncoding)
+)
+
+// Scanner checks a head as it arrives, byte by byte. The zero value expects the first byte.
+type Scanner struct {
+	state state
+	// offset is the number of bytes that have been checked.
+	offset int
+	status int
+	// name is the start of the current field name, nameLength the length of the whole name.
+	name       [len(fasthttp.HeaderTransferEncoding)]byte
+	nameLength int
+	hasLength  bool
+	hasCoding  bool
+	err        error
+}
+
+// Complete reports whether the whole head has been checked.
+func (s *Scanner) Complete() bool { return s.state == complete }
+
+// interim reports whether a whole head has been checked that another head follows.
+func (s *Scanner) interim() bool {
+	return s.Complete() && s.status >= 100 && s.status < 200 && s.status != fasthttp.StatusSwitchingProtocols
+}
+
+// Scan checks the next bytes and returns how many of them belong to the head. After an error, it
+// returns the same error again.
+func (s *Scanner) Scan(data []byte) (int, error) {
+	index := 0
+	for s.err == nil && s.state != complete && index < len(data) {
+		size := s.skip(data[index:])
+		s.offset += size
+		if index += size; index == len(data) {
+			break
+		}
+		if s.next(data[index]); s.err == nil {
+			s.offset++
+			index++
+		}
+	}
+	return index, s.err
+}
+
+// skip returns how many of the bytes belong to the name or value that has begun.
+func (s *Scanner) skip(data []byte) int {
+	switch s.state {
+	case fieldName:
+		size := tokenBytes.prefix(data)
+		s.addToName(data[:size])
+		return size
+	case fieldValue:
+		return valueBytes.prefix(data)
+	}
+	return 0
+}
+
+// next checks one byte and moves to the state of the byte after it.
+func (s *Scanner) next(char byte) {
+	switch {
+	case s.state == statusLine && char == '\r':
+		s.state = statusLineEnd
+	case s.state == statusLine && char != '\n':
+		s.addToStatus(char)
+	case s.state == statusLineEnd && char == '\n':
+		s.state = lineStart
+	case s.state == lineStart && char == '\r':
+		s.state = headEnd
+	case s.state == lineStart && tokenBytes[char]:
+		s.name[0], s.nameLength = char, 1
+		s.state = fieldName
+	case s.state == fieldName && char == ':':
+		s.state = fieldValue
+		s.err = s.checkFraming()
+	case s.state == fieldValue && char == '\r':
+		s.state = fieldLineEnd
+	case s.state == fieldLineEnd && char == '\n':
+		s.state = lineStart
+	case s.state == headEnd && char == '\n':
+		s.state = complete
+	default:
+		s.err = &SyntaxError{Byte: char, Offset: s.offset, Element: s.state.String()}
+	}
+}
+
+// addToStatus adds a byte of the status line to the status, if it is a digit of it.
+func (s *Scanner) addToStatus(char byte) {
+	if s.offset >= statusOffset && s.offset < statusEnd {
+		s.status = s.status*10 + int(char-'0')
+	}
+}
+
+// addToName adds bytes to the current field name.
+func (s *Scanner) addToName(part []byte) {
+	if s.nameLength < len(s.name) {
+		copy(s.name[s.nameLength:], part)
+	}
+	s.nameLength += len(part)
+}
+
+// checkFraming checks the current field against the earlier ones.
+func (s *Scanner) checkFraming() error {
+	if s.nameLength > len(s.name) {
+		return nil
+	}
+	name := s.name[:s.nameLength]
+	s.hasLength = s.hasLength || bytes.EqualFold(name, contentLength)
+	s.hasCoding = s.hasCoding || bytes.EqualFold(name, transferEncoding)
+	if s.hasLength && s.hasCoding {
+		return ErrConflictingLength
+	}
+	return nil
+}
--- a/internal/peers/source.go
+++ b/internal/peers/source.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/driftstage/driftstage/internal/catalog"
+	"github.com/driftstage/driftstage/internal/httphead"
 	"github.com/driftstage/driftstage/internal/members"
 	"github.com/driftstage/driftstage/internal/upstream"
 )
@@ -100,7 +101,11 @@
 		NoDefaultUserAgentHeader:  true,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		DialTimeout: func(address string, _ time.Duration) (net.Conn, error) {
-			return dialer.Dial("tcp4", address)
+			connection, err := dialer.Dial("tcp4", address)
+			if err != nil {
+				return nil, err
+			}
+			return &httphead.Conn{Conn: connection}, nil
 		},
 	}
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	v1 "github.com/driftstage/driftstage/api/v1"
+	"github.com/driftstage/driftstage/internal/httphead"
 	"github.com/driftstage/driftstage/internal/verdict"
 )
 
@@ -106,7 +107,7 @@
 	if err != nil {
 		return nil, &dialError{cause: err}
 	}
-	return connection, nil
+	return &httphead.Conn{Conn: connection}, nil
 }
 
 // Close closes the idle connections.
--- a/internal/upstream/receive.go
+++ b/internal/upstream/receive.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"strconv"
 	"strings"
@@ -11,19 +10,14 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/driftstage/driftstage/internal/httphead"
 	"github.com/driftstage/driftstage/internal/membudget"
 	"github.com/driftstage/driftstage/internal/verdict"
 )
 
-const (
-	// maximumStaleAnswers is how many answers to earlier requests are skipped
-	// before the connection is closed.
-	maximumStaleAnswers = 4
-	// maximumInterimAnswers is how many interim answers may precede an answer.
-	maximumInterimAnswers = 8
-	// statusLineBytes is the size of a status line up to and including the status.
-	statusLineBytes = len("HTTP/1.1 200")
-)
+// maximumStaleAnswers is how many answers to earlier requests are skipped
+// before the connection is closed.
+const maximumStaleAnswers = 4
 
 // keepAlive says whether and for how long the connection of an answer can be reused.
 type keepAlive struct {
@@ -64,14 +58,9 @@
 	return Reply{Kind: Malformed, Verdict: verdict.MayHaveRun, Err: errStaleAnswers}, keepAlive{}
 }
 
-var (
-	errNoStatus       = errors.New("the status of the answer is no status")
-	errInterimAnswers = errors.New("too many interim answers")
-)
-
 // readAnswer reads the next answer that is not interim and returns its body.
 func readAnswer(ctx context.Context, reader *bufio.Reader, header *fasthttp.ResponseHeader, call Call) ([]byte, error) {
-	if err := readHead(reader, header); err != nil {
+	if err := httphead.Read(reader, header); err != nil {
 		return nil, err
 	}
 	status := header.StatusCode()
@@ -81,30 +70,6 @@
 	return readBody(ctx, reader, header, call)
 }
 
-// readHead reads heads up to the first one that is not interim.
-func readHead(reader *bufio.Reader, header *fasthttp.ResponseHeader) error {
-	for range 1 + maximumInterimAnswers {
-		line, err := reader.Peek(statusLineBytes)
-		if err != nil {
-			return err
-		}
-		// fasthttp takes the status 000 for 200.
-		if bytes.HasSuffix(line, []byte("000")) {
-			return errNoStatus
-		}
-		if err := header.Read(reader); err != nil {
-			return err
-		}
-		switch status := header.StatusCode(); {
-		case status >= 200 && status <= 599:
-			return nil
-		case status < 100, status > 599, status == fasthttp.StatusSwitchingProtocols:
-			return errNoStatus
-		}
-	}
-	return errInterimAnswers
-}
-
 // readErrorReply classifies a read error. Bytes that do not form an answer come from a
 // live server; no bytes or a reset may be caused by the network.
 func readErrorReply(reader *bufio.Reader, err error) Reply {
