httphead: reject heads of answers whose status line does not conform

What callers saw: an answer whose status was 000 reached the client as a success, with status 200, unless its status line was spelled "HTTP/1.1 000": with two blanks before the status, or behind an empty line, it passed. So did a reason phrase with control bytes and a major version other than 1. A list of the store with status 000, however spelled, was believed with its revision and era; so were replies of other nodes. An answer in chunks of version HTTP/1.0 was passed on with its chunk sizes as a part of its body.

Cause: a check looked for "000" at fixed bytes of the line, and fasthttp's parser behind it accepts more spellings: it skips empty lines before the status line and blanks before the status, takes any digit for the major version, and reports a status of 0 as 200. The library's client had no such check.

Ruled out: the plain status line, which upstream and the table of TestStatusThatIsNoAnswer refused; that test stays as it was and passes. Statuses from 600 and below 100 other than 000 were refused by upstream.

Change: internal/httphead checks the status line against its grammar (RFC 9112, section 4) and the status against its range (RFC 9110, section 15); the check of fixed bytes is gone. Major versions other than 1 are rejected, and a transfer coding in a version other than HTTP/1.1, which fasthttp ignores there. An empty reason, and no reason at all, are accepted. All paths that read answers get this with the check of field lines: attempts, parts, interim answers, load reports, both stores, calls between nodes.

--- a/internal/edge/malformed_head_test.go
+++ b/internal/edge/malformed_head_test.go
@@ -33,7 +33,7 @@
 	for _, line := range append([]string{"Content-Length : 3", "Content-Length\t: 3", "Transfer-Encoding : chunked"}, rawserver.MalformedFieldLines...) {
 		malformed = append(malformed, "HTTP/1.1 200 OK\r\n"+line)
 	}
-	for _, lines := range malformed {
+	for _, lines := range append(malformed, rawserver.MalformedStatusLines...) {
 		t.Run(lines, func(t *testing.T) {
 			t.Parallel()
 			is := is.NewRelaxed(t)
--- a/internal/httphead/conn_test.go
+++ b/internal/httphead/conn_test.go
@@ -69,6 +69,20 @@
 	}
 }
 
+// Guards against a status that the library's client takes for another one: 000 was 200.
+func TestConnRejectsMalformedStatusLines(t *testing.T) {
+	for _, line := range rawserver.MalformedStatusLines {
+		t.Run(line, func(t *testing.T) {
+			is := is.NewRelaxed(t)
+			malformed := line + "\r\nContent-Length: 4\r\n\r\nbody"
+			for _, answers := range [][]string{{malformed}, {soundAnswer, oddBody, malformed}, {interimHead + malformed}} {
+				_, _, err := get(t, answers...)
+				is.True(err != nil)
+			}
+		})
+	}
+}
+
 // Bodies are not checked.
 func TestConnPassesSoundAnswers(t *testing.T) {
 	is := is.New(t)
@@ -76,6 +90,11 @@
 	is.NoErr(err)
 	is.Equal(status, 200)
 	is.Equal(body, "body")
+	for _, line := range rawserver.SoundStatusLines {
+		_, body, err := get(t, line+"\r\nContent-Length: 4\r\n\r\nbody")
+		is.NoErr(err)
+		is.Equal(body, "body")
+	}
 	for _, line := range rawserver.SoundFieldLines {
 		_, body, err := get(t, "HTTP/1.1 200 OK\r\n"+line+"\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n")
 		is.NoErr(err)
--- a/internal/httphead/grammar_test.go
+++ b/internal/httphead/grammar_test.go
@@ -16,7 +16,7 @@
 	tokenPattern      = "[!#$%&'*+\\-.^_`|~0-9A-Za-z]+"
 	valuePattern      = `[\t\x20-\x7e\x{80}-\x{ff}]*`
 	fieldPattern      = tokenPattern + `:` + valuePattern + `\r\n`
-	statusLinePattern = `[^\r\n]*\r\n`
+	statusLinePattern = `HTTP/1\.[0-9] [1-5][0-9]{2}(?: ` + valuePattern + `)?\r\n`
 )
 
 var headPattern = regexp.MustCompile(`^` + statusLinePattern + `(?:` + fieldPattern + `)*\r\n`)
@@ -30,7 +30,11 @@
 	}
 	matched := []rune(headPattern.FindString(string(runes)))
 	head := text[:len(matched)]
-	if len(matched) == 0 || hasField(head, "Content-Length") && hasField(head, "Transfer-Encoding") {
+	isChunked := hasField(head, "Transfer-Encoding")
+	switch {
+	case len(matched) == 0:
+		return 0, false
+	case isChunked && (hasField(head, "Content-Length") || !strings.HasPrefix(head, "HTTP/1.1 ")):
 		return 0, false
 	}
 	return len(matched), true
@@ -103,6 +107,9 @@
 	for _, line := range rawserver.SoundFieldLines {
 		heads = append(heads, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"+line+"\r\n\r\n")
 	}
+	for _, line := range rawserver.SoundStatusLines {
+		heads = append(heads, line+"\r\nContent-Length: 5\r\n\r\n")
+	}
 	return append(heads, "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\nContent-Lengths: 5\r\n\r\nbody")
 }
 
@@ -132,6 +139,28 @@
 	}
 }
 
+// Guards against a status that only looks like one after a parser has repaired it.
+func TestMalformedStatusLinesAreRejected(t *testing.T) {
+	for _, line := range rawserver.MalformedStatusLines {
+		head := line + "\r\nA: 1\r\n\r\n"
+		if _, complete, err := scanIn(head, len(head)); err == nil || complete {
+			t.Errorf("%q: complete %v, error %v", head, complete, err)
+		}
+		checkScan(t, head)
+	}
+}
+
+// A body in chunks would be passed on with its chunk sizes: fasthttp takes them for a part of it.
+func TestCodingOfOtherVersionsIsRejected(t *testing.T) {
+	for _, version := range []string{"HTTP/1.0", "HTTP/1.2"} {
+		head := version + " 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		if _, _, err := scanIn(head, len(head)); !errors.Is(err, ErrCodingVersion) {
+			t.Errorf("%q: %v", head, err)
+		}
+		checkScan(t, head)
+	}
+}
+
 // A body that could end at two places is no body: which of them its server means is not known.
 func TestLengthAndChunksAreRejected(t *testing.T) {
 	for _, fields := range []string{
@@ -172,6 +201,9 @@
 	for _, head := range soundHeads() {
 		f.Add(head)
 	}
+	for _, line := range rawserver.MalformedStatusLines {
+		f.Add(line + "\r\n\r\n")
+	}
 	for _, line := range rawserver.MalformedFieldLines {
 		f.Add("HTTP/1.1 200 OK\r\n" + line + "\r\n\r\n")
 	}
--- a/internal/httphead/read.go
+++ b/internal/httphead/read.go
@@ -2,24 +2,19 @@
 
 import (
 	"bufio"
-	"bytes"
 	"io"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 )
 
-const (
-	// maximumInterim is how many interim responses may precede a response.
-	maximumInterim = 8
-	// statusLineBytes is the size of a status line up to and including the status.
-	statusLineBytes = len("HTTP/1.1 200")
-)
+// maximumInterim is how many interim responses may precede a response.
+const maximumInterim = 8
 
 var (
-	errNoStatus = errors.New("the status of the response is no status")
-	errInterim  = errors.New("too many interim responses")
-	errTooLarge = errors.New("the head of the response is too large")
+	errSwitching = errors.New("the response switches to another protocol")
+	errInterim   = errors.New("too many interim responses")
+	errTooLarge  = errors.New("the head of the response is too large")
 )
 
 // Read reads heads up to the first one that is not interim. After an error, the header is empty.
@@ -36,18 +31,14 @@
 		if err := check(reader); err != nil {
 			return err
 		}
-		// fasthttp takes the status 000 for 200.
-		if line, _ := reader.Peek(statusLineBytes); bytes.HasSuffix(line, []byte("000")) {
-			return errNoStatus
-		}
 		if err := header.Read(reader); err != nil {
 			return err
 		}
 		switch status := header.StatusCode(); {
-		case status >= 200 && status <= 599:
+		case status == fasthttp.StatusSwitchingProtocols:
+			return errSwitching
+		case status >= fasthttp.StatusOK:
 			return nil
-		case status < 100, status > 599, status == fasthttp.StatusSwitchingProtocols:
-			return errNoStatus
 		}
 	}
 	return errInterim
--- a/internal/httphead/read_test.go
+++ b/internal/httphead/read_test.go
@@ -42,6 +42,9 @@
 	for _, line := range rawserver.MalformedFieldLines {
 		heads = append(heads, "HTTP/1.1 200 OK\r\n"+fields+line+"\r\n\r\n", "HTTP/1.1 103 Early Hints\r\n"+line+"\r\n\r\nHTTP/1.1 200 OK\r\n"+fields+"\r\n")
 	}
+	for _, line := range rawserver.MalformedStatusLines {
+		heads = append(heads, line+"\r\n"+fields+"\r\n", "HTTP/1.1 103 Early Hints\r\n\r\n"+line+"\r\n"+fields+"\r\n")
+	}
 	for _, head := range append(heads,
 		"HTTP/1.1 200 OK\r\n"+fields+"Content-Length: 4\r\nContent-Length: 5\r\n\r\n",
 		"HTTP/1.1 200 OK\r\n"+fields+"Transfer-Encoding: gzip\r\n\r\n",
--- a/internal/httphead/scanner.go
+++ b/internal/httphead/scanner.go
@@ -12,7 +12,9 @@
 type state uint8
 
 const (
-	statusLine state = iota
+	versionAndStatus state = iota
+	statusEnd
+	reasonPhrase
 	statusLineEnd
 	lineStart
 	fieldName
@@ -23,8 +25,8 @@
 )
 
 var stateNames = [...]string{
-	"status line", "end of the status line", "start of a field line", "field name", "field value",
-	"end of a field line", "end of the head", "complete head",
+	"version and status", "end of the status", "reason phrase", "end of the status line", "start of a field line",
+	"field name", "field value", "end of a field line", "end of the head", "complete head",
 }
 
 // String returns the name used in errors.
@@ -44,13 +46,22 @@
 	return fmt.Sprintf("malformed head of a response: byte %#02x at offset %d, %s", e.Byte, e.Offset, e.Element)
 }
 
-// ErrConflictingLength rejects a head that announces both a length and chunks (RFC 9112, section 6.3).
-var ErrConflictingLength = errors.New("malformed head of a response: it has a length and a transfer coding")
+var (
+	// ErrConflictingLength rejects a head that announces both a length and chunks (RFC 9112, section 6.3).
+	ErrConflictingLength = errors.New("malformed head of a response: it has a length and a transfer coding")
+	// ErrCodingVersion rejects a transfer coding in a version other than HTTP/1.1 (RFC 9112, section 6.1), in
+	// which fasthttp ignores it.
+	ErrCodingVersion = errors.New("malformed head of a response: it has a transfer coding and is not of HTTP/1.1")
+)
 
-// Offsets of the status within a status line.
+// majorVersion begins each head.
+const majorVersion = "HTTP/1."
+
+// Offsets within a status line.
 const (
+	minorOffset  = len(majorVersion)
 	statusOffset = len("HTTP/1.1 ")
-	statusEnd    = statusOffset + len("200")
+	reasonOffset = len("HTTP/1.1 200")
 )
 
 // Names of the fields that frame the body.
@@ -64,7 +75,9 @@
 	state state
 	// offset is the number of bytes that have been checked.
 	offset int
-	status int
+	// minorVersion is the digit of the minor version.
+	minorVersion byte
+	status       int
 	// name is the start of the current field name, nameLength the length of the whole name.
 	name       [len(fasthttp.HeaderTransferEncoding)]byte
 	nameLength int
@@ -106,7 +119,7 @@
 		size := tokenBytes.prefix(data)
 		s.addToName(data[:size])
 		return size
-	case fieldValue:
+	case fieldValue, reasonPhrase:
 		return valueBytes.prefix(data)
 	}
 	return 0
@@ -115,10 +128,12 @@
 // next checks one byte and moves to the state of the byte after it.
 func (s *Scanner) next(char byte) {
 	switch {
-	case s.state == statusLine && char == '\r':
-		s.state = statusLineEnd
-	case s.state == statusLine && char != '\n':
+	case s.state == versionAndStatus && s.conforms(char):
 		s.addToStatus(char)
+	case s.state == statusEnd && char == ' ':
+		s.state = reasonPhrase
+	case (s.state == statusEnd || s.state == reasonPhrase) && char == '\r':
+		s.state = statusLineEnd
 	case s.state == statusLineEnd && char == '\n':
 		s.state = lineStart
 	case s.state == lineStart && char == '\r':
@@ -140,14 +155,36 @@
 	}
 }
 
-// addToStatus adds a byte of the status line to the status, if it is a digit of it.
+// conforms reports whether the byte may stand at this offset of the version and status.
+func (s *Scanner) conforms(char byte) bool {
+	isDigit := '0' <= char && char <= '9'
+	switch {
+	case s.offset < minorOffset:
+		return char == majorVersion[s.offset]
+	case s.offset == minorOffset:
+		return isDigit
+	case s.offset < statusOffset:
+		return char == ' '
+	case s.offset == statusOffset:
+		return '1' <= char && char <= '5'
+	default:
+		return isDigit
+	}
+}
+
+// addToStatus adds a byte to the minor version or the status, of which it is a digit.
 func (s *Scanner) addToStatus(char byte) {
-	if s.offset >= statusOffset && s.offset < statusEnd {
+	switch {
+	case s.offset == minorOffset:
+		s.minorVersion = char
+	case s.offset >= statusOffset:
 		s.status = s.status*10 + int(char-'0')
 	}
+	if s.offset+1 == reasonOffset {
+		s.state = statusEnd
+	}
 }
 
-// addToName adds bytes to the current field name.
 func (s *Scanner) addToName(part []byte) {
 	if s.nameLength < len(s.name) {
 		copy(s.name[s.nameLength:], part)
@@ -163,8 +200,11 @@
 	name := s.name[:s.nameLength]
 	s.hasLength = s.hasLength || bytes.EqualFold(name, contentLength)
 	s.hasCoding = s.hasCoding || bytes.EqualFold(name, transferEncoding)
-	if s.hasLength && s.hasCoding {
+	switch {
+	case s.hasLength && s.hasCoding:
 		return ErrConflictingLength
+	case s.hasCoding && s.minorVersion != '1':
+		return ErrCodingVersion
 	}
 	return nil
 }
--- a/internal/platform/malformed_head_test.go
+++ b/internal/platform/malformed_head_test.go
@@ -14,12 +14,7 @@
 func callRaw(t *testing.T, head string) (writeErr, watchErr error) {
 	t.Helper()
 	is := is.New(t)
-	server, err := rawserver.Start(func(request *http.Request) string {
-		if request.URL.Query().Has("watch") {
-			return head + "Transfer-Encoding: chunked\r\n\r\n4\r\n{}\r\n\r\n"
-		}
-		return head + "Content-Length: 2\r\n\r\n{}"
-	})
+	server, err := rawserver.Start(func(*http.Request) string { return head + "Content-Length: 2\r\n\r\n{}" })
 	is.NoErr(err)
 	defer server.Close()
 	client := platform.NewClient(platform.Options{Address: server.Address(), Name: "test"})
--- a/internal/standin/rawserver/heads.go
+++ b/internal/standin/rawserver/heads.go
@@ -59,10 +59,23 @@
 
 // MalformedHeads returns heads of successes with the given field lines, each with a malformed line: in the
 // head itself, or in that of an interim response before it. The empty line at their end is missing.
-func MalformedHeads(fields string) []string { return headsWithField(fields, MalformedFieldLines) }
+func MalformedHeads(fields string) []string {
+	heads := headsWithField(fields, MalformedFieldLines)
+	for _, line := range MalformedStatusLines {
+		head := line + "\r\n" + fields
+		heads = append(heads, head, interimStatusLine+"\r\n"+head)
+	}
+	return heads
+}
 
 // SoundHeads returns heads like those of MalformedHeads that conform to the grammar.
-func SoundHeads(fields string) []string { return headsWithField(fields, SoundFieldLines) }
+func SoundHeads(fields string) []string {
+	heads := headsWithField(fields, SoundFieldLines)
+	for _, line := range SoundStatusLines {
+		heads = append(heads, line+"\r\n"+fields)
+	}
+	return heads
+}
 
 func headsWithField(fields string, lines []string) (heads []string) {
 	for _, line := range lines {
@@ -70,3 +83,65 @@
 	}
 	return heads
 }
+
+// MalformedStatusLines are lines that do not conform to the grammar of status lines (RFC 9112, section 4)
+// or hold no valid status (RFC 9110, section 15), without their line ends.
+var MalformedStatusLines = []string{
+	"HTTP/1.1 000 OK",
+	"HTTP/1.1 000 ",
+	"HTTP/1.1 000",
+	"HTTP/1.1  000 OK",
+	"HTTP/1.1   000 OK",
+	"HTTP/1.1 000  OK",
+	"HTTP/1.0 000 OK",
+	"HTTP/1.9 000 OK",
+	"HTTP/9.9 000 OK",
+	"\r\nHTTP/1.1 000 OK",
+	"\nHTTP/1.1 000 OK",
+	"HTTP/1.1 001 OK",
+	"HTTP/1.1 099 OK",
+	"HTTP/1.1 600 OK",
+	"HTTP/1.1 999 OK",
+	"HTTP/1.1 20 OK",
+	"HTTP/1.1 2000 OK",
+	"HTTP/1.1 0200 OK",
+	"HTTP/1.1 +20 OK",
+	"HTTP/1.1 -20 OK",
+	"HTTP/1.1 2x0 OK",
+	"HTTP/1.1 \xb2\xb0\xb0 OK",
+	"HTTP/1.1  200 OK",
+	"HTTP/1.1\t200 OK",
+	"HTTP/1.1 200\tOK",
+	"HTTP/1.1 200 O\x00K",
+	"HTTP/1.1 200 \x1b[2J",
+	"HTTP/1.1 200 OK\x7f",
+	"HTTP/1.1 200 OK\r",
+	"HTTP/1.1 200 O\rK",
+	"HTTP/1.1 200 OK\nX-More: 1",
+	"HTTP/2.0 200 OK",
+	"HTTP/0.9 200 OK",
+	"HTTP/2 200 OK",
+	"HTTP/1 200 OK",
+	"HTTP/1.10 200 OK",
+	"HTTP/1,1 200 OK",
+	"http/1.1 200 OK",
+	"HTTPS/1.1 200 OK",
+	" HTTP/1.1 200 OK",
+	"\r\nHTTP/1.1 200 OK",
+	"\nHTTP/1.1 200 OK",
+	"200 OK",
+	"",
+}
+
+// SoundStatusLines conform to the grammar; the reason, and the blank before it, may be missing.
+var SoundStatusLines = []string{
+	"HTTP/1.1 200 OK",
+	"HTTP/1.1 200 ",
+	"HTTP/1.1 200",
+	"HTTP/1.1 200  two  words\t!",
+	"HTTP/1.1 200 gr\xc3\xbc\xc3\x9fe \x80\xff",
+	"HTTP/1.1 200 000",
+	"HTTP/1.0 200 OK",
+	"HTTP/1.2 200 OK",
+	"HTTP/1.9 200 Odd",
+}
--- a/internal/upstream/malformed_head_test.go
+++ b/internal/upstream/malformed_head_test.go
@@ -81,10 +81,34 @@
 	}
 }
 
+// Guards against a status that the parser takes for another one: 000, in whatever spelling, was 200.
+func TestMalformedStatusLine(t *testing.T) {
+	const rest = "X-Attempt-Identifier: id-1\r\nX-Server-Seal: seal-1\r\nContent-Length: 4\r\n\r\nbody"
+	for _, line := range rawserver.MalformedStatusLines {
+		t.Run(line, func(t *testing.T) {
+			checkMalformed(t, line+"\r\n"+rest)
+			checkMalformed(t, line+"\r\nX-Not-Executed: 1\r\n"+rest)
+			checkMalformed(t, "HTTP/1.1 103 Early Hints\r\n\r\n"+line+"\r\n"+rest)
+		})
+	}
+}
+
+func TestSoundStatusLine(t *testing.T) {
+	for _, line := range rawserver.SoundStatusLines {
+		t.Run(line, func(t *testing.T) {
+			is := is.New(t)
+			reply, _ := askRaw(t, line+"\r\nX-Attempt-Identifier: id-1\r\nX-Server-Seal: seal-1\r\nContent-Length: 4\r\n\r\nbody", false)
+			is.NoErr(reply.Err)
+			is.True(reply.Success())
+			is.Equal(string(reply.Body), "body")
+		})
+	}
+}
+
 // Guards against a body that is cut to a length, or whose chunks are taken for a body: the field that frames
 // it is malformed, or there are two of them.
 func TestMalformedFraming(t *testing.T) {
-	const head = "HTTP/1.1 200 OK\r\nX-Attempt-Identifier: id-1\r\nX-Server-Seal: seal-1\r\n"
+	const fields = "X-Attempt-Identifier: id-1\r\nX-Server-Seal: seal-1\r\n"
 	for _, rest := range []string{
 		"Content-Length : 3\r\n\r\nwhole",
 		"Content-Length\t: 3\r\n\r\nwhole",
@@ -94,8 +118,9 @@
 		"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nwho\r\n0\r\n\r\n",
 		"Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n3\r\nwho\r\n0\r\n\r\n",
 	} {
-		t.Run(rest, func(t *testing.T) { checkMalformed(t, head+rest) })
+		t.Run(rest, func(t *testing.T) { checkMalformed(t, "HTTP/1.1 200 OK\r\n"+fields+rest) })
 	}
+	checkMalformed(t, "HTTP/1.0 200 OK\r\n"+fields+"Transfer-Encoding: chunked\r\n\r\n3\r\nwho\r\n0\r\n\r\n")
 }
 
 func TestSoundFieldLine(t *testing.T) {
