--- a/internal/httphead/conn.go
+++ b/internal/httphead/conn.go
@@ -6,12 +6,12 @@
 // heads of the responses.
 type Conn struct {
 	net.Conn
-	scanner Scanner
+	head scanner
 }
 
 // Write writes a part of a request. The next byte that is read is the first one of its response.
 func (c *Conn) Write(data []byte) (int, error) {
-	c.scanner = Scanner{}
+	c.head = scanner{}
 	return c.Conn.Write(data)
 }
 
@@ -29,11 +29,11 @@
 // error, the result is the number of bytes before the first wrong one.
 func (c *Conn) scan(data []byte) (int, error) {
 	for sound := 0; ; {
-		count, err := c.scanner.Scan(data[sound:])
+		count, err := c.head.scan(data[sound:])
 		sound += count
-		if err != nil || !c.scanner.interim() {
+		if err != nil || !c.head.interim() {
 			return sound, err
 		}
-		c.scanner = Scanner{}
+		c.head = scanner{}
 	}
 }
--- a/internal/httphead/grammar_test.go
+++ b/internal/httphead/grammar_test.go
@@ -63,15 +63,15 @@
 
 // scanIn scans the text in parts of the size.
 func scanIn(text string, size int) (count int, complete bool, err error) {
-	var scanner Scanner
-	for rest := text; rest != "" && err == nil && !scanner.Complete(); {
+	var head scanner
+	for rest := text; rest != "" && err == nil && !head.isComplete(); {
 		part := rest[:min(size, len(rest))]
 		rest = rest[len(part):]
 		var scanned int
-		scanned, err = scanner.Scan([]byte(part))
+		scanned, err = head.scan([]byte(part))
 		count += scanned
 	}
-	return count, scanner.Complete(), err
+	return count, head.isComplete(), err
 }
 
 // checkVerdict checks that the scanner accepts the text if and only if a head begins it.
--- a/internal/httphead/read.go
+++ b/internal/httphead/read.go
@@ -46,14 +46,14 @@
 
 // check waits for a whole head and checks it. It consumes nothing.
 func check(reader *bufio.Reader) error {
-	var scanner Scanner
+	var head scanner
 	for scanned := 0; ; {
 		if _, err := reader.Peek(scanned + 1); err != nil {
 			return readError(err, scanned)
 		}
 		buffered, _ := reader.Peek(reader.Buffered())
-		count, err := scanner.Scan(buffered[scanned:])
-		if err != nil || scanner.Complete() {
+		count, err := head.scan(buffered[scanned:])
+		if err != nil || head.isComplete() {
 			return err
 		}
 		scanned += count
--- a/internal/httphead/read_test.go
+++ b/internal/httphead/read_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -109,5 +108,4 @@
 			b.Fatal(err)
 		}
 	}
-	_ = fmt.Sprint(header.StatusCode())
 }
--- a/internal/httphead/scanner.go
+++ b/internal/httphead/scanner.go
@@ -2,9 +2,7 @@
 
 import (
 	"bytes"
-	"fmt"
 
-	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 )
 
@@ -32,28 +30,6 @@
 // String returns the name used in errors.
 func (s state) String() string { return stateNames[s] }
 
-// SyntaxError reports the first byte of a head that does not conform to the grammar.
-type SyntaxError struct {
-	Byte byte
-	// Offset is the position of the byte from the start of the head.
-	Offset int
-	// Element is the element of the grammar in which the byte stands.
-	Element string
-}
-
-// Error implements error.
-func (e *SyntaxError) Error() string {
-	return fmt.Sprintf("malformed head of a response: byte %#02x at offset %d, %s", e.Byte, e.Offset, e.Element)
-}
-
-var (
-	// ErrConflictingLength rejects a head that announces both a length and chunks (RFC 9112, section 6.3).
-	ErrConflictingLength = errors.New("malformed head of a response: it has a length and a transfer coding")
-	// ErrCodingVersion rejects a transfer coding in a version other than HTTP/1.1 (RFC 9112, section 6.1), in
-	// which fasthttp ignores it.
-	ErrCodingVersion = errors.New("malformed head of a response: it has a transfer coding and is not of HTTP/1.1")
-)
-
 // majorVersion begins each head.
 const majorVersion = "HTTP/1."
 
@@ -70,8 +46,8 @@
 	transferEncoding = []byte(fasthttp.HeaderTransferEncoding)
 )
 
-// Scanner checks a head as it arrives, byte by byte. The zero value expects the first byte.
-type Scanner struct {
+// scanner checks a head as it arrives, byte by byte. The zero value expects the first byte.
+type scanner struct {
 	state state
 	// offset is the number of bytes that have been checked.
 	offset int
@@ -86,17 +62,17 @@
 	err        error
 }
 
-// Complete reports whether the whole head has been checked.
-func (s *Scanner) Complete() bool { return s.state == complete }
+// isComplete reports whether the whole head has been checked.
+func (s *scanner) isComplete() bool { return s.state == complete }
 
 // interim reports whether a whole head has been checked that another head follows.
-func (s *Scanner) interim() bool {
-	return s.Complete() && s.status >= 100 && s.status < 200 && s.status != fasthttp.StatusSwitchingProtocols
+func (s *scanner) interim() bool {
+	return s.isComplete() && s.status >= 100 && s.status < 200 && s.status != fasthttp.StatusSwitchingProtocols
 }
 
-// Scan checks the next bytes and returns how many of them belong to the head. After an error, it
+// scan checks the next bytes and returns how many of them belong to the head. After an error, it
 // returns the same error again.
-func (s *Scanner) Scan(data []byte) (int, error) {
+func (s *scanner) scan(data []byte) (int, error) {
 	index := 0
 	for s.err == nil && s.state != complete && index < len(data) {
 		size := s.skip(data[index:])
@@ -113,7 +89,7 @@
 }
 
 // skip returns how many of the bytes belong to the name or value that has begun.
-func (s *Scanner) skip(data []byte) int {
+func (s *scanner) skip(data []byte) int {
 	switch s.state {
 	case fieldName:
 		size := tokenBytes.prefix(data)
@@ -126,7 +102,7 @@
 }
 
 // next checks one byte and moves to the state of the byte after it.
-func (s *Scanner) next(char byte) {
+func (s *scanner) next(char byte) {
 	switch {
 	case s.state == versionAndStatus && s.conforms(char):
 		s.addToStatus(char)
@@ -156,7 +132,7 @@
 }
 
 // conforms reports whether the byte may stand at this offset of the version and status.
-func (s *Scanner) conforms(char byte) bool {
+func (s *scanner) conforms(char byte) bool {
 	isDigit := '0' <= char && char <= '9'
 	switch {
 	case s.offset < minorOffset:
@@ -173,7 +149,7 @@
 }
 
 // addToStatus adds a byte to the minor version or the status, of which it is a digit.
-func (s *Scanner) addToStatus(char byte) {
+func (s *scanner) addToStatus(char byte) {
 	switch {
 	case s.offset == minorOffset:
 		s.minorVersion = char
@@ -185,7 +161,7 @@
 	}
 }
 
-func (s *Scanner) addToName(part []byte) {
+func (s *scanner) addToName(part []byte) {
 	if s.nameLength < len(s.name) {
 		copy(s.name[s.nameLength:], part)
 	}
@@ -193,7 +169,7 @@
 }
 
 // checkFraming checks the current field against the earlier ones.
-func (s *Scanner) checkFraming() error {
+func (s *scanner) checkFraming() error {
 	if s.nameLength > len(s.name) {
 		return nil
 	}
